--- /dev/null
+++ b/core/jobs/backend.c
@@ -0,0 +1,162 @@
+#include "core/jobs/backend.h"
+
+#include <string.h>
+
+enum {
+    /* The users' pages: a backend server's clock may be 2 % slow. */
+    CLOCK_SLOW_PERCENT = 2,
+    /* Covers rounding and the delay between sampling and sending. */
+    LAPSE_MARGIN_MS = 60,
+};
+
+struct backend_entry *
+backend_entry_copy(const struct backend_entry *entry)
+{
+    struct backend_entry *copy = g_new0(struct backend_entry, 1);
+    *copy = *entry;
+    copy->id = g_strdup(entry->id);
+    copy->pool = g_strdup(entry->pool);
+    copy->address = g_strdup(entry->address);
+    copy->data_centre = g_strdup(entry->data_centre);
+    copy->host = g_strdup(entry->host);
+    copy->labels = g_strdupv(entry->labels);
+    return copy;
+}
+
+void
+backend_entry_clear(struct backend_entry *entry)
+{
+    g_free(entry->id);
+    g_free(entry->pool);
+    g_free(entry->address);
+    g_free(entry->data_centre);
+    g_free(entry->host);
+    g_strfreev(entry->labels);
+    *entry = (struct backend_entry){0};
+}
+
+void
+backend_entry_destroy(struct backend_entry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    backend_entry_clear(entry);
+    g_free(entry);
+}
+
+const struct job_step *
+run_step(const struct run *run)
+{
+    return &run->job->steps[run->step];
+}
+
+struct job_task *
+run_task(const struct run *run)
+{
+    return &job_part(run->job, run->occurrence, run->step)->tasks[run->index];
+}
+
+struct backend *
+backend_create(const struct backend_entry *entry)
+{
+    struct backend *backend = g_new0(struct backend, 1);
+    struct backend_entry *copy = backend_entry_copy(entry);
+    backend->entry = *copy;
+    g_free(copy);
+    backend->runs = g_ptr_array_new();
+    g_queue_init(&backend->ends);
+    return backend;
+}
+
+static void
+end_free(void *data)
+{
+    struct pending_end *end = data;
+    job_unref(end->job);
+    g_free(end);
+}
+
+void
+backend_destroy(struct backend *backend)
+{
+    if (backend == NULL) {
+        return;
+    }
+    g_queue_clear_full(&backend->ends, end_free);
+    g_ptr_array_unref(backend->runs);
+    backend_entry_clear(&backend->entry);
+    g_free(backend);
+}
+
+void
+backend_clock_told(struct backend *backend, int64_t clock_ms, int64_t now_ms)
+{
+    /* Answers on different connections may overtake each other. */
+    if (backend->clock_at_ms != 0 &&
+        clock_ms < backend_clock_at_least_ms(backend, now_ms)) {
+        return;
+    }
+    backend->clock_ms = clock_ms;
+    backend->clock_at_ms = now_ms;
+}
+
+int64_t
+backend_clock_at_least_ms(const struct backend *backend, int64_t now_ms)
+{
+    int64_t elapsed_ms = now_ms - backend->clock_at_ms;
+    return backend->clock_ms +
+           elapsed_ms * (100 - CLOCK_SLOW_PERCENT) / 100;
+}
+
+bool
+backend_lapsed(const struct backend *backend, int64_t now_ms)
+{
+    if (backend->lapse_ms != 0 && now_ms < backend->lapse_ms) {
+        return false;
+    }
+    if (backend->granted_until_ms == 0) {
+        return true;
+    }
+    return backend_clock_at_least_ms(backend, now_ms) >
+           backend->granted_until_ms + LAPSE_MARGIN_MS;
+}
+
+int64_t
+backend_grant(struct backend *backend, int64_t lease_ms, int64_t now_ms)
+{
+    int64_t until_ms = backend_clock_at_least_ms(backend, now_ms) + lease_ms;
+    if (until_ms > backend->granted_until_ms) {
+        backend->granted_until_ms = until_ms;
+    }
+    return backend->granted_until_ms;
+}
+
+void
+backend_note_seen(struct backend *backend)
+{
+    for (;;) {
+        struct pending_end *end = g_queue_peek_head(&backend->ends);
+        if (end == NULL ||
+            (end->job != NULL && end->job->stored_version < end->version)) {
+            return;
+        }
+        backend->seen_upto = end->number;
+        end_free(g_queue_pop_head(&backend->ends));
+    }
+}
+
+bool
+backend_has_label(const struct backend *backend, const char *label)
+{
+    return backend->entry.labels != NULL &&
+           g_strv_contains((const char *const *)backend->entry.labels, label);
+}
+
+const char *
+backend_rack(const struct backend *backend)
+{
+    char **labels = backend->entry.labels;
+    guint n_labels = labels == NULL ? 0 : g_strv_length(labels);
+    return n_labels == 0 ? "" : labels[n_labels - 1];
+}
--- /dev/null
+++ b/core/jobs/job.c
@@ -0,0 +1,180 @@
+#include "core/jobs/job.h"
+
+#include <string.h>
+
+bool
+room_fits(const struct job_room *free_room, const struct job_room *need)
+{
+    return need->cpu_milli <= free_room->cpu_milli &&
+           need->mem_mb <= free_room->mem_mb && need->gpus <= free_room->gpus;
+}
+
+void
+room_add(struct job_room *room, const struct job_room *by, int64_t times)
+{
+    room->cpu_milli += by->cpu_milli * times;
+    room->mem_mb += by->mem_mb * times;
+    room->gpus += by->gpus * times;
+}
+
+struct job *
+job_create(uint32_t n_steps)
+{
+    struct job *job = g_new0(struct job, 1);
+    job->n_steps = n_steps;
+    job->steps = g_new0(struct job_step, n_steps);
+    job->n_occurrences = 1;
+    job->ref_count = 1;
+    return job;
+}
+
+void
+job_prepare(struct job *job)
+{
+    size_t n_parts = (size_t)job->n_occurrences * job->n_steps;
+    job->parts = g_new0(struct job_part, n_parts);
+    for (size_t i = 0; i < n_parts; i++) {
+        uint32_t n_tasks = job->steps[i % job->n_steps].task_count;
+        job->parts[i].tasks = g_new0(struct job_task, n_tasks);
+    }
+}
+
+struct job *
+job_ref(struct job *job)
+{
+    job->ref_count++;
+    return job;
+}
+
+static void
+parts_free(struct job *job)
+{
+    size_t n_parts = (size_t)job->n_occurrences * job->n_steps;
+    for (size_t i = 0; job->parts != NULL && i < n_parts; i++) {
+        uint32_t n_tasks = job->steps[i % job->n_steps].task_count;
+        for (uint32_t t = 0; t < n_tasks; t++) {
+            g_free(job->parts[i].tasks[t].saved);
+            g_free(job->parts[i].tasks[t].avoid);
+        }
+        g_free(job->parts[i].tasks);
+    }
+    g_free(job->parts);
+}
+
+void
+job_unref(struct job *job)
+{
+    if (job == NULL || --job->ref_count > 0) {
+        return;
+    }
+    parts_free(job);
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        g_free(job->steps[i].after);
+        g_free(job->steps[i].required_label);
+        g_free(job->steps[i].data_rack);
+        g_free(job->steps[i].image);
+    }
+    g_free(job->steps);
+    g_free(job->queue);
+    g_free(job->pool);
+    g_free(job->team);
+    g_free(job->text);
+    g_free(job);
+}
+
+struct job_part *
+job_part(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+    return &job->parts[(size_t)occurrence * job->n_steps + step];
+}
+
+bool
+job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+    const struct job_step *this_step = &job->steps[step];
+    for (uint32_t i = 0; i < this_step->n_after; i++) {
+        uint32_t before = this_step->after[i];
+        if (job_part(job, occurrence, before)->done <
+            job->steps[before].task_count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+int64_t
+job_due_ms(const struct job *job, uint32_t occurrence)
+{
+    if (job->first_ms == 0) {
+        return 0;
+    }
+    return job->first_ms + (int64_t)occurrence * job->interval_ms;
+}
+
+bool
+job_all_done(const struct job *job)
+{
+    size_t n_parts = (size_t)job->n_occurrences * job->n_steps;
+    for (size_t i = 0; i < n_parts; i++) {
+        if (job->parts[i].done < job->steps[i % job->n_steps].task_count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+job_lasts(const struct job *job)
+{
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        if (job->steps[i].long_running) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+job_chain_ms(const struct job *job)
+{
+    int64_t until_ms[JOB_STEPS_MAX] = {0};
+    int64_t longest_ms = 0;
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        int64_t from_ms = 0;
+        for (uint32_t a = 0; a < job->steps[i].n_after; a++) {
+            from_ms = MAX(from_ms, until_ms[job->steps[i].after[a]]);
+        }
+        until_ms[i] = from_ms + job->steps[i].estimate_ms;
+        longest_ms = MAX(longest_ms, until_ms[i]);
+    }
+    return longest_ms;
+}
+
+int64_t
+job_core_ms(const struct job *job)
+{
+    int64_t sum = 0;
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        const struct job_step *step = &job->steps[i];
+        sum += step->task_count * step->need.cpu_milli * step->estimate_ms;
+    }
+    return sum;
+}
+
+void
+job_touch(struct job *job)
+{
+    job->version++;
+}
+
+const char *
+job_state_name(enum job_state state)
+{
+    static const char *const names[] = {
+        [JOB_ACTIVE] = "active",
+        [JOB_COMPLETED] = "completed",
+        [JOB_FAILED] = "failed",
+        [JOB_CANCELLED] = "cancelled",
+    };
+    return names[state];
+}
--- /dev/null
+++ b/core/jobs/order.c
@@ -0,0 +1,77 @@
+/*
+ * Order of waiting jobs. Answers the load in which each queue in its turn
+ * asks several times what its pool holds: jobs that can still meet their
+ * objective come first, least slack first, so that the pool is not spent on
+ * jobs that are late already.
+ */
+#include "core/jobs/scheduler.h"
+
+#include "scheduler_state.h"
+
+/* Jobs that last come first: they hold room for good and start once. */
+enum job_urgency {
+    URGENCY_LASTS,
+    URGENCY_ATTAINABLE,
+    URGENCY_LATE,
+};
+
+struct job_rank {
+    enum job_urgency urgency;
+    int64_t key_ms;
+};
+
+/* Declared run time of the longest chain of steps that are not done. */
+static int64_t
+remaining_chain_ms(const struct job *job)
+{
+    int64_t until_ms[JOB_STEPS_MAX] = {0};
+    int64_t longest_ms = 0;
+    uint32_t last = job->n_occurrences - 1;
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        const struct job_step *step = &job->steps[i];
+        int64_t from_ms = 0;
+        for (uint32_t a = 0; a < step->n_after; a++) {
+            from_ms = MAX(from_ms, until_ms[step->after[a]]);
+        }
+        bool done = job_part(job, last, i)->done >= step->task_count;
+        until_ms[i] = from_ms + (done ? 0 : step->estimate_ms);
+        longest_ms = MAX(longest_ms, until_ms[i]);
+    }
+    return longest_ms;
+}
+
+static struct job_rank
+rank_job(const struct scheduler *sched, const struct job *job, int64_t unix_ms)
+{
+    if (job_lasts(job)) {
+        return (struct job_rank){URGENCY_LASTS, job->accepted_unix_ms};
+    }
+    const struct queue_config *queue =
+        fleet_config_queue(sched->config, job->queue);
+    double stretch = queue == NULL ? 1 : queue->stretch;
+    int64_t objective_ms = queue == NULL ? 0 : queue->objective_ms;
+    int64_t from_ms =
+        job->first_ms > 0 ? job->first_ms : job->accepted_unix_ms;
+    int64_t by_ms =
+        from_ms + (int64_t)(stretch * job_chain_ms(job)) + objective_ms;
+    int64_t slack_ms = by_ms - unix_ms - remaining_chain_ms(job);
+    if (slack_ms >= 0) {
+        return (struct job_rank){URGENCY_ATTAINABLE, slack_ms};
+    }
+    return (struct job_rank){URGENCY_LATE, job->accepted_unix_ms};
+}
+
+int
+job_order_compare(const struct scheduler *sched, const struct job *a,
+                  const struct job *b, int64_t unix_ms)
+{
+    struct job_rank rank_a = rank_job(sched, a, unix_ms);
+    struct job_rank rank_b = rank_job(sched, b, unix_ms);
+    if (rank_a.urgency != rank_b.urgency) {
+        return rank_a.urgency < rank_b.urgency ? -1 : 1;
+    }
+    if (rank_a.key_ms != rank_b.key_ms) {
+        return rank_a.key_ms < rank_b.key_ms ? -1 : 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/core/jobs/place.c
@@ -0,0 +1,383 @@
+/*
+ * Placement of waiting tasks. Packs tasks onto the fullest backend server
+ * that has room, so that the others run empty and their hosts can move or
+ * be rebooted without stopping anything.
+ */
+#include "core/jobs/scheduler.h"
+
+#include <string.h>
+
+#include "scheduler_state.h"
+
+struct placer {
+    struct scheduler *sched;
+    int64_t now_ms;
+    int64_t unix_ms;
+    GHashTable *usable;
+    GHashTable *unsettled;
+};
+
+struct place_want {
+    const struct job *job;
+    const struct job_step *step;
+    uint32_t occurrence;
+    uint32_t step_index;
+    const char *avoid;
+    const char *rack;
+};
+
+static uint32_t
+count_of_step(const struct backend *backend, const struct place_want *want)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run->job == want->job && run->step == want->step_index &&
+            run->occurrence == want->occurrence) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Whether tasks that fill and tasks that serve would share the server. */
+static bool
+would_disturb(const struct backend *backend, const struct job_step *step)
+{
+    bool serves = step->tail_target_ms > 0;
+    if (!serves && !step->fills) {
+        return false;
+    }
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        const struct job_step *other = run_step(run);
+        if ((step->fills && other->tail_target_ms > 0) ||
+            (serves && other->fills)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+place_allowed(const struct placer *placer, const struct backend *backend,
+              const struct place_want *want)
+{
+    const struct job_step *step = want->step;
+    struct job_room need = step->need;
+    if (step->fills) {
+        need.cpu_milli = 0;
+    }
+    struct job_room free_room = backend->entry.room;
+    room_add(&free_room, &backend->used, -1);
+    if (!room_fits(&free_room, &need)) {
+        return false;
+    }
+    if (backend->suspect_until_ms > placer->now_ms &&
+        backend->runs->len > 0) {
+        return false;
+    }
+    if (step->required_label != NULL &&
+        !backend_has_label(backend, step->required_label)) {
+        return false;
+    }
+    if (want->rack != NULL && strcmp(backend_rack(backend), want->rack) != 0) {
+        return false;
+    }
+    if (step->max_per_backend > 0 &&
+        count_of_step(backend, want) >= step->max_per_backend) {
+        return false;
+    }
+    return true;
+}
+
+static double
+place_score(const struct placer *placer, const struct backend *backend,
+            const struct place_want *want)
+{
+    double score = (double)backend->used.cpu_milli /
+                   (double)MAX(backend->entry.room.cpu_milli, 1);
+    if (want->step->data_rack != NULL &&
+        backend_has_label(backend, want->step->data_rack)) {
+        score += 10;
+    }
+    if (want->avoid != NULL && strcmp(want->avoid, backend->entry.id) == 0) {
+        score -= 40;
+    }
+    if (backend->suspect_until_ms > placer->now_ms) {
+        score -= 20;
+    }
+    if (would_disturb(backend, want->step)) {
+        score -= 5;
+    }
+    return score;
+}
+
+static struct backend *
+choose_backend(const struct placer *placer, const char *pool,
+               const struct place_want *want)
+{
+    const GPtrArray *usable = g_hash_table_lookup(placer->usable, pool);
+    struct backend *best = NULL;
+    double best_score = 0;
+    for (guint i = 0; usable != NULL && i < usable->len; i++) {
+        struct backend *backend = g_ptr_array_index(usable, i);
+        if (!place_allowed(placer, backend, want)) {
+            continue;
+        }
+        double score = place_score(placer, backend, want);
+        if (best == NULL || score > best_score) {
+            best = backend;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static bool
+team_allows(struct scheduler *sched, const struct job *job,
+            const struct job_room *need)
+{
+    const struct team_config *team =
+        fleet_config_team(sched->config, job->team);
+    if (team == NULL) {
+        return true;
+    }
+    const struct job_room *used = sched_team_used(sched, job->team);
+    const struct job_room *most = &team->maximum;
+    return (most->cpu_milli == 0 ||
+            used->cpu_milli + need->cpu_milli <= most->cpu_milli) &&
+           (most->mem_mb == 0 ||
+            used->mem_mb + need->mem_mb <= most->mem_mb) &&
+           (most->gpus == 0 || used->gpus + need->gpus <= most->gpus);
+}
+
+static void
+send_start(struct scheduler *sched, struct run *run)
+{
+    struct backend *backend = run->backend;
+    int64_t lease_ms =
+        sched->outage ? sched->timings.lease_max_ms : (int64_t)LEASE_MS;
+    sched->figures.started++;
+    struct start_order order = {
+        .backend = backend,
+        .handle = run->handle,
+        .run = run,
+        .until_ms = backend_grant(backend, lease_ms, run->started_ms),
+    };
+    sched->ops.start(sched->ops.ctx, &order);
+}
+
+static uint32_t
+next_number(const struct scheduler *sched, const struct job_task *task)
+{
+    return MAX(task->run_number, sched->term * TERM_RUNS) + 1;
+}
+
+static bool
+task_waits(const struct placer *placer, const struct job_task *task)
+{
+    return task->run == NULL && !task->done &&
+           task->wait_until_ms <= placer->now_ms;
+}
+
+static struct run *
+place_task(struct placer *placer, struct job *job, const char *pool,
+           struct place_want *want, uint32_t index, uint32_t number)
+{
+    struct scheduler *sched = placer->sched;
+    struct job_task *task =
+        &job_part(job, want->occurrence, want->step_index)->tasks[index];
+    if (!team_allows(sched, job, &want->step->need)) {
+        return NULL;
+    }
+    want->avoid = task->avoid;
+    struct backend *backend = choose_backend(placer, pool, want);
+    if (backend == NULL) {
+        return NULL;
+    }
+    return sched_run_create(sched, job, want->occurrence, want->step_index,
+                            index, number, backend);
+}
+
+/* Starts all members of a gang, or none of them. */
+static bool
+place_gang_in(struct placer *placer, struct job *job, const char *pool,
+              struct place_want *want)
+{
+    struct job_part *part =
+        job_part(job, want->occurrence, want->step_index);
+    uint32_t n_tasks = want->step->task_count;
+    uint32_t number = 0;
+    for (uint32_t t = 0; t < n_tasks; t++) {
+        number = MAX(number, next_number(placer->sched, &part->tasks[t]));
+    }
+    GPtrArray *runs = g_ptr_array_new();
+    while (runs->len < n_tasks) {
+        struct run *run =
+            place_task(placer, job, pool, want, runs->len, number);
+        if (run == NULL) {
+            break;
+        }
+        g_ptr_array_add(runs, run);
+    }
+    bool whole = runs->len == n_tasks;
+    for (guint i = 0; i < runs->len; i++) {
+        if (whole) {
+            send_start(placer->sched, g_ptr_array_index(runs, i));
+        }
+        else {
+            sched_run_free(placer->sched, g_ptr_array_index(runs, i));
+        }
+    }
+    g_ptr_array_unref(runs);
+    return whole;
+}
+
+static void
+place_gang(struct placer *placer, struct job *job, const char *pool,
+           struct place_want *want)
+{
+    struct job_part *part =
+        job_part(job, want->occurrence, want->step_index);
+    for (uint32_t t = 0; t < want->step->task_count; t++) {
+        if (!task_waits(placer, &part->tasks[t])) {
+            return;
+        }
+    }
+    const GPtrArray *usable = g_hash_table_lookup(placer->usable, pool);
+    GHashTable *tried = g_hash_table_new(g_str_hash, g_str_equal);
+    bool placed = false;
+    for (guint i = 0; want->step->same_rack && usable != NULL && !placed &&
+                      i < usable->len;
+         i++) {
+        const char *rack = backend_rack(g_ptr_array_index(usable, i));
+        if (g_hash_table_add(tried, (void *)rack)) {
+            want->rack = rack;
+            placed = place_gang_in(placer, job, pool, want);
+        }
+    }
+    want->rack = NULL;
+    if (!placed) {
+        place_gang_in(placer, job, pool, want);
+    }
+    g_hash_table_unref(tried);
+}
+
+static void
+place_step(struct placer *placer, struct job *job, const char *pool,
+           uint32_t occurrence, uint32_t step_index)
+{
+    struct place_want want = {
+        .job = job,
+        .step = &job->steps[step_index],
+        .occurrence = occurrence,
+        .step_index = step_index,
+    };
+    struct job_part *part = job_part(job, occurrence, step_index);
+    if (part->done >= want.step->task_count) {
+        return;
+    }
+    if (want.step->gang) {
+        place_gang(placer, job, pool, &want);
+        return;
+    }
+    for (uint32_t t = 0; t < want.step->task_count; t++) {
+        struct job_task *task = &part->tasks[t];
+        if (!task_waits(placer, task)) {
+            continue;
+        }
+        struct run *run = place_task(placer, job, pool, &want, t,
+                                     next_number(placer->sched, task));
+        if (run == NULL) {
+            return;
+        }
+        send_start(placer->sched, run);
+    }
+}
+
+static void
+place_job(struct placer *placer, struct job *job)
+{
+    const struct queue_config *queue =
+        fleet_config_queue(placer->sched->config, job->queue);
+    /* A job outlives the queue it came through. */
+    const char *pool = queue == NULL ? job->pool : queue->pool;
+    if (job->inherited && g_hash_table_contains(placer->unsettled, pool)) {
+        return;
+    }
+    for (uint32_t k = 0; k < job->n_occurrences; k++) {
+        if (job_due_ms(job, k) > placer->unix_ms) {
+            return;
+        }
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            if (job->state == JOB_ACTIVE && job_step_ready(job, k, s)) {
+                place_step(placer, job, pool, k, s);
+            }
+        }
+    }
+}
+
+static int
+compare_backends(const void *a, const void *b)
+{
+    const struct backend *x = *(const struct backend *const *)a;
+    const struct backend *y = *(const struct backend *const *)b;
+    return strcmp(x->entry.id, y->entry.id);
+}
+
+static void
+sort_backends(struct placer *placer)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, placer->sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (backend->inherited) {
+            g_hash_table_add(placer->unsettled, backend->entry.pool);
+        }
+        if (!sched_usable(placer->sched, backend)) {
+            continue;
+        }
+        GPtrArray *usable =
+            g_hash_table_lookup(placer->usable, backend->entry.pool);
+        if (usable == NULL) {
+            usable = g_ptr_array_new();
+            g_hash_table_insert(placer->usable, backend->entry.pool, usable);
+        }
+        g_ptr_array_add(usable, backend);
+    }
+    g_hash_table_iter_init(&iter, placer->usable);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_sort(value, compare_backends);
+    }
+}
+
+static int
+compare_jobs(const void *a, const void *b, void *ctx)
+{
+    const struct placer *placer = ctx;
+    return job_order_compare(placer->sched, *(struct job *const *)a,
+                             *(struct job *const *)b, placer->unix_ms);
+}
+
+void
+sched_place(struct scheduler *sched)
+{
+    struct placer placer = {
+        .sched = sched,
+        .now_ms = sched_now(sched),
+        .unix_ms = ms_clock_now(&sched->unix_clock),
+        .usable = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)g_ptr_array_unref),
+        .unsettled = g_hash_table_new(g_str_hash, g_str_equal),
+    };
+    sort_backends(&placer);
+    g_ptr_array_sort_with_data(sched->active, compare_jobs, &placer);
+    for (guint i = 0; i < sched->active->len; i++) {
+        place_job(&placer, g_ptr_array_index(sched->active, i));
+    }
+    g_hash_table_unref(placer.usable);
+    g_hash_table_unref(placer.unsettled);
+}
--- /dev/null
+++ b/core/jobs/scheduler.c
@@ -0,0 +1,516 @@
+#include "core/jobs/scheduler.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "scheduler_state.h"
+
+enum {
+    NOTE_BYTES = 600,
+    TICK_MS = 100,
+};
+
+static void
+run_destroy(void *data)
+{
+    struct run *run = data;
+    job_unref(run->job);
+    g_free(run);
+}
+
+static void
+backend_value_destroy(void *data)
+{
+    backend_destroy(data);
+}
+
+static void
+job_value_destroy(void *data)
+{
+    job_unref(data);
+}
+
+static void
+team_use_destroy(void *data)
+{
+    struct team_use *use = data;
+    g_free(use->team);
+    g_free(use);
+}
+
+static void
+host_destroy(void *data)
+{
+    struct host *host = data;
+    g_free(host->name);
+    g_free(host->pool);
+    g_free(host->data_centre);
+    g_free(host->backend_id);
+    g_free(host->target_pool);
+    g_free(host->last_life);
+    g_free(host);
+}
+
+static void
+pool_load_destroy(void *data)
+{
+    struct pool_load *load = data;
+    g_free(load->pool);
+    g_free(load);
+}
+
+static void
+wave_destroy(void *data)
+{
+    struct wave *wave = data;
+    g_ptr_array_unref(wave->hosts);
+    g_free(wave);
+}
+
+struct scheduler *
+scheduler_create(const struct sched_timings *timings,
+                 const struct sched_ops *ops, uint32_t term,
+                 struct ms_clock clock, struct ms_clock unix_clock)
+{
+    struct scheduler *sched = g_new0(struct scheduler, 1);
+    sched->timings = *timings;
+    sched->ops = *ops;
+    sched->term = term;
+    sched->clock = clock;
+    sched->unix_clock = unix_clock;
+    sched->taken_over_ms = ms_clock_now(&clock);
+    sched->next_handle = 1;
+    sched->backends = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                            backend_value_destroy);
+    sched->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                        job_value_destroy);
+    sched->active = g_ptr_array_new();
+    sched->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                        run_destroy);
+    sched->team_use = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                            team_use_destroy);
+    sched->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         host_destroy);
+    sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         pool_load_destroy);
+    sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
+    sched->dirty = g_ptr_array_new();
+    sched->to_register = g_ptr_array_new_with_free_func(g_free);
+    sched->to_release = g_ptr_array_new_with_free_func(g_free);
+    g_queue_init(&sched->finished);
+    return sched;
+}
+
+void
+scheduler_destroy(struct scheduler *sched)
+{
+    if (sched == NULL) {
+        return;
+    }
+    g_hash_table_unref(sched->runs);
+    g_hash_table_unref(sched->backends);
+    g_ptr_array_unref(sched->active);
+    g_hash_table_unref(sched->jobs);
+    g_hash_table_unref(sched->team_use);
+    g_hash_table_unref(sched->hosts);
+    g_hash_table_unref(sched->pools);
+    g_ptr_array_unref(sched->waves);
+    g_ptr_array_unref(sched->dirty);
+    g_ptr_array_unref(sched->to_register);
+    g_ptr_array_unref(sched->to_release);
+    g_queue_clear(&sched->finished);
+    g_strfreev(sched->out);
+    g_free(sched);
+}
+
+void
+sched_note(struct scheduler *sched, const char *event, const char *format,
+           ...)
+{
+    if (sched->ops.note == NULL) {
+        return;
+    }
+    char fields[NOTE_BYTES];
+    va_list args;
+    va_start(args, format);
+    vsnprintf(fields, sizeof(fields), format, args);
+    va_end(args);
+    sched->ops.note(sched->ops.ctx, event, fields);
+}
+
+void
+scheduler_configure(struct scheduler *sched, const struct fleet_config *config)
+{
+    sched->config = config;
+}
+
+void
+scheduler_take_out(struct scheduler *sched, char **data_centres)
+{
+    g_strfreev(sched->out);
+    sched->out = g_strdupv(data_centres);
+}
+
+bool
+sched_is_out(const struct scheduler *sched, const char *data_centre)
+{
+    return sched->out != NULL &&
+           g_strv_contains((const char *const *)sched->out, data_centre);
+}
+
+void
+scheduler_set_valid(struct scheduler *sched, bool valid)
+{
+    if (sched->valid != valid) {
+        sched_note(sched, valid ? "orders_allowed" : "orders_suspended",
+                   "\"term\":%u", sched->term);
+    }
+    sched->valid = valid;
+}
+
+void
+scheduler_set_outage(struct scheduler *sched, bool outage)
+{
+    if (sched->outage == outage) {
+        return;
+    }
+    sched->outage = outage;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        backend->hold_due_ms = 0;
+    }
+}
+
+bool
+scheduler_fenced(const struct scheduler *sched)
+{
+    return sched->fenced;
+}
+
+struct pool_load *
+sched_pool_load(struct scheduler *sched, const char *pool)
+{
+    struct pool_load *load = g_hash_table_lookup(sched->pools, pool);
+    if (load == NULL) {
+        load = g_new0(struct pool_load, 1);
+        load->pool = g_strdup(pool);
+        g_hash_table_insert(sched->pools, load->pool, load);
+    }
+    return load;
+}
+
+struct backend *
+scheduler_find_backend(const struct scheduler *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->backends, id);
+}
+
+GPtrArray *
+scheduler_list_backends(const struct scheduler *sched)
+{
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct backend *backend = value;
+        if (backend->listed) {
+            g_ptr_array_add(ids, g_strdup(backend->entry.id));
+        }
+    }
+    return ids;
+}
+
+/* An entry of another life under the same id: the old life has ended. */
+static void
+renew_life(struct scheduler *sched, struct backend *backend)
+{
+    sched_backend_lost(sched, backend, "restarted");
+    backend->reconciled = false;
+    backend->inherited = false;
+    backend->clock_at_ms = 0;
+    backend->clock_ms = 0;
+    backend->granted_until_ms = 0;
+    backend->lapse_ms = 0;
+    backend->last_end = 0;
+    backend->seen_upto = 0;
+    backend->seen_sent = 0;
+    backend->silent = false;
+}
+
+static struct backend *
+add_backend(struct scheduler *sched, const struct backend_entry *entry)
+{
+    struct backend *backend = backend_create(entry);
+    backend->empty_since_ms = sched_now(sched);
+    g_hash_table_insert(sched->backends, backend->entry.id, backend);
+    return backend;
+}
+
+static void
+update_entry(struct backend *backend, const struct backend_entry *entry)
+{
+    struct backend_entry *copy = backend_entry_copy(entry);
+    char *id = backend->entry.id;
+    g_free(copy->id);
+    copy->id = NULL;
+    backend->entry.id = NULL;
+    backend_entry_clear(&backend->entry);
+    backend->entry = *copy;
+    backend->entry.id = id;
+    g_free(copy);
+}
+
+void
+scheduler_backend_seen(struct scheduler *sched,
+                       const struct backend_entry *entry)
+{
+    struct backend *backend = scheduler_find_backend(sched, entry->id);
+    if (backend == NULL) {
+        backend = add_backend(sched, entry);
+        sched_note(sched, "backend_seen",
+                   "\"backend\":\"%s\",\"pool\":\"%s\",\"host\":\"%s\"",
+                   entry->id, entry->pool,
+                   entry->host == NULL ? "" : entry->host);
+    }
+    else {
+        int64_t born_before_ms = backend->entry.born_ms;
+        if (entry->draining && !backend->entry.draining) {
+            sched_note(sched, "backend_draining", "\"backend\":\"%s\"",
+                       entry->id);
+        }
+        update_entry(backend, entry);
+        if (born_before_ms != 0 && entry->born_ms != 0 &&
+            born_before_ms != entry->born_ms) {
+            renew_life(sched, backend);
+        }
+    }
+    backend->listed = true;
+    sched_host_life(sched, backend);
+}
+
+void
+scheduler_backend_gone(struct scheduler *sched, const char *id)
+{
+    struct backend *backend = scheduler_find_backend(sched, id);
+    if (backend == NULL || !backend->listed) {
+        return;
+    }
+    backend->listed = false;
+    sched_note(sched, "backend_unlisted", "\"backend\":\"%s\",\"runs\":%u", id,
+               backend->runs->len);
+}
+
+void
+scheduler_backend_inherited(struct scheduler *sched,
+                            const struct backend_entry *entry)
+{
+    struct backend *backend = scheduler_find_backend(sched, entry->id);
+    if (backend == NULL) {
+        backend = add_backend(sched, entry);
+    }
+    backend->inherited = true;
+    backend->registered = true;
+    /* The scheduler before granted its last lease before this one began. */
+    backend->lapse_ms = sched->taken_over_ms +
+                        sched->timings.lease_max_ms * 102 / 100 + 100;
+}
+
+bool
+sched_usable(const struct scheduler *sched, const struct backend *backend)
+{
+    return backend->listed && backend->reconciled && backend->registered &&
+           !backend->entry.draining && !backend->silent &&
+           !backend->leaving &&
+           !sched_is_out(sched, backend->entry.data_centre);
+}
+
+void
+sched_mark_dirty(struct scheduler *sched, struct job *job)
+{
+    job_touch(job);
+    if (!job->storing && !g_ptr_array_find(sched->dirty, job, NULL)) {
+        g_ptr_array_add(sched->dirty, job_ref(job));
+    }
+    if (sched->ops.store != NULL) {
+        sched->ops.store(sched->ops.ctx);
+    }
+}
+
+void
+scheduler_add_job(struct scheduler *sched, struct job *job)
+{
+    if (g_hash_table_contains(sched->jobs, job->id)) {
+        return;
+    }
+    job_ref(job);
+    g_hash_table_insert(sched->jobs, job->id, job);
+    if (job->state != JOB_ACTIVE) {
+        g_queue_push_tail(&sched->finished, job);
+        return;
+    }
+    g_ptr_array_add(sched->active, job);
+    if (job_all_done(job)) {
+        sched_finish_job(sched, job, JOB_COMPLETED);
+    }
+}
+
+struct job *
+scheduler_find_job(const struct scheduler *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->jobs, id);
+}
+
+static void
+stop_runs_of(struct scheduler *sched, struct job *job)
+{
+    uint32_t n_parts = job->n_occurrences * job->n_steps;
+    for (uint32_t p = 0; p < n_parts; p++) {
+        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
+        for (uint32_t t = 0; t < n_tasks; t++) {
+            struct run *run = job->parts[p].tasks[t].run;
+            if (run != NULL) {
+                sched_run_stop(sched, run);
+            }
+        }
+    }
+}
+
+void
+sched_finish_job(struct scheduler *sched, struct job *job,
+                 enum job_state state)
+{
+    if (job->state != JOB_ACTIVE) {
+        return;
+    }
+    job->state = state;
+    g_ptr_array_remove_fast(sched->active, job);
+    g_queue_push_tail(&sched->finished, job);
+    sched_note(sched, "job_finished",
+               "\"job\":\"%s\",\"queue\":\"%s\",\"state\":\"%s\","
+               "\"after_ms\":%" G_GINT64_FORMAT,
+               job->id, job->queue, job_state_name(state),
+               ms_clock_now(&sched->unix_clock) - job->accepted_unix_ms);
+    sched_mark_dirty(sched, job);
+    stop_runs_of(sched, job);
+}
+
+bool
+scheduler_cancel(struct scheduler *sched, const char *id)
+{
+    struct job *job = scheduler_find_job(sched, id);
+    if (job == NULL) {
+        return false;
+    }
+    sched_finish_job(sched, job, JOB_CANCELLED);
+    return true;
+}
+
+int64_t
+scheduler_waiting(const struct scheduler *sched, const char *queue)
+{
+    int64_t waiting = 0;
+    for (guint i = 0; i < sched->active->len; i++) {
+        const struct job *job = g_ptr_array_index(sched->active, i);
+        if (!job->begun && strcmp(job->queue, queue) == 0) {
+            waiting++;
+        }
+    }
+    return waiting;
+}
+
+/* Forgets backend servers that can hold nothing of ours any more. */
+static void
+expire_backends(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        bool lapsed = backend_lapsed(backend, now_ms);
+        if (lapsed && backend->silent && backend->runs->len > 0) {
+            sched_backend_lost(sched, backend, "lapsed");
+        }
+        if (lapsed && backend->silent) {
+            backend->inherited = false;
+        }
+        if (backend->listed || !lapsed || backend->runs->len > 0 ||
+            backend->hold_in_flight || backend->registering) {
+            continue;
+        }
+        if (backend->registered) {
+            g_ptr_array_add(sched->to_release, g_strdup(backend->entry.id));
+        }
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+/* A backend server is stored as holding runs before its first one. */
+static void
+register_backends(struct scheduler *sched)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (backend->listed && !backend->registered &&
+            !backend->registering && !backend->entry.draining) {
+            const struct pool_config *pool =
+                fleet_config_pool(sched->config, backend->entry.pool);
+            if (pool == NULL || pool->spare) {
+                continue;
+            }
+            backend->registering = true;
+            g_ptr_array_add(sched->to_register, g_strdup(backend->entry.id));
+        }
+    }
+}
+
+int64_t
+scheduler_tick(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    if (sched->config == NULL) {
+        return now_ms + TICK_MS;
+    }
+    expire_backends(sched);
+    register_backends(sched);
+    if (sched->valid && !sched->fenced) {
+        sched_watch_runs(sched);
+        sched_place(sched);
+        sched_plan_hosts(sched);
+    }
+    sched_lists_due(sched);
+    if (sched->ops.store != NULL &&
+        (sched->dirty->len > 0 || sched->to_register->len > 0 ||
+         sched->to_release->len > 0)) {
+        sched->ops.store(sched->ops.ctx);
+    }
+    return now_ms + TICK_MS;
+}
+
+void
+scheduler_figures(const struct scheduler *sched, struct sched_figures *figures)
+{
+    *figures = sched->figures;
+    figures->jobs_active = sched->active->len;
+    figures->runs = g_hash_table_size(sched->runs);
+    figures->backends = g_hash_table_size(sched->backends);
+    figures->backends_unsettled = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct backend *backend = value;
+        if (backend->inherited) {
+            figures->backends_unsettled++;
+        }
+    }
+}
--- /dev/null
+++ b/core/jobs/scheduler_lists.c
@@ -0,0 +1,343 @@
+/* Reads the lists of backend servers: leases, ends, and runs taken over. */
+#include "core/jobs/scheduler.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scheduler_state.h"
+
+enum {
+    /* The users' pages: ends come 500 at a time. */
+    ENDS_PER_LIST = 500,
+};
+
+struct task_name {
+    char job_id[JOB_ID_CHARS + 1];
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+};
+
+static bool
+parse_task_name(const char *text, struct task_name *name)
+{
+    const char *dot = strchr(text, '.');
+    if (dot == NULL || (size_t)(dot - text) != JOB_ID_CHARS) {
+        return false;
+    }
+    memcpy(name->job_id, text, JOB_ID_CHARS);
+    name->job_id[JOB_ID_CHARS] = '\0';
+    uint32_t *parts[] = {&name->occurrence, &name->step, &name->index};
+    for (size_t i = 0; i < 3; i++) {
+        if (*dot != '.') {
+            return false;
+        }
+        char *end = NULL;
+        *parts[i] = (uint32_t)strtoul(dot + 1, &end, 10);
+        if (end == dot + 1) {
+            return false;
+        }
+        dot = end;
+    }
+    return *dot == '\0';
+}
+
+/* The job that a listed task belongs to, if the task can be one of it. */
+static struct job *
+find_task(struct scheduler *sched, const char *text, struct task_name *name)
+{
+    if (!parse_task_name(text, name)) {
+        return NULL;
+    }
+    struct job *job = scheduler_find_job(sched, name->job_id);
+    if (job == NULL || name->occurrence >= job->n_occurrences ||
+        name->step >= job->n_steps ||
+        name->index >= job->steps[name->step].task_count) {
+        return NULL;
+    }
+    return job;
+}
+
+static void
+stop_stray(struct scheduler *sched, struct backend *backend,
+           const struct listed_run *listed)
+{
+    if (!sched->valid || sched->fenced) {
+        return;
+    }
+    sched_note(sched, "stray_stopped",
+               "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"", listed->task,
+               listed->number, backend->entry.id);
+    struct stop_order order = {
+        .backend = backend,
+        .task = listed->task,
+        .number = listed->number,
+    };
+    sched->ops.stop(sched->ops.ctx, &order);
+}
+
+static void
+update_run(struct scheduler *sched, struct run *run,
+           const struct listed_run *listed)
+{
+    int64_t now_ms = sched_now(sched);
+    run->known_ms = now_ms;
+    if (run->percent != listed->percent) {
+        run->percent = listed->percent;
+        run->percent_at_ms = now_ms;
+    }
+    run->tail_ms = listed->figure;
+    if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN) {
+        run->state = RUN_WORKING;
+    }
+    struct job_task *task = run_task(run);
+    if (listed->saved != NULL && listed->saved[0] != '\0' &&
+        g_strcmp0(task->saved, listed->saved) != 0) {
+        g_free(task->saved);
+        task->saved = g_strdup(listed->saved);
+    }
+}
+
+static void
+take_running(struct scheduler *sched, struct backend *backend,
+             const struct listed_run *listed)
+{
+    struct task_name name;
+    struct job *job = find_task(sched, listed->task, &name);
+    if (job == NULL) {
+        stop_stray(sched, backend, listed);
+        return;
+    }
+    struct job_task *task =
+        &job_part(job, name.occurrence, name.step)->tasks[name.index];
+    task->run_number = MAX(task->run_number, listed->number);
+    if (task->run != NULL && task->run->backend == backend &&
+        task->run->number == listed->number) {
+        update_run(sched, task->run, listed);
+        return;
+    }
+    if (task->run != NULL || task->done || job->state != JOB_ACTIVE) {
+        stop_stray(sched, backend, listed);
+        return;
+    }
+    struct run *run =
+        sched_run_create(sched, job, name.occurrence, name.step, name.index,
+                         listed->number, backend);
+    run->state = RUN_WORKING;
+    update_run(sched, run, listed);
+    sched_note(sched, "run_adopted", "\"task\":\"%s\",\"backend\":\"%s\"",
+               listed->task, backend->entry.id);
+}
+
+static void
+queue_end(struct backend *backend, int64_t number, struct job *job)
+{
+    struct pending_end *end = g_new0(struct pending_end, 1);
+    end->number = number;
+    if (job != NULL) {
+        end->job = job_ref(job);
+        end->version = job->version;
+    }
+    g_queue_push_tail(&backend->ends, end);
+    backend->last_end = number;
+}
+
+static void
+take_end(struct scheduler *sched, struct backend *backend,
+         const struct listed_end *listed)
+{
+    if (listed->number <= backend->last_end) {
+        return;
+    }
+    struct task_name name;
+    struct job *job = find_task(sched, listed->task, &name);
+    if (job == NULL) {
+        queue_end(backend, listed->number, NULL);
+        return;
+    }
+    struct job_task *task =
+        &job_part(job, name.occurrence, name.step)->tasks[name.index];
+    task->run_number = MAX(task->run_number, listed->run);
+    struct run *run = task->run;
+    if (run != NULL && run->backend == backend &&
+        run->number == listed->run) {
+        sched_run_end(sched, run, listed->reason, listed->saved);
+    }
+    else if (listed->reason == END_DONE && job->state == JOB_ACTIVE) {
+        sched_task_done(sched, job, name.occurrence, name.step, name.index);
+    }
+    queue_end(backend, listed->number, job);
+}
+
+/* A run that was confirmed, or barred by a stop, before the list was asked
+ * for and stands in neither list is not there. */
+static void
+drop_absent(struct scheduler *sched, struct backend *backend,
+            const struct backend_lists *lists)
+{
+    if (lists->n_ends >= ENDS_PER_LIST) {
+        return;
+    }
+    int64_t now_ms = sched_now(sched);
+    for (guint i = backend->runs->len; i > 0; i--) {
+        struct run *run = g_ptr_array_index(backend->runs, i - 1);
+        bool listed_now = run->known_ms == now_ms;
+        bool confirmed = run->known_ms != 0 &&
+                         run->known_ms < backend->hold_sent_ms;
+        bool barred = run->stop_acked_ms != 0 &&
+                      run->stop_acked_ms < backend->hold_sent_ms;
+        if (listed_now || (run->state != RUN_STOPPING && !confirmed) ||
+            (run->state == RUN_STOPPING && !barred)) {
+            continue;
+        }
+        sched_note(sched, "run_absent",
+                   "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\"",
+                   run->job->id, run->step, run->index, backend->entry.id);
+        sched->figures.lost++;
+        sched_run_free(sched, run);
+    }
+}
+
+static void
+other_life(struct scheduler *sched, struct backend *backend)
+{
+    sched_note(sched, "backend_other_life", "\"backend\":\"%s\"",
+               backend->entry.id);
+    backend->silent = true;
+    backend->hold_due_ms = sched_now(sched) + LIST_RETRY_MS;
+}
+
+void
+scheduler_on_list(struct scheduler *sched, const char *backend_id,
+                  const struct backend_lists *lists)
+{
+    struct backend *backend = scheduler_find_backend(sched, backend_id);
+    if (backend == NULL) {
+        return;
+    }
+    int64_t now_ms = sched_now(sched);
+    backend->hold_in_flight = false;
+    backend->hold_due_ms = now_ms + LIST_GAP_MS;
+    if (lists->outcome == LIST_FENCED) {
+        sched->fenced = true;
+        return;
+    }
+    if (lists->outcome == LIST_OTHER_LIFE) {
+        other_life(sched, backend);
+        return;
+    }
+    if (lists->outcome == LIST_NO_ANSWER) {
+        if (!backend->silent) {
+            sched_note(sched, "backend_silent", "\"backend\":\"%s\"",
+                       backend->entry.id);
+        }
+        backend->silent = true;
+        backend->hold_due_ms = now_ms + LIST_RETRY_MS;
+        return;
+    }
+    if (lists->born_ms != 0 && backend->entry.born_ms != 0 &&
+        lists->born_ms != backend->entry.born_ms) {
+        /* The answer is of a life that the host list doesn't show yet. */
+        if (lists->born_ms < backend->entry.born_ms) {
+            return;
+        }
+        struct backend_entry *entry = backend_entry_copy(&backend->entry);
+        entry->born_ms = lists->born_ms;
+        bool listed = backend->listed;
+        scheduler_backend_seen(sched, entry);
+        backend->listed = listed;
+        backend_entry_destroy(entry);
+        backend->hold_due_ms = 0;
+        return;
+    }
+    if (backend->silent) {
+        sched_note(sched, "backend_answers", "\"backend\":\"%s\"",
+                   backend->entry.id);
+    }
+    backend->silent = false;
+    backend_clock_told(backend, lists->clock_ms, now_ms);
+    for (size_t i = 0; i < lists->n_ends; i++) {
+        take_end(sched, backend, &lists->ends[i]);
+    }
+    for (size_t i = 0; i < lists->n_running; i++) {
+        take_running(sched, backend, &lists->running[i]);
+    }
+    drop_absent(sched, backend, lists);
+    backend->reconciled = true;
+    backend->inherited = false;
+}
+
+static bool
+list_wanted(const struct scheduler *sched, const struct backend *backend)
+{
+    if (backend->runs->len > 0 || backend->inherited) {
+        return true;
+    }
+    if (!g_queue_is_empty((GQueue *)&backend->ends) ||
+        backend->seen_sent < backend->seen_upto) {
+        return true;
+    }
+    const struct pool_config *pool =
+        fleet_config_pool(sched->config, backend->entry.pool);
+    return backend->listed && pool != NULL && !pool->spare &&
+           (!backend->reconciled || backend->silent);
+}
+
+static void
+read_list(struct scheduler *sched, struct backend *backend)
+{
+    int64_t now_ms = sched_now(sched);
+    backend_note_seen(backend);
+    bool first = !backend->reconciled || backend->silent;
+    int64_t until_ms = 0;
+    if (sched->valid && !first && backend->runs->len > 0) {
+        until_ms = backend_grant(backend,
+                                 sched->outage ? sched->timings.lease_max_ms
+                                               : LEASE_MS,
+                                 now_ms);
+    }
+    bool wait = !first && !sched->outage && backend->runs->len > 0;
+    int64_t wait_ms = wait ? LIST_WAIT_MS : 0;
+    for (guint i = 0; wait && i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run->state == RUN_STOPPING) {
+            wait_ms = MIN(wait_ms, sched->timings.stop_ms / 4 + 50);
+        }
+    }
+    if (!wait && backend->runs->len > 0 && sched->outage) {
+        wait_ms = LIST_WAIT_MS / 4;
+    }
+    backend->hold_in_flight = true;
+    backend->hold_sent_ms = now_ms;
+    backend->seen_sent = backend->seen_upto;
+    sched->ops.list(sched->ops.ctx, backend, until_ms, backend->seen_upto,
+                    wait_ms);
+}
+
+void
+sched_lists_due(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    if (sched->fenced) {
+        return;
+    }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (backend->hold_in_flight || now_ms < backend->hold_due_ms ||
+            !list_wanted(sched, backend)) {
+            continue;
+        }
+        if (backend->runs->len == 0 && backend->reconciled &&
+            !backend->silent && !g_queue_is_empty(&backend->ends)) {
+            backend_note_seen(backend);
+            if (!g_queue_is_empty(&backend->ends)) {
+                continue;
+            }
+        }
+        read_list(sched, backend);
+    }
+}
--- /dev/null
+++ b/core/jobs/scheduler_runs.c
@@ -0,0 +1,338 @@
+/* Runs: created by a start or found on a list, gone only with proof. */
+#include "core/jobs/scheduler.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "scheduler_state.h"
+
+struct job_room *
+sched_team_used(struct scheduler *sched, const char *team)
+{
+    struct team_use *use = g_hash_table_lookup(sched->team_use, team);
+    if (use == NULL) {
+        use = g_new0(struct team_use, 1);
+        use->team = g_strdup(team);
+        g_hash_table_insert(sched->team_use, use->team, use);
+    }
+    return &use->used;
+}
+
+/* Room of a task on its backend server: filling tasks use what is left. */
+static struct job_room
+backend_need(const struct job_step *step)
+{
+    struct job_room need = step->need;
+    if (step->fills) {
+        need.cpu_milli = 0;
+    }
+    return need;
+}
+
+static void
+run_count(struct scheduler *sched, struct run *run, int64_t times)
+{
+    const struct job_step *step = run_step(run);
+    struct job_room need = backend_need(step);
+    room_add(&run->backend->used, &need, times);
+    room_add(sched_team_used(sched, run->job->team), &step->need, times);
+}
+
+struct run *
+sched_run_create(struct scheduler *sched, struct job *job, uint32_t occurrence,
+                 uint32_t step, uint32_t index, uint32_t number,
+                 struct backend *backend)
+{
+    struct run *run = g_new0(struct run, 1);
+    run->handle = sched->next_handle++;
+    run->job = job_ref(job);
+    run->occurrence = occurrence;
+    run->step = step;
+    run->index = index;
+    run->number = number;
+    run->backend = backend;
+    run->started_ms = sched_now(sched);
+    run->percent_at_ms = run->started_ms;
+    run->percent = -1;
+    run->pace = 100;
+    g_hash_table_insert(sched->runs, &run->handle, run);
+    g_ptr_array_add(backend->runs, run);
+    struct job_task *task = run_task(run);
+    task->run = run;
+    task->run_number = MAX(task->run_number, number);
+    job_part(job, occurrence, step)->started = true;
+    job->begun = true;
+    run_count(sched, run, 1);
+    return run;
+}
+
+void
+sched_run_free(struct scheduler *sched, struct run *run)
+{
+    run_count(sched, run, -1);
+    struct job_task *task = run_task(run);
+    if (task->run == run) {
+        task->run = NULL;
+    }
+    g_ptr_array_remove_fast(run->backend->runs, run);
+    if (run->backend->runs->len == 0) {
+        run->backend->empty_since_ms = sched_now(sched);
+    }
+    g_hash_table_remove(sched->runs, &run->handle);
+}
+
+static void
+send_stop(struct scheduler *sched, struct run *run)
+{
+    char name[JOB_ID_CHARS + 48];
+    snprintf(name, sizeof(name), "%s.%u.%u.%u", run->job->id, run->occurrence,
+             run->step, run->index);
+    run->stop_sent_ms = sched_now(sched);
+    run->stop_pending = true;
+    struct stop_order order = {
+        .backend = run->backend,
+        .handle = run->handle,
+        .task = name,
+        .number = run->number,
+    };
+    sched->ops.stop(sched->ops.ctx, &order);
+}
+
+void
+sched_run_stop(struct scheduler *sched, struct run *run)
+{
+    if (run->state == RUN_STOPPING) {
+        return;
+    }
+    run->state = RUN_STOPPING;
+    run->stop_acked_ms = 0;
+    if (sched->valid && !sched->fenced) {
+        send_stop(sched, run);
+    }
+}
+
+void
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked)
+{
+    struct run *run = g_hash_table_lookup(sched->runs, &handle);
+    if (run == NULL) {
+        return;
+    }
+    run->stop_pending = false;
+    if (acked) {
+        run->stop_acked_ms = sched_now(sched);
+        /* The list that shows the end, or its absence, comes at once. */
+        run->backend->hold_due_ms = 0;
+    }
+}
+
+/* A run that ended as failed counts against its job and its server. */
+static void
+count_failure(struct scheduler *sched, struct run *run)
+{
+    struct job_task *task = run_task(run);
+    struct job *job = run->job;
+    struct backend *backend = run->backend;
+    sched->figures.failed++;
+    g_free(task->avoid);
+    task->avoid = g_strdup(backend->entry.id);
+    if (run_step(run)->long_running) {
+        return;
+    }
+    backend->failures++;
+    if (backend->failures >= SUSPECT_FAILURES) {
+        backend->suspect_until_ms = sched_now(sched) + SUSPECT_MS;
+        sched_note(sched, "backend_suspect",
+                   "\"backend\":\"%s\",\"failures\":%u", backend->entry.id,
+                   backend->failures);
+    }
+    task->failures++;
+    sched_mark_dirty(sched, job);
+}
+
+static bool
+attempts_used(const struct scheduler *sched, const struct run *run)
+{
+    const struct queue_config *queue =
+        fleet_config_queue(sched->config, run->job->queue);
+    uint32_t attempts = queue == NULL ? run->job->attempts : queue->attempts;
+    return !run_step(run)->long_running &&
+           run_task(run)->failures >= attempts;
+}
+
+void
+sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
+                uint32_t step, uint32_t index)
+{
+    struct job_part *part = job_part(job, occurrence, step);
+    struct job_task *task = &part->tasks[index];
+    if (task->done) {
+        return;
+    }
+    task->done = true;
+    part->done++;
+    part->started = true;
+    job->begun = true;
+    sched->figures.done++;
+    sched_mark_dirty(sched, job);
+    if (task->run != NULL) {
+        sched_run_stop(sched, task->run);
+    }
+    if (job_all_done(job)) {
+        sched_finish_job(sched, job, JOB_COMPLETED);
+    }
+}
+
+/* One end as done stands for all members of a gang. */
+static void
+gang_done(struct scheduler *sched, struct run *run)
+{
+    uint32_t n_tasks = run_step(run)->task_count;
+    struct job *job = run->job;
+    for (uint32_t t = 0; t < n_tasks; t++) {
+        sched_task_done(sched, job, run->occurrence, run->step, t);
+    }
+}
+
+void
+sched_run_end(struct scheduler *sched, struct run *run, enum end_reason reason,
+              const char *saved)
+{
+    struct job *job = job_ref(run->job);
+    struct job_task *task = run_task(run);
+    const struct job_step *step = run_step(run);
+    bool was_stopping = run->state == RUN_STOPPING;
+    if (saved != NULL && saved[0] != '\0' &&
+        g_strcmp0(task->saved, saved) != 0) {
+        g_free(task->saved);
+        task->saved = g_strdup(saved);
+        if (job->state == JOB_ACTIVE) {
+            sched_mark_dirty(sched, job);
+        }
+    }
+    bool failed = reason == END_FAILED;
+    if (failed) {
+        count_failure(sched, run);
+    }
+    bool give_up = failed && attempts_used(sched, run);
+    if (reason == END_DONE) {
+        run->backend->failures = 0;
+        run->backend->suspect_until_ms = 0;
+    }
+    uint32_t occurrence = run->occurrence;
+    uint32_t step_index = run->step;
+    uint32_t index = run->index;
+    if (reason == END_DONE && step->gang) {
+        gang_done(sched, run);
+    }
+    sched_run_free(sched, run);
+    if (reason == END_DONE) {
+        sched_task_done(sched, job, occurrence, step_index, index);
+    }
+    else if (give_up) {
+        sched_finish_job(sched, job, JOB_FAILED);
+    }
+    else if (!was_stopping && reason == END_ALONE) {
+        task->wait_until_ms = sched_now(sched) + START_RETRY_MS;
+    }
+    job_unref(job);
+}
+
+void
+sched_backend_lost(struct scheduler *sched, struct backend *backend,
+                   const char *why)
+{
+    if (backend->runs->len > 0) {
+        sched_note(sched, "runs_lost",
+                   "\"backend\":\"%s\",\"why\":\"%s\",\"runs\":%u",
+                   backend->entry.id, why, backend->runs->len);
+    }
+    while (backend->runs->len > 0) {
+        struct run *run = g_ptr_array_index(backend->runs, 0);
+        sched->figures.lost++;
+        sched_run_free(sched, run);
+    }
+}
+
+/* Sends stops again, and settles orders that got no answer. */
+void
+sched_watch_runs(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct run *run = value;
+        if (run->state == RUN_UNCERTAIN) {
+            sched_run_stop(sched, run);
+        }
+        else if (run->state == RUN_STOPPING) {
+            if (!run->stop_pending && run->stop_acked_ms == 0 &&
+                now_ms - run->stop_sent_ms >= STOP_RETRY_MS) {
+                send_stop(sched, run);
+            }
+        }
+        else if (run->state == RUN_WORKING && run->percent >= 0 &&
+                 run->percent < 100 && !run->backend->silent &&
+                 now_ms - run->percent_at_ms > STALL_MS) {
+            sched_note(sched, "run_stalled",
+                       "\"job\":\"%s\",\"step\":%u,\"task\":%u,"
+                       "\"backend\":\"%s\",\"percent\":%d",
+                       run->job->id, run->step, run->index,
+                       run->backend->entry.id, run->percent);
+            g_free(run_task(run)->avoid);
+            run_task(run)->avoid = g_strdup(run->backend->entry.id);
+            sched_run_stop(sched, run);
+        }
+    }
+}
+
+void
+scheduler_on_start(struct scheduler *sched, uint64_t handle,
+                   enum start_answer answer, int64_t clock_ms)
+{
+    struct run *run = g_hash_table_lookup(sched->runs, &handle);
+    if (answer == START_FENCED) {
+        sched->fenced = true;
+        return;
+    }
+    if (run == NULL) {
+        return;
+    }
+    struct backend *backend = run->backend;
+    int64_t now_ms = sched_now(sched);
+    if (clock_ms != 0) {
+        backend_clock_told(backend, clock_ms, now_ms);
+    }
+    if (answer == START_DONE) {
+        run->known_ms = now_ms;
+        if (run->state == RUN_STARTING) {
+            run->state = RUN_WORKING;
+        }
+        return;
+    }
+    if (answer == START_NO_ANSWER) {
+        if (run->state == RUN_STARTING) {
+            run->state = RUN_UNCERTAIN;
+        }
+        sched_note(sched, "start_unanswered",
+                   "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\"",
+                   run->job->id, run->step, run->index, backend->entry.id);
+        return;
+    }
+    sched_note(sched, "start_refused",
+               "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\","
+               "\"answer\":%d",
+               run->job->id, run->step, run->index, backend->entry.id, answer);
+    run_task(run)->wait_until_ms =
+        answer == START_OLD_NUMBER ? 0 : now_ms + START_RETRY_MS;
+    if (answer == START_OTHER_LIFE) {
+        backend->silent = true;
+    }
+    if (answer == START_REFUSED || answer == START_NO_ROOM) {
+        g_free(run_task(run)->avoid);
+        run_task(run)->avoid = g_strdup(backend->entry.id);
+    }
+    sched_run_free(sched, run);
+}
--- /dev/null
+++ b/egretjobd/acceptor.c
@@ -0,0 +1,377 @@
+#include "egretjobd/acceptor.h"
+
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/duty.h"
+#include "egretjobd/leader.h"
+#include "egretjobd/records.h"
+#include "platform/decode.h"
+#include "platform/kv.h"
+
+enum {
+    CALL_TIMEOUT_MS = 1000,
+    /* Two rows per job, a note and the duty: within one transaction. */
+    BATCH_JOBS = 10,
+    RETRY_MS = 40,
+    /* A write that was refused is tried this long before the caller is. */
+    REFUSED_AFTER_MS = 250,
+    /* A write without an answer is resolved within a caller's usual time. */
+    UNKNOWN_AFTER_MS = 2400,
+};
+
+struct entry {
+    char *id;
+    char *key;
+    char *news_key;
+    char *value;
+    int64_t since_ms;
+    bool uncertain;
+    GArray *replies;
+};
+
+struct acceptor {
+    struct node *node;
+    struct kv *kv;
+    struct kv *reads;
+    struct event *timer;
+    GQueue waiting;
+    GPtrArray *batch;
+    GHashTable *by_id;
+    bool with_duty;
+};
+
+struct question {
+    struct acceptor *acceptor;
+    char *id;
+    char *queue;
+    enum job_state state;
+    bool begun;
+    struct job_reply reply;
+};
+
+static void
+entry_finish(struct acceptor *acceptor, struct entry *entry, int status)
+{
+    struct job_answer answer = {.status = status};
+    if (status == 503) {
+        answer.retry_after_ms = REFUSED_AFTER_MS;
+    }
+    g_hash_table_remove(acceptor->by_id, entry->id);
+    for (guint i = 0; i < entry->replies->len; i++) {
+        struct job_reply *reply =
+            &g_array_index(entry->replies, struct job_reply, i);
+        reply->call(reply->ctx, &answer);
+    }
+    g_array_unref(entry->replies);
+    g_free(entry->id);
+    g_free(entry->key);
+    g_free(entry->news_key);
+    g_free(entry->value);
+    g_free(entry);
+}
+
+static void
+entry_stored(struct acceptor *acceptor, struct entry *entry)
+{
+    if (acceptor->node->leader != NULL) {
+        leader_job_stored(acceptor->node->leader, entry->id, entry->value,
+                          strlen(entry->value));
+    }
+    entry_finish(acceptor, entry, 200);
+}
+
+static void
+send_batch(struct acceptor *acceptor);
+
+static void
+requeue(struct acceptor *acceptor, struct entry *entry)
+{
+    int64_t age_ms = node_now(acceptor->node) - entry->since_ms;
+    if (age_ms > UNKNOWN_AFTER_MS) {
+        entry_finish(acceptor, entry, entry->uncertain ? 504 : 503);
+        return;
+    }
+    if (!entry->uncertain && age_ms > REFUSED_AFTER_MS) {
+        entry_finish(acceptor, entry, 503);
+        return;
+    }
+    g_queue_push_tail(&acceptor->waiting, entry);
+}
+
+static bool
+found_in(const struct kv_result *result, const char *key)
+{
+    for (guint i = 0; i < result->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(result->items, i);
+        if (item->revision > 0 && strcmp(item->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+duty_moved(const struct acceptor *acceptor, const struct kv_result *result)
+{
+    for (guint i = 0; i < result->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(result->items, i);
+        if (strcmp(item->key, RECORD_DUTY_KEY) == 0) {
+            return item->revision != duty_token(acceptor->node->duty);
+        }
+    }
+    return false;
+}
+
+static void
+on_commit(void *ctx, const struct kv_result *result)
+{
+    struct acceptor *acceptor = ctx;
+    GPtrArray *batch = acceptor->batch;
+    acceptor->batch = NULL;
+    bool progress = result->outcome == KV_OK;
+    for (guint i = 0; i < batch->len; i++) {
+        struct entry *entry = g_ptr_array_index(batch, i);
+        if (result->outcome == KV_OK || found_in(result, entry->key)) {
+            progress = true;
+            entry_stored(acceptor, entry);
+            continue;
+        }
+        if (result->outcome == KV_UNKNOWN) {
+            entry->uncertain = true;
+        }
+        requeue(acceptor, entry);
+    }
+    g_ptr_array_unref(batch);
+    if (acceptor->with_duty && result->outcome == KV_CONFLICT &&
+        duty_moved(acceptor, result)) {
+        duty_lose(acceptor->node->duty, "another holder was found");
+    }
+    if (g_queue_is_empty(&acceptor->waiting)) {
+        return;
+    }
+    if (progress || result->outcome == KV_CONFLICT) {
+        send_batch(acceptor);
+        return;
+    }
+    timer_set(acceptor->timer, RETRY_MS);
+}
+
+static void
+send_batch(struct acceptor *acceptor)
+{
+    if (acceptor->batch != NULL || g_queue_is_empty(&acceptor->waiting)) {
+        return;
+    }
+    struct kv_condition conditions[BATCH_JOBS + 1];
+    struct kv_put puts[2 * BATCH_JOBS];
+    struct kv_txn txn = {.conditions = conditions, .puts = puts};
+    acceptor->batch = g_ptr_array_new();
+    acceptor->with_duty = duty_held(acceptor->node->duty);
+    if (acceptor->with_duty) {
+        conditions[txn.n_conditions++] = (struct kv_condition){
+            .key = RECORD_DUTY_KEY,
+            .revision = duty_token(acceptor->node->duty),
+        };
+    }
+    while (acceptor->batch->len < BATCH_JOBS &&
+           !g_queue_is_empty(&acceptor->waiting)) {
+        struct entry *entry = g_queue_pop_head(&acceptor->waiting);
+        g_ptr_array_add(acceptor->batch, entry);
+        conditions[txn.n_conditions++] =
+            (struct kv_condition){.key = entry->key};
+        puts[txn.n_puts++] =
+            (struct kv_put){.key = entry->key, .value = entry->value};
+        if (!acceptor->with_duty) {
+            puts[txn.n_puts++] = (struct kv_put){.key = entry->news_key,
+                                                 .value = NEWS_JOB};
+        }
+    }
+    kv_commit(acceptor->kv, &txn,
+              (struct kv_done){.call = on_commit, .ctx = acceptor});
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    send_batch(ctx);
+}
+
+struct acceptor *
+acceptor_create(struct node *node)
+{
+    struct acceptor *acceptor = g_new0(struct acceptor, 1);
+    acceptor->node = node;
+    acceptor->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS);
+    acceptor->reads =
+        kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS);
+    acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
+    acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&acceptor->waiting);
+    return acceptor;
+}
+
+void
+acceptor_destroy(struct acceptor *acceptor)
+{
+    if (acceptor == NULL) {
+        return;
+    }
+    event_free(acceptor->timer);
+    kv_destroy(acceptor->kv);
+    kv_destroy(acceptor->reads);
+    g_hash_table_unref(acceptor->by_id);
+    g_free(acceptor);
+}
+
+void
+acceptor_submit(struct acceptor *acceptor, const struct job_call *call,
+                struct job_reply reply)
+{
+    struct entry *entry = g_hash_table_lookup(acceptor->by_id, call->id);
+    if (entry != NULL) {
+        g_array_append_val(entry->replies, reply);
+        return;
+    }
+    struct job_envelope envelope = {
+        .queue = call->queue,
+        .pool = call->pool,
+        .team = call->team,
+        .attempts = call->attempts,
+        .accepted_unix_ms = ms_clock_now(&acceptor->node->unix_clock),
+        .body = call->body,
+        .body_bytes = call->body_bytes,
+    };
+    entry = g_new0(struct entry, 1);
+    entry->id = g_strdup(call->id);
+    entry->key = g_strconcat(RECORD_JOB_PREFIX, call->id, NULL);
+    entry->news_key = g_strconcat(RECORD_NEWS_PREFIX, call->id, NULL);
+    entry->value = record_job_encode(&envelope);
+    entry->since_ms = node_now(acceptor->node);
+    entry->replies = g_array_new(FALSE, FALSE, sizeof(struct job_reply));
+    g_array_append_val(entry->replies, reply);
+    g_hash_table_insert(acceptor->by_id, entry->id, entry);
+    g_queue_push_tail(&acceptor->waiting, entry);
+    send_batch(acceptor);
+}
+
+static void
+question_finish(struct question *question, int status, const char *body)
+{
+    struct job_answer answer = {.status = status, .body = body};
+    question->reply.call(question->reply.ctx, &answer);
+    g_free(question->id);
+    g_free(question->queue);
+    g_free(question);
+}
+
+static void
+on_job(void *ctx, const struct kv_result *result)
+{
+    struct question *question = ctx;
+    if (result->outcome == KV_NOT_FOUND) {
+        question_finish(question, 410, NULL);
+        return;
+    }
+    if (result->outcome != KV_OK || result->items->len == 0) {
+        question_finish(question, 503, NULL);
+        return;
+    }
+    question_finish(question, 200,
+                    encode_state(question->state, question->begun));
+}
+
+static void
+on_progress(void *ctx, const struct kv_result *result)
+{
+    struct question *question = ctx;
+    if (result->outcome != KV_OK && result->outcome != KV_NOT_FOUND) {
+        question_finish(question, 503, NULL);
+        return;
+    }
+    if (result->outcome == KV_OK && result->items->len > 0) {
+        const struct kv_item *item = g_ptr_array_index(result->items, 0);
+        question->begun = true;
+        record_progress_state(item->value, item->value_bytes,
+                              &question->state);
+    }
+    char *key = g_strconcat(RECORD_JOB_PREFIX, question->id, NULL);
+    kv_get(question->acceptor->reads, key,
+           (struct kv_done){.call = on_job, .ctx = question});
+    g_free(key);
+}
+
+void
+acceptor_state(struct acceptor *acceptor, const char *id, const char *queue,
+               struct job_reply reply)
+{
+    struct question *question = g_new0(struct question, 1);
+    question->acceptor = acceptor;
+    question->id = g_strdup(id);
+    question->queue = g_strdup(queue);
+    question->reply = reply;
+    char *key = g_strconcat(RECORD_PROGRESS_PREFIX, id, NULL);
+    kv_get(acceptor->reads, key,
+           (struct kv_done){.call = on_progress, .ctx = question});
+    g_free(key);
+}
+
+static void
+on_cancel_noted(void *ctx, const struct kv_result *result)
+{
+    struct question *question = ctx;
+    if (result->outcome == KV_OK) {
+        question_finish(question, 200, NULL);
+    }
+    else if (result->outcome == KV_CONFLICT) {
+        question_finish(question, 410, NULL);
+    }
+    else {
+        question_finish(question, result->outcome == KV_UNKNOWN ? 504 : 503,
+                        NULL);
+    }
+}
+
+static void
+on_cancel_job(void *ctx, const struct kv_result *result)
+{
+    struct question *question = ctx;
+    if (result->outcome == KV_NOT_FOUND) {
+        question_finish(question, 410, NULL);
+        return;
+    }
+    if (result->outcome != KV_OK || result->items->len == 0) {
+        question_finish(question, 503, NULL);
+        return;
+    }
+    const struct kv_item *item = g_ptr_array_index(result->items, 0);
+    char *news_key = g_strconcat(RECORD_NEWS_PREFIX, question->id, NULL);
+    struct kv_condition condition = {.key = item->key,
+                                     .revision = item->revision};
+    struct kv_put put = {.key = news_key, .value = NEWS_CANCEL};
+    struct kv_txn txn = {
+        .conditions = &condition,
+        .n_conditions = 1,
+        .puts = &put,
+        .n_puts = 1,
+    };
+    kv_commit(question->acceptor->reads, &txn,
+              (struct kv_done){.call = on_cancel_noted, .ctx = question});
+    g_free(news_key);
+}
+
+void
+acceptor_cancel(struct acceptor *acceptor, const char *id,
+                struct job_reply reply)
+{
+    struct question *question = g_new0(struct question, 1);
+    question->acceptor = acceptor;
+    question->id = g_strdup(id);
+    question->reply = reply;
+    char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
+    kv_get(acceptor->reads, key,
+           (struct kv_done){.call = on_cancel_job, .ctx = question});
+    g_free(key);
+}
--- /dev/null
+++ b/egretjobd/config_feed.c
@@ -0,0 +1,361 @@
+#include "egretjobd/config_feed.h"
+
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/front.h"
+#include "egretjobd/leader.h"
+#include "egretjobd/peers.h"
+#include "egretjobd/records.h"
+#include "platform/decode.h"
+#include "platform/json_text.h"
+
+enum {
+    /* A change is in force after two of these and an answer at most. */
+    POLL_MS = 400,
+    POLL_RETRY_MS = 100,
+    READ_TIMEOUT_MS = 900,
+    /* Without an answer for this long the peers are asked. */
+    ASK_PEERS_AFTER_MS = 700,
+    PEERS_PERIOD_MS = 5000,
+};
+
+struct config_feed {
+    struct node *node;
+    struct kv *kv;
+    struct event *timer;
+    struct fleet_config *config;
+    GPtrArray *items;
+    GPtrArray *next_items;
+    GPtrArray *waves;
+    char **out;
+    char **peers;
+    int64_t as_of;
+    int64_t confirmed_ms;
+    int64_t sent_ms;
+    int64_t peers_read_ms;
+    bool asking_peers;
+    size_t next_peer;
+};
+
+static void
+wave_destroy(void *data)
+{
+    struct host_wave *wave = data;
+    g_strfreev(wave->hosts);
+    g_free(wave);
+}
+
+static void
+item_destroy(void *data)
+{
+    struct kv_item *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+static struct kv_item *
+item_copy(const struct kv_item *item)
+{
+    struct kv_item *copy = g_new0(struct kv_item, 1);
+    *copy = *item;
+    copy->key = g_strdup(item->key);
+    copy->value = g_strndup(item->value == NULL ? "" : item->value,
+                            item->value_bytes);
+    return copy;
+}
+
+static void
+take_config(struct config_feed *feed, const struct kv_item *item)
+{
+    int64_t held = feed->config == NULL ? 0 : feed->config->revision;
+    if (item->revision <= held) {
+        return;
+    }
+    struct fleet_config *config =
+        decode_config(item->value, item->value_bytes, item->revision);
+    if (config == NULL) {
+        event_log("config_unreadable", "\"revision\":%" G_GINT64_FORMAT,
+                  item->revision);
+        return;
+    }
+    event_log("config_in_force",
+              "\"version\":%" G_GINT64_FORMAT ",\"revision\":%" G_GINT64_FORMAT
+              ",\"queues\":%u,\"teams\":%u",
+              config->version, config->revision, config->queues->len,
+              config->teams->len);
+    struct fleet_config *before = feed->config;
+    feed->config = config;
+    front_config_changed(feed->node->front, config);
+    leader_config_changed(feed->node->leader);
+    fleet_config_destroy(before);
+}
+
+static void
+take_others(struct config_feed *feed)
+{
+    GPtrArray *out = g_ptr_array_new();
+    g_ptr_array_set_size(feed->waves, 0);
+    for (guint i = 0; i < feed->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(feed->items, i);
+        if (g_str_has_prefix(item->key, PLATFORM_OUT_PREFIX)) {
+            g_ptr_array_add(
+                out, g_strdup(item->key + strlen(PLATFORM_OUT_PREFIX)));
+        }
+        else if (g_str_has_prefix(item->key, PLATFORM_WAVE_PREFIX)) {
+            struct host_wave wave;
+            if (decode_wave(item->value, item->value_bytes, &wave)) {
+                struct host_wave *kept = g_new(struct host_wave, 1);
+                *kept = wave;
+                g_ptr_array_add(feed->waves, kept);
+            }
+        }
+    }
+    g_ptr_array_add(out, NULL);
+    g_strfreev(feed->out);
+    feed->out = (char **)g_ptr_array_free(out, FALSE);
+}
+
+/* Puts in force what was read as of a revision; never goes back. */
+static void
+take_items(struct config_feed *feed, int64_t as_of, int64_t confirmed_ms)
+{
+    if (as_of < feed->as_of) {
+        g_ptr_array_set_size(feed->next_items, 0);
+        return;
+    }
+    feed->as_of = as_of;
+    feed->confirmed_ms = MAX(feed->confirmed_ms, confirmed_ms);
+    GPtrArray *before = feed->items;
+    feed->items = feed->next_items;
+    feed->next_items = before;
+    g_ptr_array_set_size(feed->next_items, 0);
+    take_others(feed);
+    for (guint i = 0; i < feed->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(feed->items, i);
+        if (strcmp(item->key, PLATFORM_CONFIG_KEY) == 0) {
+            take_config(feed, item);
+        }
+    }
+    leader_orders_changed(feed->node->leader);
+}
+
+static void
+read_page(struct config_feed *feed, const char *after);
+
+static void
+on_peer_orders(void *ctx, const struct http_reply *reply)
+{
+    struct config_feed *feed = ctx;
+    feed->asking_peers = false;
+    if (reply->status != 200) {
+        return;
+    }
+    cJSON *body = cJSON_ParseWithLength(reply->body, reply->body_bytes);
+    int64_t age_ms = json_int_get(body, "age_ms", -1);
+    int64_t as_of = json_int_get(body, "as_of", 0);
+    if (age_ms >= 0 && as_of >= feed->as_of) {
+        g_ptr_array_set_size(feed->next_items, 0);
+        const cJSON *row;
+        cJSON_ArrayForEach(row, cJSON_GetObjectItem(body, "items"))
+        {
+            const char *value = json_text_get(row, "value");
+            const char *key = json_text_get(row, "key");
+            if (key == NULL || value == NULL) {
+                continue;
+            }
+            struct kv_item item = {
+                .key = (char *)key,
+                .value = (char *)value,
+                .value_bytes = strlen(value),
+                .revision = json_int_get(row, "revision", 0),
+            };
+            g_ptr_array_add(feed->next_items, item_copy(&item));
+        }
+        /* The trip back is covered by the peer's own age being rounded up. */
+        take_items(feed, as_of, feed->sent_ms - age_ms);
+    }
+    cJSON_Delete(body);
+}
+
+static void
+ask_peer(struct config_feed *feed)
+{
+    size_t n_peers = feed->peers == NULL ? 0 : g_strv_length(feed->peers);
+    if (n_peers == 0 || feed->asking_peers) {
+        return;
+    }
+    const char *peer = feed->peers[feed->next_peer++ % n_peers];
+    feed->asking_peers = true;
+    peers_orders(feed->node->peers, peer, on_peer_orders, feed);
+}
+
+static void
+on_range(void *ctx, const struct kv_result *result)
+{
+    struct config_feed *feed = ctx;
+    if (result->outcome != KV_OK) {
+        g_ptr_array_set_size(feed->next_items, 0);
+        timer_set(feed->timer, POLL_RETRY_MS);
+        return;
+    }
+    for (guint i = 0; i < result->items->len; i++) {
+        g_ptr_array_add(feed->next_items,
+                        item_copy(g_ptr_array_index(result->items, i)));
+    }
+    if (result->has_more && result->items->len > 0) {
+        const struct kv_item *last =
+            g_ptr_array_index(result->items, result->items->len - 1);
+        read_page(feed, last->key);
+        return;
+    }
+    take_items(feed, result->as_of, feed->sent_ms);
+    timer_set(feed->timer, POLL_MS);
+}
+
+static void
+read_page(struct config_feed *feed, const char *after)
+{
+    kv_range(feed->kv, PLATFORM_OPERATOR_PREFIX, after,
+             (struct kv_done){.call = on_range, .ctx = feed});
+}
+
+static void
+on_peers(void *ctx, const struct kv_result *result)
+{
+    struct config_feed *feed = ctx;
+    if (result->outcome != KV_OK) {
+        return;
+    }
+    GPtrArray *peers = g_ptr_array_new();
+    for (guint i = 0; i < result->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(result->items, i);
+        if (item->value != NULL &&
+            strcmp(item->value, feed->node->boot->peer) != 0) {
+            g_ptr_array_add(peers, g_strdup(item->value));
+        }
+    }
+    g_ptr_array_add(peers, NULL);
+    g_strfreev(feed->peers);
+    feed->peers = (char **)g_ptr_array_free(peers, FALSE);
+}
+
+static void
+read_peers(struct config_feed *feed, int64_t now_ms)
+{
+    if (feed->peers_read_ms != 0 &&
+        now_ms - feed->peers_read_ms < PEERS_PERIOD_MS) {
+        return;
+    }
+    feed->peers_read_ms = now_ms;
+    kv_range(feed->kv, RECORD_PEER_PREFIX, NULL,
+             (struct kv_done){.call = on_peers, .ctx = feed});
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct config_feed *feed = ctx;
+    int64_t now_ms = node_now(feed->node);
+    if (feed->confirmed_ms != 0 &&
+        now_ms - feed->confirmed_ms > ASK_PEERS_AFTER_MS) {
+        ask_peer(feed);
+    }
+    read_peers(feed, now_ms);
+    feed->sent_ms = now_ms;
+    g_ptr_array_set_size(feed->next_items, 0);
+    read_page(feed, NULL);
+}
+
+struct config_feed *
+config_feed_create(struct node *node)
+{
+    struct config_feed *feed = g_new0(struct config_feed, 1);
+    feed->node = node;
+    feed->kv = kv_create(node->base, node->boot->store, READ_TIMEOUT_MS);
+    feed->items = g_ptr_array_new_with_free_func(item_destroy);
+    feed->next_items = g_ptr_array_new_with_free_func(item_destroy);
+    feed->waves = g_ptr_array_new_with_free_func(wave_destroy);
+    feed->out = g_new0(char *, 1);
+    feed->timer = evtimer_new(node->base, on_timer, feed);
+    timer_set(feed->timer, 0);
+    return feed;
+}
+
+void
+config_feed_destroy(struct config_feed *feed)
+{
+    if (feed == NULL) {
+        return;
+    }
+    event_free(feed->timer);
+    kv_destroy(feed->kv);
+    fleet_config_destroy(feed->config);
+    g_ptr_array_unref(feed->items);
+    g_ptr_array_unref(feed->next_items);
+    g_ptr_array_unref(feed->waves);
+    g_strfreev(feed->out);
+    g_strfreev(feed->peers);
+    g_free(feed);
+}
+
+const struct fleet_config *
+config_feed_current(const struct config_feed *feed)
+{
+    return feed->config;
+}
+
+bool
+config_feed_fresh(const struct config_feed *feed)
+{
+    /* A tenth is left for the request that relies on it. */
+    int64_t stale_ms = feed->node->boot->config_ms * 9 / 10;
+    return feed->config != NULL &&
+           node_now(feed->node) - feed->confirmed_ms < stale_ms;
+}
+
+char **
+config_feed_out(const struct config_feed *feed)
+{
+    return feed->out;
+}
+
+const GPtrArray *
+config_feed_waves(const struct config_feed *feed)
+{
+    return feed->waves;
+}
+
+char **
+config_feed_peers(const struct config_feed *feed)
+{
+    return feed->peers;
+}
+
+char *
+config_feed_encode(const struct config_feed *feed)
+{
+    if (!config_feed_fresh(feed)) {
+        return NULL;
+    }
+    GString *out = g_string_new(NULL);
+    g_string_append_printf(out,
+                           "{\"age_ms\":%" G_GINT64_FORMAT
+                           ",\"as_of\":%" G_GINT64_FORMAT ",\"items\":[",
+                           node_now(feed->node) - feed->confirmed_ms,
+                           feed->as_of);
+    for (guint i = 0; i < feed->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(feed->items, i);
+        g_string_append(out, i == 0 ? "{\"key\":" : ",{\"key\":");
+        json_text_add(out, item->key);
+        g_string_append_printf(out, ",\"revision\":%" G_GINT64_FORMAT
+                               ",\"value\":", item->revision);
+        json_text_add(out, item->value);
+        g_string_append_c(out, '}');
+    }
+    g_string_append(out, "]}");
+    return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/egretjobd/front.c
@@ -0,0 +1,412 @@
+#include "egretjobd/front.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/acceptor.h"
+#include "egretjobd/config_feed.h"
+#include "egretjobd/duty.h"
+#include "egretjobd/job_call.h"
+#include "egretjobd/leader.h"
+#include "egretjobd/peers.h"
+#include "net/http_server.h"
+#include "platform/decode.h"
+
+enum {
+    PATH_BYTES_MAX = 1024,
+    METRICS_BYTES = 2048,
+};
+
+#define READY_PATH "/v1/readiness"
+#define KEY_HEADER "X-Credential"
+
+struct front_figures {
+    uint64_t requests;
+    uint64_t accepted;
+    uint64_t refused;
+    uint64_t unauthorized;
+    uint64_t not_found;
+    uint64_t invalid;
+    uint64_t unknown;
+};
+
+struct front {
+    struct node *node;
+    struct http_server *callers;
+    struct http_server *health;
+    struct http_server *metrics;
+    struct front_figures figures;
+};
+
+/* A caller's request on its way; keeps its own copy of what it asks. */
+struct request {
+    struct front *front;
+    struct http_exchange *exchange;
+    struct job_call call;
+    char *id;
+    char *queue;
+    char *pool;
+    char *team;
+    int64_t since_ms;
+};
+
+static void
+request_free(struct request *request)
+{
+    g_free(request->id);
+    g_free(request->queue);
+    g_free(request->pool);
+    g_free(request->team);
+    g_free(request);
+}
+
+static void
+add_retry_after(struct http_exchange *exchange, int64_t retry_after_ms)
+{
+    char text[24];
+    /* The header counts whole seconds. */
+    g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+               (retry_after_ms + 999) / 1000);
+    http_exchange_add(exchange, "Retry-After", text);
+}
+
+static void
+request_answer(struct request *request, const struct job_answer *answer)
+{
+    struct front *front = request->front;
+    int status = answer->status;
+    if (status == 429 || status == 503) {
+        front->figures.refused++;
+        add_retry_after(request->exchange, answer->retry_after_ms);
+        event_log("request_refused",
+                  "\"job\":\"%s\",\"queue\":\"%s\",\"status\":%d,"
+                  "\"after_ms\":%" G_GINT64_FORMAT,
+                  request->id, request->queue, status,
+                  node_now(front->node) - request->since_ms);
+    }
+    else if (status == 504) {
+        front->figures.unknown++;
+        event_log("request_unknown", "\"job\":\"%s\",\"queue\":\"%s\"",
+                  request->id, request->queue);
+    }
+    else if (status == 200 && request->call.kind == JOB_CALL_SUBMIT) {
+        front->figures.accepted++;
+    }
+    http_exchange_reply(request->exchange, status, answer->body);
+    request_free(request);
+}
+
+static void
+on_store_answer(void *ctx, const struct job_answer *answer)
+{
+    request_answer(ctx, answer);
+}
+
+/* Without a scheduler that answers, the store itself is asked. */
+static void
+ask_store(struct request *request)
+{
+    struct acceptor *acceptor = request->front->node->acceptor;
+    struct job_reply reply = {.call = on_store_answer, .ctx = request};
+    struct job_answer refused = {.status = 503, .retry_after_ms = 200};
+    switch (request->call.kind) {
+    case JOB_CALL_SUBMIT:
+        acceptor_submit(acceptor, &request->call, reply);
+        break;
+    case JOB_CALL_STATE:
+        acceptor_state(acceptor, request->id, request->queue, reply);
+        break;
+    case JOB_CALL_CANCEL:
+        acceptor_cancel(acceptor, request->id, reply);
+        break;
+    case JOB_CALL_WAITING:
+        request_answer(request, &refused);
+        break;
+    }
+}
+
+static void
+on_scheduler_answer(void *ctx, const struct job_answer *answer)
+{
+    struct request *request = ctx;
+    if (answer->status == JOB_ANSWER_ASK_STORE) {
+        ask_store(request);
+        return;
+    }
+    request_answer(request, answer);
+}
+
+static void
+request_dispatch(struct request *request)
+{
+    struct node *node = request->front->node;
+    struct job_reply reply = {.call = on_scheduler_answer, .ctx = request};
+    if (node->leader != NULL) {
+        leader_call(node->leader, &request->call, reply);
+        return;
+    }
+    const char *holder = duty_holder(node->duty);
+    if (holder != NULL && strcmp(holder, node->boot->peer) != 0) {
+        peers_call(node->peers, holder, &request->call, reply);
+        return;
+    }
+    ask_store(request);
+}
+
+static void
+refuse(struct front *front, struct http_exchange *exchange, int status,
+       const char *why)
+{
+    if (status == 503) {
+        front->figures.refused++;
+        add_retry_after(exchange, 200);
+    }
+    event_log("request_rejected", "\"status\":%d,\"why\":\"%s\"", status, why);
+    http_exchange_reply(exchange, status, NULL);
+}
+
+static bool
+is_job_id(const char *text)
+{
+    for (size_t i = 0; i < JOB_ID_CHARS; i++) {
+        if (!g_ascii_isxdigit(text[i])) {
+            return false;
+        }
+    }
+    return text[JOB_ID_CHARS] == '\0';
+}
+
+/* Path without its query, in @path. */
+static bool
+copy_path(const char *uri, char *path)
+{
+    size_t bytes = strcspn(uri, "?");
+    if (bytes >= PATH_BYTES_MAX) {
+        return false;
+    }
+    memcpy(path, uri, bytes);
+    path[bytes] = '\0';
+    return true;
+}
+
+/* Host header without a port, in @host. */
+static void
+copy_host(const struct http_exchange *exchange, char *host)
+{
+    const char *value = http_exchange_header(exchange, "Host");
+    g_strlcpy(host, value == NULL ? "" : value, PATH_BYTES_MAX);
+    host[strcspn(host, ":")] = '\0';
+}
+
+static bool
+find_kind(const char *method, const char *rest, enum job_call_kind *kind)
+{
+    if (rest[0] == '\0') {
+        *kind = JOB_CALL_WAITING;
+        return strcmp(method, "GET") == 0;
+    }
+    if (strcmp(method, "POST") == 0) {
+        *kind = JOB_CALL_SUBMIT;
+    }
+    else if (strcmp(method, "GET") == 0) {
+        *kind = JOB_CALL_STATE;
+    }
+    else {
+        *kind = JOB_CALL_CANCEL;
+    }
+    return method[0] != '\0';
+}
+
+static void
+answer_invalid(struct front *front, struct http_exchange *exchange,
+               const char *error)
+{
+    front->figures.invalid++;
+    event_log("request_invalid", "\"why\":\"%s\"", error);
+    char *body = g_strdup_printf("{\"error\":\"%s\"}", error);
+    http_exchange_reply(exchange, 400, body);
+    g_free(body);
+}
+
+/* A submission that no backend server could ever run is told so. */
+static bool
+check_body(struct front *front, struct http_exchange *exchange)
+{
+    size_t bytes = 0;
+    const char *body = http_exchange_body(exchange, &bytes);
+    char *error = NULL;
+    struct job *job = decode_job(body, bytes, &error);
+    if (job == NULL) {
+        answer_invalid(front, exchange, error);
+        g_free(error);
+        return false;
+    }
+    job_unref(job);
+    return true;
+}
+
+static void
+start_request(struct front *front, struct http_exchange *exchange,
+              enum job_call_kind kind, const struct queue_config *queue,
+              const char *team, const char *id)
+{
+    struct request *request = g_new0(struct request, 1);
+    request->front = front;
+    request->exchange = exchange;
+    request->id = g_strdup(id);
+    request->queue = g_strdup(queue->name);
+    request->pool = g_strdup(queue->pool);
+    request->team = g_strdup(team);
+    request->since_ms = node_now(front->node);
+    request->call = (struct job_call){
+        .kind = kind,
+        .id = request->id,
+        .queue = request->queue,
+        .pool = request->pool,
+        .team = request->team,
+        .attempts = queue->attempts,
+    };
+    request->call.body =
+        http_exchange_body(exchange, &request->call.body_bytes);
+    request_dispatch(request);
+}
+
+static void
+on_caller(void *ctx, struct http_exchange *exchange)
+{
+    struct front *front = ctx;
+    front->figures.requests++;
+    if (!config_feed_fresh(front->node->feed)) {
+        refuse(front, exchange, 503, "no fresh configuration");
+        return;
+    }
+    const struct fleet_config *config =
+        config_feed_current(front->node->feed);
+    char path[PATH_BYTES_MAX];
+    char host[PATH_BYTES_MAX];
+    copy_host(exchange, host);
+    const struct queue_config *queue =
+        copy_path(http_exchange_path(exchange), path)
+            ? fleet_config_match(config, host, path)
+            : NULL;
+    if (queue == NULL) {
+        front->figures.not_found++;
+        http_exchange_reply(exchange, 404, NULL);
+        return;
+    }
+    const char *key = http_exchange_header(exchange, KEY_HEADER);
+    const struct team_config *team =
+        key == NULL ? NULL : fleet_config_key_owner(config, key);
+    if (!queue->open && team == NULL) {
+        front->figures.unauthorized++;
+        http_exchange_reply(exchange, 401, NULL);
+        return;
+    }
+    const char *rest = path + strlen(queue->prefix);
+    enum job_call_kind kind;
+    if (!find_kind(http_exchange_method(exchange), rest, &kind) ||
+        (kind != JOB_CALL_WAITING && !is_job_id(rest))) {
+        answer_invalid(front, exchange, "not a job's id in the path");
+        return;
+    }
+    if (kind == JOB_CALL_SUBMIT && !check_body(front, exchange)) {
+        return;
+    }
+    start_request(front, exchange, kind, queue,
+                  team == NULL ? "" : team->name, rest);
+}
+
+static void
+on_health(void *ctx, struct http_exchange *exchange)
+{
+    struct front *front = ctx;
+    bool ready =
+        strcmp(http_exchange_path(exchange), READY_PATH) == 0 &&
+        !front->node->leaving && config_feed_fresh(front->node->feed);
+    http_exchange_reply(exchange, ready ? 200 : 503, NULL);
+}
+
+static void
+on_metrics(void *ctx, struct http_exchange *exchange)
+{
+    struct front *front = ctx;
+    const struct front_figures *f = &front->figures;
+    struct sched_figures s;
+    leader_figures(front->node->leader, &s);
+    char text[METRICS_BYTES];
+    g_snprintf(text, sizeof(text),
+               "requests_total %" G_GUINT64_FORMAT "\n"
+               "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
+               "requests_refused_total %" G_GUINT64_FORMAT "\n"
+               "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
+               "requests_not_found_total %" G_GUINT64_FORMAT "\n"
+               "requests_invalid_total %" G_GUINT64_FORMAT "\n"
+               "requests_unknown_total %" G_GUINT64_FORMAT "\n"
+               "scheduler_held %d\n"
+               "config_fresh %d\n"
+               "jobs_active %u\nruns %u\nbackends %u\n"
+               "backends_unsettled %u\n"
+               "runs_started_total %" G_GUINT64_FORMAT "\n"
+               "tasks_done_total %" G_GUINT64_FORMAT "\n"
+               "runs_failed_total %" G_GUINT64_FORMAT "\n"
+               "runs_lost_total %" G_GUINT64_FORMAT "\n",
+               f->requests, f->accepted, f->refused, f->unauthorized,
+               f->not_found, f->invalid, f->unknown,
+               duty_held(front->node->duty),
+               config_feed_fresh(front->node->feed), s.jobs_active, s.runs,
+               s.backends, s.backends_unsettled, s.started, s.done, s.failed,
+               s.lost);
+    http_exchange_reply(exchange, 200, text);
+}
+
+struct front *
+front_create(struct node *node)
+{
+    struct front *front = g_new0(struct front, 1);
+    front->node = node;
+    front->callers = http_server_create(node->base, node->boot->front,
+                                        on_caller, front);
+    front->health =
+        http_server_create(node->base, node->boot->ready, on_health, front);
+    front->metrics = http_server_create(node->base, node->boot->metrics,
+                                        on_metrics, front);
+    if (front->callers == NULL || front->health == NULL ||
+        front->metrics == NULL) {
+        front_destroy(front);
+        return NULL;
+    }
+    return front;
+}
+
+void
+front_destroy(struct front *front)
+{
+    if (front == NULL) {
+        return;
+    }
+    http_server_destroy(front->callers);
+    http_server_destroy(front->health);
+    http_server_destroy(front->metrics);
+    g_free(front);
+}
+
+void
+front_config_changed(struct front *front, const struct fleet_config *config)
+{
+    const struct ingress_limits *limits = &config->limits;
+    http_server_limit(front->callers, limits->header_bytes,
+                      limits->body_bytes, limits->idle_timeout_ms);
+}
+
+void
+front_leave(struct front *front)
+{
+    http_server_leave(front->callers);
+}
+
+bool
+front_idle(const struct front *front)
+{
+    return http_server_open_exchanges(front->callers) == 0;
+}
--- /dev/null
+++ b/egretjobd/leader.c
@@ -0,0 +1,371 @@
+#include "leader_state.h"
+
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/acceptor.h"
+#include "egretjobd/config_feed.h"
+#include "egretjobd/duty.h"
+#include "egretjobd/records.h"
+#include "platform/decode.h"
+
+enum {
+    READ_TIMEOUT_MS = 1500,
+    WRITE_TIMEOUT_MS = 1200,
+    BACKEND_WATCH_TIMEOUT_MS = 2000,
+    NEWS_WATCH_TIMEOUT_MS = 2500,
+    /* Decisions are taken once per this time, on all that came meanwhile. */
+    TICK_SOON_MS = 6,
+    HOSTS_PERIOD_MS = 1000,
+};
+
+void
+leader_enter(struct leader *leader)
+{
+    struct duty *duty = leader->node->duty;
+    scheduler_set_valid(leader->sched, duty_valid(duty));
+    scheduler_set_outage(leader->sched, duty_troubled(duty));
+}
+
+void
+leader_tick_soon(struct leader *leader)
+{
+    if (leader->tick_soon || leader->stage < STAGE_READY) {
+        return;
+    }
+    leader->tick_soon = true;
+    timer_set(leader->tick, TICK_SOON_MS);
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct leader *leader = ctx;
+    leader->tick_soon = false;
+    if (leader->stage < STAGE_READY) {
+        return;
+    }
+    leader_enter(leader);
+    int64_t next_ms = scheduler_tick(leader->sched);
+    if (scheduler_fenced(leader->sched)) {
+        duty_lose(leader->node->duty, "a newer fencing token was met");
+        return;
+    }
+    leader_flush(leader);
+    leader_report_waves(leader);
+    if (!leader->tick_soon) {
+        timer_set(leader->tick, MAX(next_ms - node_now(leader->node), 1));
+    }
+}
+
+static void
+on_load_retry(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    leader_load(ctx);
+}
+
+static void
+on_watch_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    leader_watch_backends(ctx);
+}
+
+static void
+on_news_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    leader_watch_news(ctx);
+}
+
+static void
+on_flush_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    leader_flush(ctx);
+}
+
+static void
+on_hosts_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct leader *leader = ctx;
+    hosts_api_list(leader->hosts);
+    leader_trim_links(leader);
+    timer_set(leader->hosts_timer, HOSTS_PERIOD_MS);
+}
+
+static void
+on_hosts(void *ctx, const struct host_fact *hosts, size_t n_hosts)
+{
+    struct leader *leader = ctx;
+    if (hosts != NULL) {
+        leader_enter(leader);
+        scheduler_hosts_read(leader->sched, hosts, n_hosts);
+    }
+}
+
+static void
+on_host_order(void *ctx, const char *host, int64_t wave,
+              enum host_answer answer)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_host_order(leader->sched, host, wave, answer);
+    leader_tick_soon(leader);
+}
+
+static void
+link_destroy(void *data)
+{
+    backend_link_destroy(data);
+}
+
+static void
+progress_destroy(void *data)
+{
+    struct kv_item *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+struct leader *
+leader_create(struct node *node, int64_t token, uint32_t term)
+{
+    struct leader *leader = g_new0(struct leader, 1);
+    const char *store = node->boot->store;
+    leader->node = node;
+    leader->token = token;
+    leader->reads = kv_create(node->base, store, READ_TIMEOUT_MS);
+    leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS);
+    leader->backend_watch =
+        kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS);
+    leader->news_watch = kv_create(node->base, store, NEWS_WATCH_TIMEOUT_MS);
+    struct hosts_events events = {
+        .on_list = on_hosts,
+        .on_order = on_host_order,
+        .ctx = leader,
+    };
+    leader->hosts = hosts_api_create(node->base, node->boot->hosts,
+                                     node->boot->node, &events);
+    leader->tick = evtimer_new(node->base, on_tick, leader);
+    leader->load_retry = evtimer_new(node->base, on_load_retry, leader);
+    leader->watch_timer = evtimer_new(node->base, on_watch_timer, leader);
+    leader->news_timer = evtimer_new(node->base, on_news_timer, leader);
+    leader->hosts_timer = evtimer_new(node->base, on_hosts_timer, leader);
+    leader->flush_timer = evtimer_new(node->base, on_flush_timer, leader);
+    leader->links =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, link_destroy);
+    leader->progress = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                             progress_destroy);
+    leader->listed_now =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    leader->cancels = g_ptr_array_new();
+    leader->wave_status =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    struct sched_ops ops = leader_ops(leader);
+    leader->sched = scheduler_create(&node->boot->timings, &ops, term,
+                                     node->clock, node->unix_clock);
+    leader_load(leader);
+    timer_set(leader->hosts_timer, 0);
+    return leader;
+}
+
+static void
+answer_open_cancels(struct leader *leader)
+{
+    for (guint i = 0; i < leader->cancels->len; i++) {
+        struct cancel_waiter *waiter = g_ptr_array_index(leader->cancels, i);
+        struct job_answer answer = {.status = JOB_ANSWER_ASK_STORE};
+        waiter->reply.call(waiter->reply.ctx, &answer);
+        job_unref(waiter->job);
+        g_free(waiter);
+    }
+    g_ptr_array_unref(leader->cancels);
+}
+
+void
+leader_destroy(struct leader *leader)
+{
+    if (leader == NULL) {
+        return;
+    }
+    struct event *timers[] = {
+        leader->tick,       leader->load_retry,  leader->watch_timer,
+        leader->news_timer, leader->hosts_timer, leader->flush_timer,
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(timers); i++) {
+        event_free(timers[i]);
+    }
+    answer_open_cancels(leader);
+    kv_destroy(leader->reads);
+    kv_destroy(leader->writes);
+    kv_destroy(leader->backend_watch);
+    kv_destroy(leader->news_watch);
+    hosts_api_destroy(leader->hosts);
+    g_hash_table_unref(leader->links);
+    g_hash_table_unref(leader->progress);
+    g_hash_table_unref(leader->listed_now);
+    g_hash_table_unref(leader->wave_status);
+    g_free(leader->wave_status_sent);
+    if (leader->batch != NULL) {
+        scheduler_batch_stored(leader->sched, leader->batch, false, 0);
+    }
+    scheduler_destroy(leader->sched);
+    g_free(leader);
+}
+
+bool
+leader_ready(const struct leader *leader)
+{
+    return leader != NULL && leader->stage == STAGE_READY;
+}
+
+void
+leader_config_changed(struct leader *leader)
+{
+    if (leader == NULL) {
+        return;
+    }
+    scheduler_configure(leader->sched,
+                        config_feed_current(leader->node->feed));
+    leader_tick_soon(leader);
+}
+
+void
+leader_orders_changed(struct leader *leader)
+{
+    if (leader == NULL) {
+        return;
+    }
+    scheduler_take_out(leader->sched, config_feed_out(leader->node->feed));
+    const GPtrArray *waves = config_feed_waves(leader->node->feed);
+    for (guint i = 0; i < waves->len; i++) {
+        scheduler_wave_set(leader->sched, g_ptr_array_index(waves, i));
+    }
+}
+
+void
+leader_job_stored(struct leader *leader, const char *id, const char *value,
+                  size_t bytes)
+{
+    if (scheduler_find_job(leader->sched, id) != NULL) {
+        return;
+    }
+    struct job *job = record_job_decode(id, value, bytes);
+    if (job == NULL) {
+        event_log("record_unreadable", "\"job\":\"%s\"", id);
+        return;
+    }
+    job->inherited = leader->stage < STAGE_READY;
+    scheduler_add_job(leader->sched, job);
+    event_log("job_accepted",
+              "\"job\":\"%s\",\"queue\":\"%s\",\"team\":\"%s\","
+              "\"chain_ms\":%" G_GINT64_FORMAT ",\"core_ms\":%" G_GINT64_FORMAT,
+              id, job->queue, job->team, job_chain_ms(job),
+              job_core_ms(job) / 1000);
+    job_unref(job);
+    leader_tick_soon(leader);
+}
+
+static void
+reply_with(const struct job_reply *reply, int status, const char *body)
+{
+    struct job_answer answer = {.status = status, .body = body};
+    reply->call(reply->ctx, &answer);
+}
+
+static void
+call_submit(struct leader *leader, const struct job_call *call,
+            struct job_reply reply)
+{
+    if (scheduler_find_job(leader->sched, call->id) != NULL) {
+        reply_with(&reply, 200, NULL);
+        return;
+    }
+    acceptor_submit(leader->node->acceptor, call, reply);
+}
+
+static void
+call_state(struct leader *leader, const struct job_call *call,
+           struct job_reply reply)
+{
+    const struct job *job = scheduler_find_job(leader->sched, call->id);
+    if (job == NULL || strcmp(job->queue, call->queue) != 0) {
+        acceptor_state(leader->node->acceptor, call->id, call->queue, reply);
+        return;
+    }
+    /* An end of a job is told only when it is stored. */
+    bool stored = job->stored_version == job->version;
+    enum job_state state =
+        stored || job->state == JOB_ACTIVE ? job->state : JOB_ACTIVE;
+    reply_with(&reply, 200, encode_state(state, job->begun));
+}
+
+static void
+call_cancel(struct leader *leader, const struct job_call *call,
+            struct job_reply reply)
+{
+    struct job *job = scheduler_find_job(leader->sched, call->id);
+    if (job == NULL) {
+        acceptor_cancel(leader->node->acceptor, call->id, reply);
+        return;
+    }
+    scheduler_cancel(leader->sched, call->id);
+    if (job->stored_version == job->version) {
+        reply_with(&reply, 200, NULL);
+        return;
+    }
+    struct cancel_waiter *waiter = g_new0(struct cancel_waiter, 1);
+    waiter->job = job_ref(job);
+    waiter->reply = reply;
+    g_ptr_array_add(leader->cancels, waiter);
+    leader_flush(leader);
+}
+
+void
+leader_call(struct leader *leader, const struct job_call *call,
+            struct job_reply reply)
+{
+    if (!leader_ready(leader) || !duty_valid(leader->node->duty)) {
+        reply_with(&reply, JOB_ANSWER_ASK_STORE, NULL);
+        return;
+    }
+    leader_enter(leader);
+    char *body;
+    switch (call->kind) {
+    case JOB_CALL_SUBMIT:
+        call_submit(leader, call, reply);
+        break;
+    case JOB_CALL_STATE:
+        call_state(leader, call, reply);
+        break;
+    case JOB_CALL_CANCEL:
+        call_cancel(leader, call, reply);
+        break;
+    case JOB_CALL_WAITING:
+        body = encode_waiting(
+            scheduler_waiting(leader->sched, call->queue));
+        reply_with(&reply, 200, body);
+        g_free(body);
+        break;
+    }
+}
+
+void
+leader_figures(const struct leader *leader, struct sched_figures *figures)
+{
+    *figures = (struct sched_figures){0};
+    if (leader != NULL) {
+        scheduler_figures(leader->sched, figures);
+    }
+}
--- /dev/null
+++ b/egretjobd/leader_links.c
@@ -0,0 +1,178 @@
+/* Orders of the scheduler on their way to backend servers and hosts. */
+#include "leader_state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/duty.h"
+
+enum {
+    TASK_NAME_BYTES = JOB_ID_CHARS + 48,
+};
+
+static void
+on_start(void *ctx, uint64_t handle, enum start_answer answer,
+         int64_t clock_ms)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_start(leader->sched, handle, answer, clock_ms);
+    if (answer != START_DONE) {
+        leader_tick_soon(leader);
+    }
+}
+
+static void
+on_stop(void *ctx, uint64_t handle, bool acked)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_stop(leader->sched, handle, acked);
+    leader_tick_soon(leader);
+}
+
+static void
+on_lists(void *ctx, const char *backend_id, const struct backend_lists *lists)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_list(leader->sched, backend_id, lists);
+    leader_tick_soon(leader);
+}
+
+static struct backend_link *
+link_of(struct leader *leader, const struct backend *backend)
+{
+    struct backend_link *link =
+        g_hash_table_lookup(leader->links, backend->entry.id);
+    if (link != NULL && strcmp(backend_link_address(link),
+                               backend->entry.address) == 0) {
+        return link;
+    }
+    struct backend_events events = {
+        .on_start = on_start,
+        .on_stop = on_stop,
+        .on_lists = on_lists,
+        .ctx = leader,
+    };
+    link = backend_link_create(leader->node->base, backend->entry.id,
+                               backend->entry.address, &events);
+    g_hash_table_replace(leader->links, g_strdup(backend->entry.id), link);
+    return link;
+}
+
+/* Drops the connections to backend servers that the scheduler forgot. */
+void
+leader_trim_links(struct leader *leader)
+{
+    GHashTableIter iter;
+    void *key;
+    g_hash_table_iter_init(&iter, leader->links);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (scheduler_find_backend(leader->sched, key) == NULL) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+static void
+op_start(void *ctx, const struct start_order *order)
+{
+    struct leader *leader = ctx;
+    const struct run *run = order->run;
+    char task[TASK_NAME_BYTES];
+    snprintf(task, sizeof(task), "%s.%u.%u.%u", run->job->id, run->occurrence,
+             run->step, run->index);
+    event_log("task_start",
+              "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\","
+              "\"until_ms\":%" G_GINT64_FORMAT,
+              task, run->number, order->backend->entry.id, order->until_ms);
+    struct start_call call = {
+        .handle = order->handle,
+        .task = task,
+        .number = run->number,
+        .spec = run->job->text,
+        .until_ms = order->until_ms,
+        .token = leader->token,
+        .saved = run_task(run)->saved,
+    };
+    backend_link_start(link_of(leader, order->backend), &call);
+}
+
+static void
+op_stop(void *ctx, const struct stop_order *order)
+{
+    struct leader *leader = ctx;
+    event_log("task_stop", "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"",
+              order->task, order->number, order->backend->entry.id);
+    backend_link_stop(link_of(leader, order->backend), order->handle,
+                      order->task, order->number, leader->token);
+}
+
+static void
+op_list(void *ctx, struct backend *backend, int64_t until_ms,
+        int64_t seen_upto, int64_t wait_ms)
+{
+    struct leader *leader = ctx;
+    backend_link_list(link_of(leader, backend), until_ms, leader->token,
+                      seen_upto, wait_ms);
+}
+
+static void
+op_pace(void *ctx, const struct run *run, int32_t percent)
+{
+    struct leader *leader = ctx;
+    char task[TASK_NAME_BYTES];
+    snprintf(task, sizeof(task), "%s.%u.%u.%u", run->job->id, run->occurrence,
+             run->step, run->index);
+    event_log("task_pace", "\"task\":\"%s\",\"percent\":%d", task, percent);
+    backend_link_pace(link_of(leader, run->backend), task, run->number,
+                      percent, leader->token);
+}
+
+static void
+op_store(void *ctx)
+{
+    leader_tick_soon(ctx);
+}
+
+static void
+op_move(void *ctx, const char *host, const char *pool)
+{
+    struct leader *leader = ctx;
+    event_log("host_move", "\"host\":\"%s\",\"pool\":\"%s\"", host, pool);
+    hosts_api_move(leader->hosts, host, pool, leader->token);
+}
+
+static void
+op_reboot(void *ctx, const char *host, int64_t wave)
+{
+    struct leader *leader = ctx;
+    event_log("host_reboot", "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT,
+              host, wave);
+    hosts_api_reboot(leader->hosts, host, wave, leader->token);
+}
+
+static void
+op_note(void *ctx, const char *event, const char *fields)
+{
+    (void)ctx;
+    event_log(event, "%s", fields);
+}
+
+struct sched_ops
+leader_ops(struct leader *leader)
+{
+    return (struct sched_ops){
+        .start = op_start,
+        .stop = op_stop,
+        .list = op_list,
+        .pace = op_pace,
+        .store = op_store,
+        .move = op_move,
+        .reboot = op_reboot,
+        .note = op_note,
+        .ctx = leader,
+    };
+}
--- /dev/null
+++ b/egretjobd/leader_load.c
@@ -0,0 +1,319 @@
+/* Reads the stored state after a takeover, then follows its changes. */
+#include "leader_state.h"
+
+#include <string.h>
+
+#include "common/event_log.h"
+#include "egretjobd/records.h"
+#include "platform/decode.h"
+
+enum {
+    LOAD_RETRY_MS = 100,
+    /* Entries of the host list change often; they are read in lots. */
+    BACKEND_WATCH_GAP_MS = 200,
+    BACKEND_WATCH_MS = 1000,
+    NEWS_WATCH_MS = 1500,
+    WATCH_RETRY_MS = 100,
+};
+
+static const char *const stage_prefixes[] = {
+    [STAGE_PROGRESS] = RECORD_PROGRESS_PREFIX,
+    [STAGE_JOBS] = RECORD_JOB_PREFIX,
+    [STAGE_REGISTERED] = RECORD_BACKEND_PREFIX,
+    [STAGE_BACKENDS] = PLATFORM_BACKEND_PREFIX,
+    [STAGE_NEWS] = RECORD_NEWS_PREFIX,
+};
+
+static void
+take_job(struct leader *leader, const char *id, const struct kv_item *item)
+{
+    if (item->value == NULL || scheduler_find_job(leader->sched, id) != NULL) {
+        return;
+    }
+    struct job *job = record_job_decode(id, item->value, item->value_bytes);
+    if (job == NULL) {
+        event_log("record_unreadable", "\"key\":\"%s\"", item->key);
+        return;
+    }
+    job->inherited = leader->stage < STAGE_READY;
+    const struct kv_item *progress = g_hash_table_lookup(leader->progress, id);
+    if (progress != NULL) {
+        record_progress_apply(job, progress->value, progress->value_bytes);
+        job->revision = progress->revision;
+    }
+    scheduler_add_job(leader->sched, job);
+    job_unref(job);
+}
+
+/* Progress is read before the jobs: only a holder of the duty writes it. */
+static void
+take_progress(struct leader *leader, const char *id,
+              const struct kv_item *item)
+{
+    if (item->value == NULL) {
+        return;
+    }
+    struct kv_item *kept = g_new0(struct kv_item, 1);
+    kept->key = g_strdup(id);
+    kept->value = g_strndup(item->value, item->value_bytes);
+    kept->value_bytes = item->value_bytes;
+    kept->revision = item->revision;
+    g_hash_table_replace(leader->progress, kept->key, kept);
+}
+
+static void
+take_entry(struct leader *leader, const char *id, const struct kv_item *item)
+{
+    struct backend_entry entry;
+    if (item->deleted || item->value == NULL) {
+        scheduler_backend_gone(leader->sched, id);
+        return;
+    }
+    g_hash_table_add(leader->listed_now, g_strdup(id));
+    if (!decode_backend(id, item->value, item->value_bytes, &entry)) {
+        return;
+    }
+    scheduler_backend_seen(leader->sched, &entry);
+    backend_entry_clear(&entry);
+}
+
+static void
+take_registered(struct leader *leader, const char *id,
+                const struct kv_item *item)
+{
+    struct backend_entry entry;
+    if (item->value != NULL &&
+        record_backend_decode(id, item->value, item->value_bytes, &entry)) {
+        scheduler_backend_inherited(leader->sched, &entry);
+        backend_entry_clear(&entry);
+    }
+}
+
+static void
+on_news_job(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    if (result->outcome == KV_OK && result->items->len > 0) {
+        const struct kv_item *item = g_ptr_array_index(result->items, 0);
+        take_job(leader, item->key + strlen(RECORD_JOB_PREFIX), item);
+        leader_tick_soon(leader);
+    }
+}
+
+static void
+take_news(struct leader *leader, const char *id, const struct kv_item *item)
+{
+    if (item->deleted || item->value == NULL) {
+        return;
+    }
+    if (strcmp(item->value, NEWS_CANCEL) == 0) {
+        scheduler_cancel(leader->sched, id);
+    }
+    else if (scheduler_find_job(leader->sched, id) == NULL) {
+        char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
+        kv_get(leader->reads, key,
+               (struct kv_done){.call = on_news_job, .ctx = leader});
+        g_free(key);
+    }
+}
+
+static void
+take_item(struct leader *leader, enum leader_stage kind,
+          const struct kv_item *item)
+{
+    const char *id = item->key + strlen(stage_prefixes[kind]);
+    switch (kind) {
+    case STAGE_PROGRESS:
+        take_progress(leader, id, item);
+        break;
+    case STAGE_JOBS:
+        take_job(leader, id, item);
+        break;
+    case STAGE_REGISTERED:
+        take_registered(leader, id, item);
+        break;
+    case STAGE_BACKENDS:
+        take_entry(leader, id, item);
+        break;
+    case STAGE_NEWS:
+        take_news(leader, id, item);
+        break;
+    case STAGE_READY:
+        break;
+    }
+}
+
+static void
+load_page(struct leader *leader, const char *after);
+
+static void
+next_stage(struct leader *leader, int64_t as_of)
+{
+    if (leader->stage == STAGE_BACKENDS) {
+        leader->backends_as_of = as_of;
+    }
+    if (leader->stage == STAGE_NEWS) {
+        leader->news_as_of = as_of;
+    }
+    leader->stage++;
+    if (leader->stage < STAGE_READY) {
+        load_page(leader, NULL);
+        return;
+    }
+    g_hash_table_remove_all(leader->progress);
+    struct sched_figures figures;
+    scheduler_figures(leader->sched, &figures);
+    event_log("leader_ready",
+              "\"jobs\":%u,\"backends\":%u,\"unsettled\":%u",
+              figures.jobs_active, figures.backends,
+              figures.backends_unsettled);
+    leader_config_changed(leader);
+    leader_orders_changed(leader);
+    leader_watch_backends(leader);
+    leader_watch_news(leader);
+    leader_tick_soon(leader);
+}
+
+static void
+on_page(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    if (result->outcome != KV_OK) {
+        timer_set(leader->load_retry, LOAD_RETRY_MS);
+        return;
+    }
+    for (guint i = 0; i < result->items->len; i++) {
+        take_item(leader, leader->stage,
+                  g_ptr_array_index(result->items, i));
+    }
+    if (result->has_more && result->items->len > 0) {
+        const struct kv_item *last =
+            g_ptr_array_index(result->items, result->items->len - 1);
+        load_page(leader, last->key);
+        return;
+    }
+    next_stage(leader, result->as_of);
+}
+
+static void
+load_page(struct leader *leader, const char *after)
+{
+    kv_range(leader->reads, stage_prefixes[leader->stage], after,
+             (struct kv_done){.call = on_page, .ctx = leader});
+}
+
+void
+leader_load(struct leader *leader)
+{
+    load_page(leader, NULL);
+}
+
+/* After lost history: what is not in the whole list any more is gone. */
+static void
+drop_unlisted(struct leader *leader)
+{
+    GPtrArray *ids = scheduler_list_backends(leader->sched);
+    for (guint i = 0; i < ids->len; i++) {
+        const char *id = g_ptr_array_index(ids, i);
+        if (!g_hash_table_contains(leader->listed_now, id)) {
+            scheduler_backend_gone(leader->sched, id);
+        }
+    }
+    g_ptr_array_unref(ids);
+}
+
+static void
+on_backends_read(void *ctx, const struct kv_result *result);
+
+static void
+read_backends(struct leader *leader, const char *after)
+{
+    kv_range(leader->backend_watch, PLATFORM_BACKEND_PREFIX, after,
+             (struct kv_done){.call = on_backends_read, .ctx = leader});
+}
+
+static void
+on_backends_read(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    if (result->outcome != KV_OK) {
+        leader->backends_as_of = 0;
+        timer_set(leader->watch_timer, WATCH_RETRY_MS);
+        return;
+    }
+    for (guint i = 0; i < result->items->len; i++) {
+        take_item(leader, STAGE_BACKENDS,
+                  g_ptr_array_index(result->items, i));
+    }
+    if (result->has_more && result->items->len > 0) {
+        const struct kv_item *last =
+            g_ptr_array_index(result->items, result->items->len - 1);
+        read_backends(leader, last->key);
+        return;
+    }
+    drop_unlisted(leader);
+    leader->backends_as_of = result->as_of;
+    leader_tick_soon(leader);
+    timer_set(leader->watch_timer, 0);
+}
+
+static void
+on_backend_events(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    if (result->outcome == KV_OK) {
+        for (guint i = 0; i < result->items->len; i++) {
+            take_item(leader, STAGE_BACKENDS,
+                      g_ptr_array_index(result->items, i));
+        }
+        leader->backends_as_of = MAX(leader->backends_as_of, result->as_of);
+        leader_tick_soon(leader);
+        timer_set(leader->watch_timer, BACKEND_WATCH_GAP_MS);
+        return;
+    }
+    /* History is gone, or the connection is silent: read everything. */
+    leader->backends_as_of = 0;
+    timer_set(leader->watch_timer, WATCH_RETRY_MS);
+}
+
+void
+leader_watch_backends(struct leader *leader)
+{
+    g_hash_table_remove_all(leader->listed_now);
+    if (leader->backends_as_of == 0) {
+        read_backends(leader, NULL);
+        return;
+    }
+    kv_watch(leader->backend_watch, PLATFORM_BACKEND_PREFIX,
+             leader->backends_as_of, BACKEND_WATCH_MS,
+             (struct kv_done){.call = on_backend_events, .ctx = leader});
+}
+
+static void
+on_news(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    if (result->outcome != KV_OK) {
+        leader->news_as_of = 0;
+        timer_set(leader->news_timer, WATCH_RETRY_MS);
+        return;
+    }
+    for (guint i = 0; i < result->items->len; i++) {
+        take_item(leader, STAGE_NEWS, g_ptr_array_index(result->items, i));
+    }
+    leader->news_as_of = MAX(leader->news_as_of, result->as_of);
+    leader_tick_soon(leader);
+    timer_set(leader->news_timer, 0);
+}
+
+void
+leader_watch_news(struct leader *leader)
+{
+    struct kv_done done = {.call = on_news, .ctx = leader};
+    if (leader->news_as_of == 0) {
+        kv_range(leader->news_watch, RECORD_NEWS_PREFIX, NULL, done);
+        return;
+    }
+    kv_watch(leader->news_watch, RECORD_NEWS_PREFIX, leader->news_as_of,
+             NEWS_WATCH_MS, done);
+}
--- /dev/null
+++ b/egretjobd/main.c
@@ -0,0 +1,74 @@
+/* Job daemon: takes jobs from callers and runs them on backend servers. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/event_log.h"
+#include "common/findings.h"
+#include "egretjobd/node.h"
+#include "platform/boot.h"
+
+#define BOOT_VARIABLE "EGRETGLADE_BOOT"
+
+const char *argp_program_version = "egretjobd " EGRET_VERSION;
+
+struct arguments {
+    const char *settings;
+    bool check;
+};
+
+static const struct argp_option options[] = {
+    {"check", 'c', NULL, 0, "check the settings and exit", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct arguments *arguments = state->input;
+    switch (key) {
+    case 'c':
+        arguments->check = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        if (arguments->settings != NULL) {
+            argp_usage(state);
+        }
+        arguments->settings = arg;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .args_doc = "[SETTINGS]",
+        .doc = "Takes jobs from callers and runs them on backend servers. "
+               "SETTINGS is the path of the settings file; without it the "
+               "variable " BOOT_VARIABLE " names it.",
+    };
+    struct arguments arguments = {0};
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    if (arguments.settings == NULL) {
+        arguments.settings = getenv(BOOT_VARIABLE);
+    }
+    struct findings *findings = findings_create();
+    struct boot *boot = boot_read(arguments.settings, findings);
+    findings_print(findings, stderr);
+    findings_destroy(findings);
+    if (boot == NULL) {
+        return EXIT_FAILURE;
+    }
+    int result = EXIT_SUCCESS;
+    if (!arguments.check) {
+        event_log_open(boot->node);
+        result = node_run(boot);
+    }
+    boot_destroy(boot);
+    return result;
+}
--- /dev/null
+++ b/egretjobd/node.c
@@ -0,0 +1,223 @@
+#include "egretjobd/node.h"
+
+#include <signal.h>
+#include <time.h>
+
+#include <event2/event.h>
+#include <glib.h>
+
+#include "common/event_log.h"
+#include "egretjobd/acceptor.h"
+#include "egretjobd/config_feed.h"
+#include "egretjobd/duty.h"
+#include "egretjobd/front.h"
+#include "egretjobd/leader.h"
+#include "egretjobd/peers.h"
+#include "egretjobd/records.h"
+#include "platform/kv.h"
+
+enum {
+    LEAVE_POLL_MS = 50,
+    /* Part of the grace period kept for the end of the process itself. */
+    LEAVE_MARGIN_MS = 700,
+    /* Callers already on their way are still served after the health check
+     * has failed twice, a second apart. */
+    LEAVE_LINGER_MS = 2500,
+    REGISTER_TIMEOUT_MS = 1000,
+    REGISTER_RETRY_MS = 300,
+};
+
+struct node_process {
+    struct node node;
+    struct event *term;
+    struct event *interrupt;
+    struct event *hangup;
+    struct event *leave_timer;
+    struct event *register_timer;
+    struct kv *registry;
+    int64_t leave_since_ms;
+};
+
+static int64_t
+boot_time_ms(void *ctx)
+{
+    (void)ctx;
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static int64_t
+unix_time_ms(void *ctx)
+{
+    (void)ctx;
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+void
+timer_set(struct event *timer, int64_t delay_ms)
+{
+    struct timeval delay = {
+        .tv_sec = delay_ms / 1000,
+        .tv_usec = delay_ms % 1000 * 1000,
+    };
+    evtimer_add(timer, &delay);
+}
+
+static void
+on_leave_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct node_process *state = ctx;
+    struct node *node = &state->node;
+    int64_t passed_ms = node_now(node) - state->leave_since_ms;
+    bool done = passed_ms >= LEAVE_LINGER_MS && front_idle(node->front);
+    if (done || passed_ms >= node->boot->grace_ms - LEAVE_MARGIN_MS) {
+        event_base_loopbreak(node->base);
+        return;
+    }
+    timer_set(state->leave_timer, LEAVE_POLL_MS);
+}
+
+static void
+on_term(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct node_process *state = ctx;
+    if (state->node.leaving) {
+        return;
+    }
+    event_log("stopping", "\"signal\":\"TERM\"");
+    state->node.leaving = true;
+    state->leave_since_ms = node_now(&state->node);
+    duty_release(state->node.duty);
+    front_leave(state->node.front);
+    timer_set(state->leave_timer, LEAVE_POLL_MS);
+}
+
+static void
+on_hangup(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    (void)ctx;
+    /* Addresses and limits hold for a process's life; the rest of what
+     * changes comes from the store. */
+    event_log("reload", "\"signal\":\"HUP\"");
+}
+
+static void
+on_registered(void *ctx, const struct kv_result *result)
+{
+    struct node_process *state = ctx;
+    if (result->outcome != KV_OK) {
+        timer_set(state->register_timer, REGISTER_RETRY_MS);
+    }
+}
+
+/* Peers find this process by its record. */
+static void
+on_register_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct node_process *state = ctx;
+    const struct boot *boot = state->node.boot;
+    char *key = g_strconcat(RECORD_PEER_PREFIX, boot->node, NULL);
+    struct kv_put put = {.key = key, .value = boot->peer};
+    struct kv_txn txn = {.puts = &put, .n_puts = 1};
+    kv_commit(state->registry, &txn,
+              (struct kv_done){.call = on_registered, .ctx = state});
+    g_free(key);
+}
+
+static bool
+start_parts(struct node *node)
+{
+    node->peers = peers_create(node);
+    node->front = front_create(node);
+    if (node->peers == NULL || node->front == NULL) {
+        event_log("start_failed", "\"why\":\"an address can't be had\"");
+        return false;
+    }
+    node->acceptor = acceptor_create(node);
+    node->feed = config_feed_create(node);
+    node->duty = duty_create(node);
+    return true;
+}
+
+static void
+stop_parts(struct node *node)
+{
+    struct leader *leader = node->leader;
+    node->leader = NULL;
+    leader_destroy(leader);
+    duty_destroy(node->duty);
+    config_feed_destroy(node->feed);
+    acceptor_destroy(node->acceptor);
+    front_destroy(node->front);
+    peers_destroy(node->peers);
+}
+
+static void
+add_signals(struct node_process *state)
+{
+    struct event_base *base = state->node.base;
+    signal(SIGPIPE, SIG_IGN);
+    state->term = evsignal_new(base, SIGTERM, on_term, state);
+    state->interrupt = evsignal_new(base, SIGINT, on_term, state);
+    state->hangup = evsignal_new(base, SIGHUP, on_hangup, state);
+    evsignal_add(state->term, NULL);
+    evsignal_add(state->interrupt, NULL);
+    evsignal_add(state->hangup, NULL);
+}
+
+static void
+free_events(struct node_process *state)
+{
+    event_free(state->term);
+    event_free(state->interrupt);
+    event_free(state->hangup);
+    event_free(state->leave_timer);
+    event_free(state->register_timer);
+}
+
+int
+node_run(const struct boot *boot)
+{
+    struct node_process state = {
+        .node =
+            {
+                .base = event_base_new(),
+                .boot = boot,
+                .clock = {.now = boot_time_ms},
+                .unix_clock = {.now = unix_time_ms},
+            },
+    };
+    struct node *node = &state.node;
+    event_log("start", "\"data_centre\":\"%s\",\"version\":\"%s\"",
+              boot->data_centre, EGRET_VERSION);
+    state.leave_timer = evtimer_new(node->base, on_leave_timer, &state);
+    state.register_timer =
+        evtimer_new(node->base, on_register_timer, &state);
+    add_signals(&state);
+    bool started = start_parts(node);
+    if (started) {
+        state.registry =
+            kv_create(node->base, boot->store, REGISTER_TIMEOUT_MS);
+        timer_set(state.register_timer, 0);
+        event_base_dispatch(node->base);
+        kv_destroy(state.registry);
+    }
+    stop_parts(node);
+    free_events(&state);
+    event_log("stop", "\"code\":%d", started ? 0 : 1);
+    /* Frees connections that were closed during the last turn. */
+    event_base_loop(node->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    event_base_free(node->base);
+    return started ? 0 : 1;
+}
--- /dev/null
+++ b/egretjobd/peers.c
@@ -0,0 +1,222 @@
+#include "egretjobd/peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "egretjobd/config_feed.h"
+#include "egretjobd/leader.h"
+#include "net/http_server.h"
+
+enum {
+    /* A job is stored in milliseconds; after this the store is asked. */
+    CALL_TIMEOUT_MS = 700,
+    CONNECTIONS = 2,
+};
+
+#define PATH_SUBMIT "/submit"
+#define PATH_STATE "/state"
+#define PATH_CANCEL "/cancel"
+#define PATH_WAITING "/waiting"
+#define PATH_ORDERS "/orders"
+#define HEADER_JOB "Egret-Job"
+#define HEADER_QUEUE "Egret-Queue"
+#define HEADER_POOL "Egret-Pool"
+#define HEADER_TEAM "Egret-Team"
+#define HEADER_ATTEMPTS "Egret-Attempts"
+
+static const char *const paths[] = {
+    [JOB_CALL_SUBMIT] = PATH_SUBMIT,
+    [JOB_CALL_STATE] = PATH_STATE,
+    [JOB_CALL_CANCEL] = PATH_CANCEL,
+    [JOB_CALL_WAITING] = PATH_WAITING,
+};
+
+/* Connections to one peer; the least busy is used. */
+struct peer {
+    struct http_client *clients[CONNECTIONS];
+};
+
+struct peers {
+    struct node *node;
+    struct http_server *server;
+    GHashTable *by_address;
+};
+
+struct forwarded {
+    struct job_reply reply;
+};
+
+static void
+peer_destroy(void *data)
+{
+    struct peer *peer = data;
+    for (size_t i = 0; i < CONNECTIONS; i++) {
+        http_client_destroy(peer->clients[i]);
+    }
+    g_free(peer);
+}
+
+static void
+on_answer(void *ctx, const struct job_answer *answer)
+{
+    struct http_exchange *exchange = ctx;
+    if (answer->retry_after_ms > 0) {
+        char text[24];
+        g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
+                   answer->retry_after_ms);
+        http_exchange_add(exchange, "Egret-Retry-After-Ms", text);
+    }
+    http_exchange_reply(exchange, answer->status, answer->body);
+}
+
+static const char *
+header_or_empty(const struct http_exchange *exchange, const char *name)
+{
+    const char *value = http_exchange_header(exchange, name);
+    return value == NULL ? "" : value;
+}
+
+static void
+serve_orders(struct peers *peers, struct http_exchange *exchange)
+{
+    char *body = config_feed_encode(peers->node->feed);
+    http_exchange_reply(exchange, body == NULL ? 503 : 200, body);
+    g_free(body);
+}
+
+static void
+on_request(void *ctx, struct http_exchange *exchange)
+{
+    struct peers *peers = ctx;
+    const char *path = http_exchange_path(exchange);
+    if (strcmp(path, PATH_ORDERS) == 0) {
+        serve_orders(peers, exchange);
+        return;
+    }
+    struct job_call call = {
+        .id = header_or_empty(exchange, HEADER_JOB),
+        .queue = header_or_empty(exchange, HEADER_QUEUE),
+        .pool = header_or_empty(exchange, HEADER_POOL),
+        .team = header_or_empty(exchange, HEADER_TEAM),
+        .attempts = (uint32_t)strtoul(
+            header_or_empty(exchange, HEADER_ATTEMPTS), NULL, 10),
+    };
+    call.body = http_exchange_body(exchange, &call.body_bytes);
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        if (strcmp(path, paths[i]) == 0) {
+            call.kind = (enum job_call_kind)i;
+            leader_call(
+                peers->node->leader, &call,
+                (struct job_reply){.call = on_answer, .ctx = exchange});
+            return;
+        }
+    }
+    http_exchange_reply(exchange, 404, NULL);
+}
+
+struct peers *
+peers_create(struct node *node)
+{
+    struct peers *peers = g_new0(struct peers, 1);
+    peers->node = node;
+    peers->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                              peer_destroy);
+    peers->server =
+        http_server_create(node->base, node->boot->peer, on_request, peers);
+    if (peers->server == NULL) {
+        peers_destroy(peers);
+        return NULL;
+    }
+    return peers;
+}
+
+void
+peers_destroy(struct peers *peers)
+{
+    if (peers == NULL) {
+        return;
+    }
+    http_server_destroy(peers->server);
+    g_hash_table_unref(peers->by_address);
+    g_free(peers);
+}
+
+static struct http_client *
+client_of(struct peers *peers, const char *address)
+{
+    struct peer *peer = g_hash_table_lookup(peers->by_address, address);
+    if (peer == NULL) {
+        peer = g_new0(struct peer, 1);
+        for (size_t i = 0; i < CONNECTIONS; i++) {
+            peer->clients[i] = http_client_create(peers->node->base, address,
+                                                  CALL_TIMEOUT_MS);
+        }
+        g_hash_table_insert(peers->by_address, g_strdup(address), peer);
+    }
+    struct http_client *best = peer->clients[0];
+    for (size_t i = 1; i < CONNECTIONS; i++) {
+        if (http_client_pending(peer->clients[i]) <
+            http_client_pending(best)) {
+            best = peer->clients[i];
+        }
+    }
+    return best;
+}
+
+static void
+on_reply(void *ctx, const struct http_reply *reply)
+{
+    struct forwarded *forwarded = ctx;
+    char *body = reply->body_bytes == 0
+                     ? NULL
+                     : g_strndup(reply->body, reply->body_bytes);
+    struct job_answer answer = {
+        .status = reply->status == 0 ? JOB_ANSWER_ASK_STORE : reply->status,
+        .body = body,
+    };
+    forwarded->reply.call(forwarded->reply.ctx, &answer);
+    g_free(body);
+    g_free(forwarded);
+}
+
+void
+peers_call(struct peers *peers, const char *address,
+           const struct job_call *call, struct job_reply reply)
+{
+    char attempts[16];
+    g_snprintf(attempts, sizeof(attempts), "%u", call->attempts);
+    struct http_header headers[] = {
+        {.name = HEADER_JOB, .value = call->id},
+        {.name = HEADER_QUEUE, .value = call->queue},
+        {.name = HEADER_POOL, .value = call->pool},
+        {.name = HEADER_TEAM, .value = call->team},
+        {.name = HEADER_ATTEMPTS, .value = attempts},
+        {0},
+    };
+    struct forwarded *forwarded = g_new0(struct forwarded, 1);
+    forwarded->reply = reply;
+    struct http_call http = {
+        .method = "POST",
+        .path = paths[call->kind],
+        .headers = headers,
+        .body = call->body_bytes == 0 ? "" : call->body,
+        .body_bytes = call->body_bytes,
+        .done = on_reply,
+        .ctx = forwarded,
+    };
+    http_client_send(client_of(peers, address), &http);
+}
+
+void
+peers_orders(struct peers *peers, const char *address,
+             void (*done)(void *ctx, const struct http_reply *reply),
+             void *ctx)
+{
+    struct http_call http = {
+        .method = "GET",
+        .path = PATH_ORDERS,
+        .done = done,
+        .ctx = ctx,
+    };
+    http_client_send(client_of(peers, address), &http);
+}
--- /dev/null
+++ b/egretjobd/records.c
@@ -0,0 +1,232 @@
+#include "egretjobd/records.h"
+
+#include <string.h>
+
+#include "platform/decode.h"
+#include "platform/json_text.h"
+
+static void
+add_text(GString *out, const char *member, const char *text)
+{
+    g_string_append_printf(out, "%s\"%s\":", out->len > 1 ? "," : "", member);
+    json_text_add(out, text == NULL ? "" : text);
+}
+
+static void
+add_int(GString *out, const char *member, int64_t value)
+{
+    g_string_append_printf(out, "%s\"%s\":%" G_GINT64_FORMAT,
+                           out->len > 1 ? "," : "", member, value);
+}
+
+char *
+record_job_encode(const struct job_envelope *envelope)
+{
+    GString *out = g_string_new("{");
+    add_text(out, "queue", envelope->queue);
+    add_text(out, "pool", envelope->pool);
+    add_text(out, "team", envelope->team);
+    add_int(out, "attempts", envelope->attempts);
+    add_int(out, "accepted_unix_ms", envelope->accepted_unix_ms);
+    char *body = g_strndup(envelope->body, envelope->body_bytes);
+    add_text(out, "body", body);
+    g_free(body);
+    g_string_append_c(out, '}');
+    return g_string_free(out, FALSE);
+}
+
+struct job *
+record_job_decode(const char *id, const char *value, size_t bytes)
+{
+    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    const char *body = json_text_get(record, "body");
+    const char *queue = json_text_get(record, "queue");
+    struct job *job = NULL;
+    if (body != NULL && queue != NULL && strlen(id) == JOB_ID_CHARS) {
+        char *error = NULL;
+        job = decode_job(body, strlen(body), &error);
+        g_free(error);
+    }
+    if (job != NULL) {
+        g_strlcpy(job->id, id, sizeof(job->id));
+        job->queue = g_strdup(queue);
+        job->pool = g_strdup(json_text_get(record, "pool"));
+        job->team = g_strdup(json_text_get(record, "team"));
+        job->attempts = (uint32_t)json_int_get(record, "attempts", 1);
+        job->accepted_unix_ms = json_int_get(record, "accepted_unix_ms", 0);
+    }
+    cJSON_Delete(record);
+    return job;
+}
+
+/* Tasks that are done, one character each; then failures and checkpoints as
+ * "step.index" members. */
+static void
+encode_part(GString *out, const struct job *job, uint32_t part_index)
+{
+    const struct job_part *part = &job->parts[part_index];
+    uint32_t n_tasks = job->steps[part_index % job->n_steps].task_count;
+    if (part_index > 0) {
+        g_string_append_c(out, ',');
+    }
+    g_string_append_c(out, '"');
+    for (uint32_t t = 0; t < n_tasks; t++) {
+        g_string_append_c(out, part->tasks[t].done ? 'd' : '.');
+    }
+    g_string_append_c(out, '"');
+}
+
+static void
+encode_tasks(GString *out, const struct job *job)
+{
+    uint32_t n_parts = job->n_occurrences * job->n_steps;
+    bool first = true;
+    for (uint32_t p = 0; p < n_parts; p++) {
+        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
+        for (uint32_t t = 0; t < n_tasks; t++) {
+            const struct job_task *task = &job->parts[p].tasks[t];
+            if (task->failures == 0 && task->saved == NULL) {
+                continue;
+            }
+            g_string_append_printf(out, "%s[%u,%u,%u,", first ? "" : ",", p, t,
+                                   task->failures);
+            json_text_add(out, task->saved == NULL ? "" : task->saved);
+            g_string_append_c(out, ']');
+            first = false;
+        }
+    }
+}
+
+char *
+record_progress_encode(const struct job *job)
+{
+    GString *out = g_string_new("{");
+    add_text(out, "state", job_state_name(job->state));
+    if (job->state == JOB_ACTIVE) {
+        g_string_append(out, ",\"parts\":[");
+        uint32_t n_parts = job->n_occurrences * job->n_steps;
+        for (uint32_t p = 0; p < n_parts; p++) {
+            encode_part(out, job, p);
+        }
+        g_string_append(out, "],\"tasks\":[");
+        encode_tasks(out, job);
+        g_string_append_c(out, ']');
+    }
+    g_string_append_c(out, '}');
+    return g_string_free(out, FALSE);
+}
+
+static bool
+state_of(const cJSON *record, enum job_state *state)
+{
+    const char *name = json_text_get(record, "state");
+    for (int s = JOB_ACTIVE; name != NULL && s <= JOB_CANCELLED; s++) {
+        if (strcmp(job_state_name((enum job_state)s), name) == 0) {
+            *state = (enum job_state)s;
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+apply_part(struct job *job, uint32_t part_index, const char *marks)
+{
+    struct job_part *part = &job->parts[part_index];
+    uint32_t n_tasks = job->steps[part_index % job->n_steps].task_count;
+    for (uint32_t t = 0; t < n_tasks && marks[t] != '\0'; t++) {
+        if (marks[t] == 'd') {
+            part->tasks[t].done = true;
+            part->done++;
+            part->started = true;
+            job->begun = true;
+        }
+    }
+}
+
+static void
+apply_task(struct job *job, const cJSON *row)
+{
+    const cJSON *p = cJSON_GetArrayItem(row, 0);
+    const cJSON *t = cJSON_GetArrayItem(row, 1);
+    const cJSON *failures = cJSON_GetArrayItem(row, 2);
+    const char *saved = cJSON_GetStringValue(cJSON_GetArrayItem(row, 3));
+    if (!cJSON_IsNumber(p) || !cJSON_IsNumber(t) ||
+        !cJSON_IsNumber(failures) ||
+        p->valueint >= (int)(job->n_occurrences * job->n_steps) ||
+        t->valueint >=
+            (int)job->steps[p->valueint % (int)job->n_steps].task_count) {
+        return;
+    }
+    struct job_task *task = &job->parts[p->valueint].tasks[t->valueint];
+    task->failures = (uint32_t)failures->valueint;
+    if (saved != NULL && saved[0] != '\0') {
+        task->saved = g_strdup(saved);
+    }
+}
+
+bool
+record_progress_apply(struct job *job, const char *value, size_t bytes)
+{
+    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    bool known = state_of(record, &job->state);
+    uint32_t n_parts = job->n_occurrences * job->n_steps;
+    uint32_t index = 0;
+    const cJSON *item;
+    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "parts"))
+    {
+        if (index < n_parts && cJSON_IsString(item)) {
+            apply_part(job, index, item->valuestring);
+        }
+        index++;
+    }
+    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "tasks"))
+    {
+        apply_task(job, item);
+    }
+    cJSON_Delete(record);
+    return known;
+}
+
+bool
+record_progress_state(const char *value, size_t bytes, enum job_state *state)
+{
+    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    bool known = state_of(record, state);
+    cJSON_Delete(record);
+    return known;
+}
+
+char *
+record_backend_encode(const struct backend_entry *entry)
+{
+    GString *out = g_string_new("{");
+    add_text(out, "pool", entry->pool);
+    add_text(out, "address", entry->address);
+    add_text(out, "data_centre", entry->data_centre);
+    add_text(out, "host", entry->host);
+    add_int(out, "born_ms", entry->born_ms);
+    g_string_append_c(out, '}');
+    return g_string_free(out, FALSE);
+}
+
+bool
+record_backend_decode(const char *id, const char *value, size_t bytes,
+                      struct backend_entry *entry)
+{
+    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    const char *pool = json_text_get(record, "pool");
+    const char *address = json_text_get(record, "address");
+    *entry = (struct backend_entry){0};
+    bool whole = pool != NULL && address != NULL;
+    if (whole) {
+        entry->id = g_strdup(id);
+        entry->pool = g_strdup(pool);
+        entry->address = g_strdup(address);
+        entry->data_centre = g_strdup(json_text_get(record, "data_centre"));
+        entry->host = g_strdup(json_text_get(record, "host"));
+        entry->born_ms = json_int_get(record, "born_ms", 0);
+    }
+    cJSON_Delete(record);
+    return whole;
+}
--- /dev/null
+++ b/include/core/jobs/backend.h
@@ -0,0 +1,210 @@
+/* Backend servers, the runs on them, and the lease under which they run. */
+#ifndef CORE_JOBS_BACKEND_H
+#define CORE_JOBS_BACKEND_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/jobs/job.h"
+
+/**
+ * struct backend_entry - what the host list says of a backend server
+ * @id: its id, which names the life of a host
+ * @born_ms: Unix time of its start; tells lives under one id apart
+ * @pool: pool that it serves
+ * @address: "ip:port" of its interface
+ * @data_centre: where it stands
+ * @host: the host whose life it is, or NULL if not told
+ * @labels: kind and rack, NULL-terminated; the rack comes last
+ * @room: its whole capacity
+ * @draining: leaves soon and takes nothing new
+ */
+struct backend_entry {
+    char *id;
+    int64_t born_ms;
+    char *pool;
+    char *address;
+    char *data_centre;
+    char *host;
+    char **labels;
+    struct job_room room;
+    bool draining;
+};
+
+struct backend_entry *
+backend_entry_copy(const struct backend_entry *entry);
+void
+backend_entry_clear(struct backend_entry *entry);
+void
+backend_entry_destroy(struct backend_entry *entry);
+
+/**
+ * enum run_state - what is known of a run
+ * @RUN_STARTING: the order was sent
+ * @RUN_UNCERTAIN: the order got no answer and may still be carried out
+ * @RUN_WORKING: acknowledged or listed by the backend server
+ * @RUN_STOPPING: told to stop, its end is not listed yet
+ */
+enum run_state {
+    RUN_STARTING,
+    RUN_UNCERTAIN,
+    RUN_WORKING,
+    RUN_STOPPING,
+};
+
+/**
+ * struct run - one attempt of a task on one backend server
+ * @handle: names the run towards the I/O side
+ * @job: its job, referenced
+ * @occurrence: occurrence of the job
+ * @step: step of the job
+ * @index: task of the step
+ * @number: number of the run
+ * @backend: where it runs
+ * @state: what is known of it
+ * @started_ms: when the order was sent
+ * @known_ms: when the backend server last confirmed it
+ * @stop_sent_ms: when a stop was last sent; 0: never
+ * @stop_acked_ms: when a stop was acknowledged; 0: never
+ * @stop_pending: a stop order is in flight
+ * @percent: progress as listed, 100 for lasting tasks at work
+ * @percent_at_ms: when @percent last changed
+ * @tail_ms: rough tail of a serving task's response time
+ * @pace: share at which a filling task may work, in percent
+ * @counted: its room is counted at the backend and the team
+ */
+struct run {
+    uint64_t handle;
+    struct job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+    uint32_t number;
+    struct backend *backend;
+    enum run_state state;
+    int64_t started_ms;
+    int64_t known_ms;
+    int64_t stop_sent_ms;
+    int64_t stop_acked_ms;
+    bool stop_pending;
+    int32_t percent;
+    int64_t percent_at_ms;
+    int64_t tail_ms;
+    int32_t pace;
+    bool counted;
+};
+
+/** run_step() - the step that @run belongs to. */
+const struct job_step *
+run_step(const struct run *run);
+
+/** run_task() - the task that @run is an attempt of. */
+struct job_task *
+run_task(const struct run *run);
+
+/**
+ * struct pending_end - an end whose effect may not be stored yet
+ * @number: number given by the backend server
+ * @job: job that it changed, referenced, or NULL
+ * @version: version of the job's progress that contains it
+ */
+struct pending_end {
+    int64_t number;
+    struct job *job;
+    uint64_t version;
+};
+
+/**
+ * struct backend - a backend server as the scheduler knows it
+ * @entry: what the host list says
+ * @used: room taken by runs
+ * @runs: struct run, all that may be in progress here
+ * @listed: stands in the host list
+ * @registered: stored as possibly holding runs; required before any start
+ * @registering: the write of that record is under way
+ * @reconciled: its lists were read with the current fencing token
+ * @inherited: registered by an earlier scheduler
+ * @silent: its last call got no answer
+ * @leaving: its host is about to move or to be rebooted
+ * @clock_ms: its clock when last told
+ * @clock_at_ms: the scheduler's clock at that moment
+ * @granted_until_ms: latest end of lease sent, on its clock
+ * @lapse_ms: without a clock sample: when all leases are over
+ * @ends: struct pending_end, oldest first
+ * @last_end: highest end processed
+ * @seen_upto: highest end whose effect is stored
+ * @seen_sent: highest end acknowledged to the backend server
+ * @hold_in_flight: a list call is under way
+ * @hold_sent_ms: when it was sent
+ * @hold_due_ms: earliest time of the next
+ * @failures: runs that failed in a row, over different jobs
+ * @suspect_until_ms: takes at most one run at a time until then
+ * @empty_since_ms: when its last run ended
+ * @idle_since_ms: same, but not reset by runs that could move
+ */
+struct backend {
+    struct backend_entry entry;
+    struct job_room used;
+    GPtrArray *runs;
+    bool listed;
+    bool registered;
+    bool registering;
+    bool reconciled;
+    bool inherited;
+    bool silent;
+    bool leaving;
+    int64_t clock_ms;
+    int64_t clock_at_ms;
+    int64_t granted_until_ms;
+    int64_t lapse_ms;
+    GQueue ends;
+    int64_t last_end;
+    int64_t seen_upto;
+    int64_t seen_sent;
+    bool hold_in_flight;
+    int64_t hold_sent_ms;
+    int64_t hold_due_ms;
+    uint32_t failures;
+    int64_t suspect_until_ms;
+    int64_t empty_since_ms;
+};
+
+struct backend *
+backend_create(const struct backend_entry *entry);
+void
+backend_destroy(struct backend *backend);
+
+/** backend_clock_told() - its clock read @clock_ms at @now_ms. */
+void
+backend_clock_told(struct backend *backend, int64_t clock_ms, int64_t now_ms);
+
+/**
+ * backend_clock_at_least_ms() - lower bound of its clock at @now_ms
+ *
+ * The clock may run CLOCK_SLOW_PERCENT slower than ours.
+ */
+int64_t
+backend_clock_at_least_ms(const struct backend *backend, int64_t now_ms);
+
+/** backend_lapsed() - whether every lease granted to it is surely over. */
+bool
+backend_lapsed(const struct backend *backend, int64_t now_ms);
+
+/** backend_grant() - end of a lease of @lease_ms, noted as granted. */
+int64_t
+backend_grant(struct backend *backend, int64_t lease_ms, int64_t now_ms);
+
+/** backend_note_seen() - acknowledge ends whose effects are stored. */
+void
+backend_note_seen(struct backend *backend);
+
+/** backend_has_label() - whether it carries @label. */
+bool
+backend_has_label(const struct backend *backend, const char *label);
+
+/** backend_rack() - its rack, or an empty string. */
+const char *
+backend_rack(const struct backend *backend);
+
+#endif
--- /dev/null
+++ b/include/core/jobs/job.h
@@ -0,0 +1,219 @@
+/* Jobs as callers submit them, and how far each of them has got. */
+#ifndef CORE_JOBS_JOB_H
+#define CORE_JOBS_JOB_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct run;
+
+enum {
+    JOB_ID_CHARS = 16,
+    /* Bounds one job's memory: 64 steps of 1,000 tasks. */
+    JOB_STEPS_MAX = 64,
+    JOB_STEP_TASKS_MAX = 1000,
+};
+
+/**
+ * struct job_room - resources of a backend server or of a task
+ * @cpu_milli: thousandths of a core
+ * @mem_mb: memory in MB
+ * @gpus: accelerators
+ */
+struct job_room {
+    int64_t cpu_milli;
+    int64_t mem_mb;
+    int64_t gpus;
+};
+
+/** room_fits() - whether @need fits into @free_room. */
+bool
+room_fits(const struct job_room *free_room, const struct job_room *need);
+
+/** room_add() - add @times times @by to @room; @times may be negative. */
+void
+room_add(struct job_room *room, const struct job_room *by, int64_t times);
+
+/**
+ * struct job_step - tasks of a job that may run side by side
+ * @task_count: number of tasks
+ * @need: resources of each task
+ * @estimate_ms: declared run time of a task, rough
+ * @after: steps that must be done first
+ * @n_after: length of @after
+ * @required_label: label that the backend server must carry, or NULL
+ * @data_rack: rack near the step's data, or NULL
+ * @max_per_backend: most tasks of the step on one backend server; 0: any
+ * @image: name of the program that the tasks run, or NULL
+ * @tail_target_ms: bound of the tail of a serving task's response time; 0:
+ *                  the task serves nobody
+ * @may_miss: tasks that the system may make unavailable at once; 0: none is
+ *            counted
+ * @checkpointing: tasks save their progress
+ * @gang: tasks work only when all run
+ * @same_rack: tasks slow down when spread over racks
+ * @speculative: copies may run side by side
+ * @long_running: tasks run until the job is cancelled
+ * @fills: the tasks' processor need isn't counted against the server
+ */
+struct job_step {
+    uint32_t task_count;
+    struct job_room need;
+    int64_t estimate_ms;
+    uint32_t *after;
+    uint32_t n_after;
+    char *required_label;
+    char *data_rack;
+    uint32_t max_per_backend;
+    char *image;
+    int64_t tail_target_ms;
+    uint32_t may_miss;
+    bool checkpointing;
+    bool gang;
+    bool same_rack;
+    bool speculative;
+    bool long_running;
+    bool fills;
+};
+
+/**
+ * struct job_task - one task and its current run
+ * @run: run that may be in progress, or NULL
+ * @run_number: highest number given to a run of this task
+ * @failures: runs that ended as failed
+ * @done: a run ended as done
+ * @saved: last checkpoint, or NULL
+ * @wait_until_ms: no start before this time of the scheduler's clock
+ * @avoid: id of the backend server where the last run failed, or NULL
+ */
+struct job_task {
+    struct run *run;
+    uint32_t run_number;
+    uint32_t failures;
+    bool done;
+    char *saved;
+    int64_t wait_until_ms;
+    char *avoid;
+};
+
+/**
+ * struct job_part - one step of one occurrence
+ * @tasks: its tasks
+ * @done: tasks that are done
+ * @started: whether any task was ever started
+ */
+struct job_part {
+    struct job_task *tasks;
+    uint32_t done;
+    bool started;
+};
+
+/**
+ * enum job_state - state of a job
+ * @JOB_ACTIVE: accepted and not finished
+ */
+enum job_state {
+    JOB_ACTIVE,
+    JOB_COMPLETED,
+    JOB_FAILED,
+    JOB_CANCELLED,
+};
+
+/**
+ * struct job - a submission and its progress
+ * @id: sixteen hexadecimal digits chosen by the caller
+ * @queue: name of the queue
+ * @pool: pool of the queue when the job was accepted
+ * @attempts: runs of a task that may fail, as at acceptance
+ * @team: name of the client account, empty on a public queue
+ * @text: opaque text handed to every task
+ * @accepted_unix_ms: time of acceptance
+ * @first_ms: Unix time of the first occurrence; 0: at once
+ * @interval_ms: time between occurrences
+ * @n_occurrences: number of occurrences, 1 without a schedule
+ * @steps: the steps; @n_steps of them
+ * @parts: progress, @n_occurrences x @n_steps
+ * @state: state of the job
+ * @begun: whether a task was ever started
+ * @version: counts changes of the progress
+ * @stored_version: newest version known to be stored
+ * @revision: revision of the stored progress; 0: none
+ * @storing: a write of the progress is under way
+ * @inherited: accepted before the current scheduler took over
+ * @ref_count: holders of this struct
+ */
+struct job {
+    char id[JOB_ID_CHARS + 1];
+    char *queue;
+    char *pool;
+    uint32_t attempts;
+    char *team;
+    char *text;
+    int64_t accepted_unix_ms;
+    int64_t first_ms;
+    int64_t interval_ms;
+    uint32_t n_occurrences;
+    struct job_step *steps;
+    uint32_t n_steps;
+    struct job_part *parts;
+    enum job_state state;
+    bool begun;
+    uint64_t version;
+    uint64_t stored_version;
+    int64_t revision;
+    bool storing;
+    bool inherited;
+    int ref_count;
+};
+
+/** job_create() - job with room for @n_steps steps and no progress. */
+struct job *
+job_create(uint32_t n_steps);
+
+/** job_prepare() - allocate the progress once the steps are filled in. */
+void
+job_prepare(struct job *job);
+
+struct job *
+job_ref(struct job *job);
+void
+job_unref(struct job *job);
+
+/** job_part() - progress of step @step of occurrence @occurrence. */
+struct job_part *
+job_part(const struct job *job, uint32_t occurrence, uint32_t step);
+
+/** job_step_ready() - whether all steps before @step are done. */
+bool
+job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step);
+
+/** job_due_ms() - Unix time at which an occurrence may start; 0: at once. */
+int64_t
+job_due_ms(const struct job *job, uint32_t occurrence);
+
+/** job_all_done() - whether every task of every occurrence is done. */
+bool
+job_all_done(const struct job *job);
+
+/** job_lasts() - whether any step runs until the job is cancelled. */
+bool
+job_lasts(const struct job *job);
+
+/** job_chain_ms() - declared run time of the longest chain of steps. */
+int64_t
+job_chain_ms(const struct job *job);
+
+/** job_core_ms() - declared work in thousandths of a core times ms. */
+int64_t
+job_core_ms(const struct job *job);
+
+/** job_touch() - note that the progress has changed. */
+void
+job_touch(struct job *job);
+
+/** job_state_name() - stable lower-case name of @state. */
+const char *
+job_state_name(enum job_state state);
+
+#endif
--- /dev/null
+++ b/include/core/jobs/scheduler.h
@@ -0,0 +1,363 @@
+/*
+ * Scheduler of jobs: which task runs where, what is stopped, and which host
+ * serves which pool. Pure: orders leave through callbacks, answers come back
+ * as events, and time is injected.
+ */
+#ifndef CORE_JOBS_SCHEDULER_H
+#define CORE_JOBS_SCHEDULER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/ms_clock.h"
+#include "core/jobs/backend.h"
+#include "core/jobs/fleet_config.h"
+#include "core/jobs/job.h"
+
+/**
+ * struct sched_timings - bounds given by the platform's settings
+ * @lease_max_ms: longest lease that a backend server grants
+ * @stop_ms: longest time that a stop takes
+ * @move_ms: time that a host is away while it moves
+ * @reboot_ms: time that a host is away for maintenance
+ * @restore_ms: time that a restart from a checkpoint takes
+ * @order_gap_ms: wait after a takeover before orders about hosts
+ * @keep_ms: how long a finished job stays readable
+ */
+struct sched_timings {
+    int64_t lease_max_ms;
+    int64_t stop_ms;
+    int64_t move_ms;
+    int64_t reboot_ms;
+    int64_t restore_ms;
+    int64_t order_gap_ms;
+    int64_t keep_ms;
+};
+
+/**
+ * struct start_order - a task to start
+ * @backend: where
+ * @handle: handle of the run, to be given back with the answer
+ * @run: the run
+ * @until_ms: end of its lease on the backend server's clock
+ */
+struct start_order {
+    struct backend *backend;
+    uint64_t handle;
+    const struct run *run;
+    int64_t until_ms;
+};
+
+/**
+ * struct stop_order - a run to stop
+ * @backend: where
+ * @handle: handle of the run; 0: a run that is not tracked
+ * @task: name of the task, JOB.OCCURRENCE.STEP.INDEX
+ * @number: number of the run
+ */
+struct stop_order {
+    struct backend *backend;
+    uint64_t handle;
+    const char *task;
+    uint32_t number;
+};
+
+/**
+ * struct sched_ops - how the scheduler's orders leave; all share @ctx
+ * @start: start a task; answer through scheduler_on_start()
+ * @stop: stop a run; answer through scheduler_on_stop()
+ * @list: read the lists of a backend server; @until_ms 0 renews nothing;
+ *        answer through scheduler_on_list()
+ * @pace: let a filling task work at @percent
+ * @store: there is something to store, see scheduler_store.h
+ * @move: move a host to a pool; answer through scheduler_on_host_order()
+ * @reboot: start a host's maintenance; answer likewise
+ * @note: one decision for the log; @fields is the inside of a JSON object
+ */
+struct sched_ops {
+    void (*start)(void *ctx, const struct start_order *order);
+    void (*stop)(void *ctx, const struct stop_order *order);
+    void (*list)(void *ctx, struct backend *backend, int64_t until_ms,
+                 int64_t seen_upto, int64_t wait_ms);
+    void (*pace)(void *ctx, const struct run *run, int32_t percent);
+    void (*store)(void *ctx);
+    void (*move)(void *ctx, const char *host, const char *pool);
+    void (*reboot)(void *ctx, const char *host, int64_t wave);
+    void (*note)(void *ctx, const char *event, const char *fields);
+    void *ctx;
+};
+
+/**
+ * enum start_answer - what a backend server said to a start
+ * @START_NO_ANSWER: it may be carried out, also later
+ * @START_REFUSED: certainly not carried out
+ * @START_NO_ROOM: refused for want of room
+ * @START_OLD_NUMBER: refused, a run with this or a higher number ended here
+ * @START_FENCED: a newer scheduler gives orders here
+ * @START_OTHER_LIFE: the addressed life of the backend server is over
+ */
+enum start_answer {
+    START_DONE,
+    START_NO_ANSWER,
+    START_REFUSED,
+    START_NO_ROOM,
+    START_OLD_NUMBER,
+    START_FENCED,
+    START_OTHER_LIFE,
+};
+
+/** enum end_reason - how a run ended */
+enum end_reason {
+    END_DONE,
+    END_FAILED,
+    END_STOPPED,
+    END_LAPSED,
+    END_BROKEN,
+    END_ALONE,
+};
+
+/**
+ * struct listed_run - a run that a backend server lists
+ * @task: JOB.OCCURRENCE.STEP.INDEX
+ * @number: number of the run
+ * @saved: last checkpoint, empty if none
+ * @percent: progress
+ * @figure: rough tail in ms of a serving task, else processor in use
+ */
+struct listed_run {
+    const char *task;
+    uint32_t number;
+    const char *saved;
+    int32_t percent;
+    int64_t figure;
+};
+
+/**
+ * struct listed_end - an end that a backend server lists
+ * @number: number of the end
+ * @task: JOB.OCCURRENCE.STEP.INDEX
+ * @run: number of the run
+ * @reason: how it ended
+ * @saved: last checkpoint, empty if none
+ */
+struct listed_end {
+    int64_t number;
+    const char *task;
+    uint32_t run;
+    enum end_reason reason;
+    const char *saved;
+};
+
+/** enum list_outcome - result of reading a backend server's lists */
+enum list_outcome {
+    LIST_READ,
+    LIST_NO_ANSWER,
+    LIST_FENCED,
+    LIST_OTHER_LIFE,
+};
+
+/**
+ * struct backend_lists - lists of a backend server
+ * @born_ms: start of the life that answered; 0: not told
+ * @clock_ms: its clock
+ */
+struct backend_lists {
+    enum list_outcome outcome;
+    int64_t born_ms;
+    int64_t clock_ms;
+    struct listed_run *running;
+    size_t n_running;
+    struct listed_end *ends;
+    size_t n_ends;
+};
+
+struct scheduler;
+
+/**
+ * scheduler_create() - scheduler without jobs or backend servers
+ * @term: counts takeovers; keeps run numbers of schedulers apart
+ * @clock: time that also counts while the machine is frozen
+ * @unix_clock: Unix time in ms
+ */
+struct scheduler *
+scheduler_create(const struct sched_timings *timings,
+                 const struct sched_ops *ops, uint32_t term,
+                 struct ms_clock clock, struct ms_clock unix_clock);
+void
+scheduler_destroy(struct scheduler *sched);
+
+/** scheduler_configure() - put a configuration in force; borrowed. */
+void
+scheduler_configure(struct scheduler *sched,
+                    const struct fleet_config *config);
+
+/** scheduler_take_out() - data centres that get nothing; NULL-terminated. */
+void
+scheduler_take_out(struct scheduler *sched, char **data_centres);
+
+/** scheduler_set_valid() - whether orders may be given at this moment. */
+void
+scheduler_set_valid(struct scheduler *sched, bool valid);
+
+/** scheduler_set_outage() - grant the longest leases while it lasts. */
+void
+scheduler_set_outage(struct scheduler *sched, bool outage);
+
+/** scheduler_backend_seen() - an entry of the host list, new or changed. */
+void
+scheduler_backend_seen(struct scheduler *sched,
+                       const struct backend_entry *entry);
+
+/** scheduler_backend_gone() - an entry left the host list. */
+void
+scheduler_backend_gone(struct scheduler *sched, const char *id);
+
+/** scheduler_backend_inherited() - a backend server on which the scheduler
+ * before may have started runs. */
+void
+scheduler_backend_inherited(struct scheduler *sched,
+                            const struct backend_entry *entry);
+
+/** scheduler_list_backends() - ids of all that are in the host list. */
+GPtrArray *
+scheduler_list_backends(const struct scheduler *sched);
+
+/** scheduler_add_job() - take over a stored job; keeps a reference. */
+void
+scheduler_add_job(struct scheduler *sched, struct job *job);
+
+/** scheduler_find_job() - job with @id, or NULL. */
+struct job *
+scheduler_find_job(const struct scheduler *sched, const char *id);
+
+/** scheduler_cancel() - cancel a job; true if it is known. */
+bool
+scheduler_cancel(struct scheduler *sched, const char *id);
+
+/** scheduler_waiting() - jobs of @queue of which no task has started. */
+int64_t
+scheduler_waiting(const struct scheduler *sched, const char *queue);
+
+void
+scheduler_on_start(struct scheduler *sched, uint64_t handle,
+                   enum start_answer answer, int64_t clock_ms);
+void
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked);
+void
+scheduler_on_list(struct scheduler *sched, const char *backend_id,
+                  const struct backend_lists *lists);
+
+/** scheduler_tick() - decide; returns the time of the next tick. */
+int64_t
+scheduler_tick(struct scheduler *sched);
+
+/** scheduler_fenced() - whether a newer scheduler was met. */
+bool
+scheduler_fenced(const struct scheduler *sched);
+
+/**
+ * struct sched_figures - figures for metrics and peers
+ */
+struct sched_figures {
+    uint32_t jobs_active;
+    uint32_t runs;
+    uint32_t backends;
+    uint32_t backends_unsettled;
+    uint64_t started;
+    uint64_t done;
+    uint64_t failed;
+    uint64_t lost;
+};
+
+void
+scheduler_figures(const struct scheduler *sched,
+                  struct sched_figures *figures);
+
+/* What has to be stored. */
+
+/**
+ * struct store_batch - changes that go into one transaction
+ * @jobs: struct job, referenced, with a progress to store
+ * @versions: version of each at the time of the batch
+ * @register_ids: backend servers to register
+ * @release_ids: backend servers whose record goes
+ * @expire_ids: finished jobs whose records go
+ */
+struct store_batch {
+    GPtrArray *jobs;
+    GArray *versions;
+    GPtrArray *register_ids;
+    GPtrArray *release_ids;
+    GPtrArray *expire_ids;
+};
+
+/** scheduler_take_batch() - next changes, at most @most; NULL if none. */
+struct store_batch *
+scheduler_take_batch(struct scheduler *sched, uint32_t most);
+
+/** scheduler_batch_stored() - a batch was stored at @revision or, with
+ * @stored false, was not; frees it. */
+void
+scheduler_batch_stored(struct scheduler *sched, struct store_batch *batch,
+                       bool stored, int64_t revision);
+
+/** scheduler_find_backend() - backend server with @id, or NULL. */
+struct backend *
+scheduler_find_backend(const struct scheduler *sched, const char *id);
+
+/* Hosts. */
+
+/**
+ * struct host_wave - maintenance that the operator asked for
+ * @number: its number
+ * @hosts: hosts, NULL-terminated
+ * @most: hosts that may be away for it at once
+ */
+struct host_wave {
+    int64_t number;
+    char **hosts;
+    int64_t most;
+};
+
+/**
+ * struct host_fact - a host as the platform lists it
+ * @host: its name
+ * @pool: its pool
+ * @backend_id: the backend server that is its present life, may be NULL
+ * @up: it runs and is neither moving nor rebooting
+ */
+struct host_fact {
+    const char *host;
+    const char *pool;
+    const char *backend_id;
+    const char *data_centre;
+    bool up;
+};
+
+/** scheduler_hosts_read() - the whole list of hosts was read. */
+void
+scheduler_hosts_read(struct scheduler *sched, const struct host_fact *hosts,
+                     size_t n_hosts);
+
+/** scheduler_wave_set() - a wave was ordered or changed; idempotent. */
+void
+scheduler_wave_set(struct scheduler *sched, const struct host_wave *wave);
+
+/** scheduler_wave_done() - whether every host of the wave had its turn. */
+bool
+scheduler_wave_done(const struct scheduler *sched, int64_t number);
+
+/** enum host_answer - result of an order about a host */
+enum host_answer {
+    HOST_ORDER_DONE,
+    HOST_ORDER_REFUSED,
+    HOST_ORDER_NOT_WANTED,
+    HOST_ORDER_UNKNOWN,
+};
+
+/** scheduler_on_host_order() - answer to a move (@wave 0) or a reboot. */
+void
+scheduler_on_host_order(struct scheduler *sched, const char *host,
+                        int64_t wave, enum host_answer answer);
+
+#endif
--- /dev/null
+++ b/include/egretjobd/job_call.h
@@ -0,0 +1,59 @@
+/* What callers ask about jobs, and what they are told. */
+#ifndef EGRETJOBD_JOB_CALL_H
+#define EGRETJOBD_JOB_CALL_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** enum job_call_kind - what is asked */
+enum job_call_kind {
+    JOB_CALL_SUBMIT,
+    JOB_CALL_STATE,
+    JOB_CALL_CANCEL,
+    JOB_CALL_WAITING,
+};
+
+/**
+ * struct job_call - a checked request of a caller
+ * @id: id of the job; empty when a queue's length is asked for
+ * @queue: name of the queue
+ * @pool: pool of the queue
+ * @team: client account, empty on an open queue
+ * @attempts: attempts of the queue
+ * @body: submission as sent
+ */
+struct job_call {
+    enum job_call_kind kind;
+    const char *id;
+    const char *queue;
+    const char *pool;
+    const char *team;
+    uint32_t attempts;
+    const char *body;
+    size_t body_bytes;
+};
+
+enum {
+    /* Internal: the process asked can't tell; ask the store. */
+    JOB_ANSWER_ASK_STORE = 421,
+};
+
+/**
+ * struct job_answer - answer to a call
+ * @status: HTTP status for the caller, or JOB_ANSWER_ASK_STORE
+ * @body: JSON text, or NULL
+ * @retry_after_ms: when a refused caller may come back; 0: not told
+ */
+struct job_answer {
+    int status;
+    const char *body;
+    int64_t retry_after_ms;
+};
+
+/** struct job_reply - where an answer goes; called once */
+struct job_reply {
+    void (*call)(void *ctx, const struct job_answer *answer);
+    void *ctx;
+};
+
+#endif
--- /dev/null
+++ b/include/egretjobd/leader.h
@@ -0,0 +1,47 @@
+/* Carries out what the scheduler decides while this process has the duty. */
+#ifndef EGRETJOBD_LEADER_H
+#define EGRETJOBD_LEADER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/jobs/scheduler.h"
+#include "egretjobd/job_call.h"
+#include "egretjobd/node.h"
+
+/** leader_create() - read the stored state, then schedule. */
+struct leader *
+leader_create(struct node *node, int64_t token, uint32_t term);
+
+/** leader_destroy() - stop at once; NULL is fine. */
+void
+leader_destroy(struct leader *leader);
+
+/** leader_ready() - whether the stored state has been read. */
+bool
+leader_ready(const struct leader *leader);
+
+/** leader_config_changed() - the feed has another configuration. */
+void
+leader_config_changed(struct leader *leader);
+
+/** leader_orders_changed() - data centres out or waves may have changed. */
+void
+leader_orders_changed(struct leader *leader);
+
+/** leader_job_stored() - a job was accepted by this process. */
+void
+leader_job_stored(struct leader *leader, const char *id, const char *value,
+                  size_t bytes);
+
+/** leader_call() - answer a caller's request. */
+void
+leader_call(struct leader *leader, const struct job_call *call,
+            struct job_reply reply);
+
+/** leader_figures() - figures of its scheduler. */
+void
+leader_figures(const struct leader *leader, struct sched_figures *figures);
+
+#endif
--- /dev/null
+++ b/include/egretjobd/records.h
@@ -0,0 +1,65 @@
+/* Records of the job subsystem in the platform's store. */
+#ifndef EGRETJOBD_RECORDS_H
+#define EGRETJOBD_RECORDS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/jobs/backend.h"
+#include "core/jobs/job.h"
+
+#define RECORD_JOB_PREFIX "eg/job/"
+#define RECORD_PROGRESS_PREFIX "eg/progress/"
+#define RECORD_BACKEND_PREFIX "eg/backend/"
+#define RECORD_NEWS_PREFIX "eg/news/"
+#define RECORD_PEER_PREFIX "eg/peer/"
+#define RECORD_DUTY_KEY "eg/duty/scheduler"
+#define RECORD_DUTY_PREFIX "eg/duty/"
+#define RECORD_TERM_KEY "eg/term/scheduler"
+
+/* Values under RECORD_NEWS_PREFIX: what the scheduler has to look at. */
+#define NEWS_JOB "job"
+#define NEWS_CANCEL "cancel"
+
+/**
+ * struct job_envelope - a job as it was accepted
+ * @body: the submission as the caller sent it
+ */
+struct job_envelope {
+    const char *queue;
+    const char *pool;
+    const char *team;
+    uint32_t attempts;
+    int64_t accepted_unix_ms;
+    const char *body;
+    size_t body_bytes;
+};
+
+/** record_job_encode() - value of a job's record; g_free(). */
+char *
+record_job_encode(const struct job_envelope *envelope);
+
+/** record_job_decode() - job of a record without progress, or NULL. */
+struct job *
+record_job_decode(const char *id, const char *value, size_t bytes);
+
+/** record_progress_encode() - value of a job's progress; g_free(). */
+char *
+record_progress_encode(const struct job *job);
+
+/** record_progress_apply() - put a stored progress into @job. */
+bool
+record_progress_apply(struct job *job, const char *value, size_t bytes);
+
+/** record_progress_state() - state that a progress record tells. */
+bool
+record_progress_state(const char *value, size_t bytes, enum job_state *state);
+
+/** record_backend_encode() - value of a registered backend server. */
+char *
+record_backend_encode(const struct backend_entry *entry);
+bool
+record_backend_decode(const char *id, const char *value, size_t bytes,
+                      struct backend_entry *entry);
+
+#endif
--- /dev/null
+++ b/include/net/http_client.h
@@ -0,0 +1,66 @@
+/* HTTP calls over one kept connection, answered in the order they are made. */
+#ifndef NET_HTTP_CLIENT_H
+#define NET_HTTP_CLIENT_H
+
+#include <event2/event.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * struct http_reply - answer to a call
+ * @status: HTTP status; 0: no answer, so the call may have been carried out
+ * @body: its body, not terminated
+ */
+struct http_reply {
+    int status;
+    const char *body;
+    size_t body_bytes;
+};
+
+/** struct http_header - one header of a call; a list ends with a NULL name */
+struct http_header {
+    const char *name;
+    const char *value;
+};
+
+/**
+ * struct http_call - one call
+ * @method: "GET", "POST" or "DELETE"
+ * @path: path and query
+ * @headers: further headers, or NULL
+ * @body: JSON body, or NULL
+ * @done: called once, never before http_client_send() has returned
+ */
+struct http_call {
+    const char *method;
+    const char *path;
+    const struct http_header *headers;
+    const char *body;
+    size_t body_bytes;
+    void (*done)(void *ctx, const struct http_reply *reply);
+    void *ctx;
+};
+
+struct http_client;
+
+/**
+ * http_client_create() - client of one address; connects when needed
+ * @address: "ip:port"
+ * @timeout_ms: silence after which the connection and the call are given up
+ */
+struct http_client *
+http_client_create(struct event_base *base, const char *address,
+                   int64_t timeout_ms);
+
+/** http_client_destroy() - calls under way never call back. */
+void
+http_client_destroy(struct http_client *client);
+
+void
+http_client_send(struct http_client *client, const struct http_call *call);
+
+/** http_client_pending() - calls without an answer yet. */
+uint32_t
+http_client_pending(const struct http_client *client);
+
+#endif
--- /dev/null
+++ b/include/net/http_server.h
@@ -0,0 +1,72 @@
+/* HTTP server of one address. */
+#ifndef NET_HTTP_SERVER_H
+#define NET_HTTP_SERVER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct http_server;
+struct evhttp_request;
+
+/**
+ * struct http_exchange - a request that waits for its answer
+ * @request: the library's request
+ * @server: server that took it
+ */
+struct http_exchange {
+    struct evhttp_request *request;
+    struct http_server *server;
+};
+
+/**
+ * http_server_create() - listen on @address, "ip:port"; NULL if it can't
+ * @handle: called per request; owes one http_exchange_reply()
+ */
+struct http_server *
+http_server_create(struct event_base *base, const char *address,
+                   void (*handle)(void *ctx, struct http_exchange *exchange),
+                   void *ctx);
+void
+http_server_destroy(struct http_server *server);
+
+/** http_server_limit() - bounds of a request; 0 leaves a bound as it is. */
+void
+http_server_limit(struct http_server *server, int64_t header_bytes,
+                  int64_t body_bytes, int64_t idle_ms);
+
+/** http_server_leave() - close each connection after its next answer. */
+void
+http_server_leave(struct http_server *server);
+
+/** http_server_open_exchanges() - requests without an answer yet. */
+uint32_t
+http_server_open_exchanges(const struct http_server *server);
+
+const char *
+http_exchange_method(const struct http_exchange *exchange);
+
+/** http_exchange_path() - path and query as sent. */
+const char *
+http_exchange_path(const struct http_exchange *exchange);
+
+/** http_exchange_header() - value of a header, or NULL. */
+const char *
+http_exchange_header(const struct http_exchange *exchange, const char *name);
+
+/** http_exchange_body() - whole body; valid until the reply. */
+const char *
+http_exchange_body(const struct http_exchange *exchange, size_t *bytes);
+
+/** http_exchange_add() - add a header to the answer. */
+void
+http_exchange_add(struct http_exchange *exchange, const char *name,
+                  const char *value);
+
+/** http_exchange_reply() - answer with a JSON body or none; frees. */
+void
+http_exchange_reply(struct http_exchange *exchange, int status,
+                    const char *body);
+
+#endif
--- /dev/null
+++ b/include/platform/backend_calls.h
@@ -0,0 +1,68 @@
+/* Orders to a backend server and its answers. */
+#ifndef PLATFORM_BACKEND_CALLS_H
+#define PLATFORM_BACKEND_CALLS_H
+
+#include <event2/event.h>
+#include <stdint.h>
+
+#include "core/jobs/scheduler.h"
+
+struct backend_link;
+
+/**
+ * struct backend_events - where answers of all links go; share @ctx
+ * @on_start: answer to a start; @clock_ms 0: not told
+ * @on_stop: answer to a stop
+ * @on_lists: lists, or why there are none
+ */
+struct backend_events {
+    void (*on_start)(void *ctx, uint64_t handle, enum start_answer answer,
+                     int64_t clock_ms);
+    void (*on_stop)(void *ctx, uint64_t handle, bool acked);
+    void (*on_lists)(void *ctx, const char *backend_id,
+                     const struct backend_lists *lists);
+    void *ctx;
+};
+
+/** backend_link_create() - connections to one backend server. */
+struct backend_link *
+backend_link_create(struct event_base *base, const char *backend_id,
+                    const char *address, const struct backend_events *events);
+void
+backend_link_destroy(struct backend_link *link);
+
+/** backend_link_address() - the address it was created with. */
+const char *
+backend_link_address(const struct backend_link *link);
+
+/**
+ * struct start_call - a start in full
+ * @spec: opaque text of the job
+ * @saved: checkpoint to go on from, or NULL
+ * @token: fencing token
+ */
+struct start_call {
+    uint64_t handle;
+    const char *task;
+    uint32_t number;
+    const char *spec;
+    int64_t until_ms;
+    int64_t token;
+    const char *saved;
+};
+
+void
+backend_link_start(struct backend_link *link, const struct start_call *call);
+void
+backend_link_stop(struct backend_link *link, uint64_t handle,
+                  const char *task, uint32_t number, int64_t token);
+
+/** backend_link_list() - read both lists; @until_ms 0 renews no lease. */
+void
+backend_link_list(struct backend_link *link, int64_t until_ms, int64_t token,
+                  int64_t seen_upto, int64_t wait_ms);
+void
+backend_link_pace(struct backend_link *link, const char *task,
+                  uint32_t number, int32_t percent, int64_t token);
+
+#endif
--- /dev/null
+++ b/include/platform/decode.h
@@ -0,0 +1,58 @@
+/* The platform's documents, read once into types of the product. */
+#ifndef PLATFORM_DECODE_H
+#define PLATFORM_DECODE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/jobs/backend.h"
+#include "core/jobs/fleet_config.h"
+#include "core/jobs/job.h"
+#include "core/jobs/scheduler.h"
+
+/* Keys that the operator and the backend servers write. */
+#define PLATFORM_OPERATOR_PREFIX "op/"
+#define PLATFORM_CONFIG_KEY "op/config"
+#define PLATFORM_OUT_PREFIX "op/evacuate/"
+#define PLATFORM_WAVE_PREFIX "op/wave/"
+#define PLATFORM_WAVE_STATUS_PREFIX "status/wave/"
+#define PLATFORM_BACKEND_PREFIX "servers/"
+
+/** decode_config() - configuration, or NULL if it can't be read. */
+struct fleet_config *
+decode_config(const char *text, size_t bytes, int64_t revision);
+
+/** decode_backend() - entry of the host list; false if it names no backend
+ * server to use. Clear @entry afterwards. */
+bool
+decode_backend(const char *id, const char *text, size_t bytes,
+               struct backend_entry *entry);
+
+/** decode_wave() - maintenance wave; false if it can't be read. Free the
+ * hosts with g_strfreev(). */
+bool
+decode_wave(const char *text, size_t bytes, struct host_wave *wave);
+
+/** encode_wave_status() - what the operator reads of a wave; g_free(). */
+char *
+encode_wave_status(bool completed);
+
+/**
+ * decode_job() - a submission
+ * @error: receives a description with its place, to be freed, if NULL is
+ *         returned
+ */
+struct job *
+decode_job(const char *text, size_t bytes, char **error);
+
+/** encode_state() - answer to a question for a job's state; static text.
+ * @begun: whether any task has started */
+const char *
+encode_state(enum job_state state, bool begun);
+
+
+/** encode_waiting() - answer to a question for a queue's length; g_free() */
+char *
+encode_waiting(int64_t waiting);
+
+#endif
--- /dev/null
+++ b/include/platform/hosts_api.h
@@ -0,0 +1,40 @@
+/* Calls about hosts: the list, moves and maintenance. */
+#ifndef PLATFORM_HOSTS_API_H
+#define PLATFORM_HOSTS_API_H
+
+#include <event2/event.h>
+#include <stdint.h>
+
+#include "core/jobs/scheduler.h"
+
+struct hosts_api;
+
+/**
+ * struct hosts_events - where answers go
+ * @on_list: the whole list; @hosts NULL if it could not be read
+ * @on_order: answer to a move (@wave 0) or a reboot
+ */
+struct hosts_events {
+    void (*on_list)(void *ctx, const struct host_fact *hosts, size_t n_hosts);
+    void (*on_order)(void *ctx, const char *host, int64_t wave,
+                     enum host_answer answer);
+    void *ctx;
+};
+
+/** hosts_api_create() - @holder names this process in orders. */
+struct hosts_api *
+hosts_api_create(struct event_base *base, const char *address,
+                 const char *holder, const struct hosts_events *events);
+void
+hosts_api_destroy(struct hosts_api *api);
+
+void
+hosts_api_list(struct hosts_api *api);
+void
+hosts_api_move(struct hosts_api *api, const char *host, const char *pool,
+               int64_t token);
+void
+hosts_api_reboot(struct hosts_api *api, const char *host, int64_t wave,
+                 int64_t token);
+
+#endif
--- /dev/null
+++ b/include/platform/kv.h
@@ -0,0 +1,133 @@
+/* Calls of the platform's key-value service. */
+#ifndef PLATFORM_KV_H
+#define PLATFORM_KV_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+    /* The service takes at most 32 entries in a transaction. */
+    KV_TXN_ENTRIES_MAX = 32,
+};
+
+/**
+ * enum kv_outcome - result of a call
+ * @KV_NOT_FOUND: no such key or lease
+ * @KV_CONFLICT: a condition of a transaction does not hold
+ * @KV_COMPACTED: the history asked for is gone; read everything anew
+ * @KV_REFUSED: certainly not carried out
+ * @KV_UNKNOWN: no answer; may be carried out, also later
+ */
+enum kv_outcome {
+    KV_OK,
+    KV_NOT_FOUND,
+    KV_CONFLICT,
+    KV_COMPACTED,
+    KV_REFUSED,
+    KV_UNKNOWN,
+};
+
+/**
+ * struct kv_item - a key with its value, or a deletion
+ * @value: decoded and NUL-terminated; NULL if @deleted
+ * @revision: revision of the last change; 0: there is no such key
+ * @lease: lease that it hangs on; 0: none
+ */
+struct kv_item {
+    char *key;
+    char *value;
+    size_t value_bytes;
+    int64_t revision;
+    int64_t lease;
+    bool deleted;
+};
+
+/**
+ * struct kv_result - answer to a call
+ * @items: struct kv_item; owned by the result
+ * @has_more: a range goes on after its last key
+ * @as_of: revision of the service at the time of a read
+ * @revision: revision of a transaction
+ * @lease: lease granted
+ * @ttl_ms: its time to live
+ */
+struct kv_result {
+    enum kv_outcome outcome;
+    int status;
+    GPtrArray *items;
+    bool has_more;
+    int64_t as_of;
+    int64_t revision;
+    int64_t lease;
+    int64_t ttl_ms;
+};
+
+/** struct kv_condition - @key must be at @revision; 0: must not exist */
+struct kv_condition {
+    const char *key;
+    int64_t revision;
+};
+
+/** struct kv_put - write @value under @key, hanging on @lease if not 0 */
+struct kv_put {
+    const char *key;
+    const char *value;
+    int64_t lease;
+};
+
+/** struct kv_txn - all-or-nothing change, at most KV_TXN_ENTRIES_MAX rows */
+struct kv_txn {
+    const struct kv_condition *conditions;
+    size_t n_conditions;
+    const struct kv_put *puts;
+    size_t n_puts;
+    const char *const *deletes;
+    size_t n_deletes;
+};
+
+/** struct kv_done - where an answer goes; called once */
+struct kv_done {
+    void (*call)(void *ctx, const struct kv_result *result);
+    void *ctx;
+};
+
+struct kv;
+
+/** kv_create() - client with one connection; calls go out in order. */
+struct kv *
+kv_create(struct event_base *base, const char *address, int64_t timeout_ms);
+void
+kv_destroy(struct kv *kv);
+
+/** kv_pending() - calls without an answer yet. */
+uint32_t
+kv_pending(const struct kv *kv);
+
+void
+kv_get(struct kv *kv, const char *key, struct kv_done done);
+
+/** kv_range() - items under @prefix after key @after, which may be NULL. */
+void
+kv_range(struct kv *kv, const char *prefix, const char *after,
+         struct kv_done done);
+
+/** kv_watch() - changes under @prefix after a revision; waits at most
+ * @wait_ms for the first. */
+void
+kv_watch(struct kv *kv, const char *prefix, int64_t after_revision,
+         int64_t wait_ms, struct kv_done done);
+
+void
+kv_commit(struct kv *kv, const struct kv_txn *txn, struct kv_done done);
+
+void
+kv_lease(struct kv *kv, int64_t ttl_ms, struct kv_done done);
+void
+kv_keep(struct kv *kv, int64_t lease, struct kv_done done);
+void
+kv_lease_end(struct kv *kv, int64_t lease, struct kv_done done);
+
+#endif
--- /dev/null
+++ b/net/http_client.c
@@ -0,0 +1,151 @@
+#include "net/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct pending_call {
+    struct http_client *client;
+    void (*done)(void *ctx, const struct http_reply *reply);
+    void *ctx;
+};
+
+struct http_client {
+    struct event_base *base;
+    struct evhttp_connection *connection;
+    char *host;
+    GPtrArray *pending;
+    bool dead;
+};
+
+struct http_client *
+http_client_create(struct event_base *base, const char *address,
+                   int64_t timeout_ms)
+{
+    struct http_client *client = g_new0(struct http_client, 1);
+    const char *colon = strrchr(address, ':');
+    client->base = base;
+    client->pending = g_ptr_array_new();
+    client->host = colon == NULL
+                       ? g_strdup(address)
+                       : g_strndup(address, (gsize)(colon - address));
+    unsigned long port =
+        colon == NULL ? 0 : strtoul(colon + 1, NULL, 10);
+    client->connection = evhttp_connection_base_new(
+        base, NULL, client->host, (unsigned short)port);
+    struct timeval timeout = {
+        .tv_sec = timeout_ms / 1000,
+        .tv_usec = timeout_ms % 1000 * 1000,
+    };
+    evhttp_connection_set_timeout_tv(client->connection, &timeout);
+    return client;
+}
+
+static void
+client_free(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct http_client *client = ctx;
+    evhttp_connection_free(client->connection);
+    for (guint i = 0; i < client->pending->len; i++) {
+        g_free(g_ptr_array_index(client->pending, i));
+    }
+    g_ptr_array_unref(client->pending);
+    g_free(client->host);
+    g_free(client);
+}
+
+void
+http_client_destroy(struct http_client *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    /* May be called from a callback of the connection itself. */
+    client->dead = true;
+    struct timeval now = {0};
+    event_base_once(client->base, -1, EV_TIMEOUT, client_free, client, &now);
+}
+
+static void
+finish(struct pending_call *pending, const struct http_reply *reply)
+{
+    struct http_client *client = pending->client;
+    if (client->dead) {
+        return;
+    }
+    g_ptr_array_remove_fast(client->pending, pending);
+    pending->done(pending->ctx, reply);
+    g_free(pending);
+}
+
+static void
+on_reply(struct evhttp_request *request, void *ctx)
+{
+    struct http_reply reply = {0};
+    if (request != NULL) {
+        reply.status = evhttp_request_get_response_code(request);
+        struct evbuffer *input = evhttp_request_get_input_buffer(request);
+        reply.body_bytes = evbuffer_get_length(input);
+        reply.body = (const char *)evbuffer_pullup(input, -1);
+    }
+    finish(ctx, &reply);
+}
+
+static void
+on_not_sent(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct http_reply reply = {0};
+    finish(ctx, &reply);
+}
+
+static enum evhttp_cmd_type
+method_type(const char *method)
+{
+    if (strcmp(method, "POST") == 0) {
+        return EVHTTP_REQ_POST;
+    }
+    return strcmp(method, "DELETE") == 0 ? EVHTTP_REQ_DELETE : EVHTTP_REQ_GET;
+}
+
+void
+http_client_send(struct http_client *client, const struct http_call *call)
+{
+    struct pending_call *pending = g_new0(struct pending_call, 1);
+    pending->client = client;
+    pending->done = call->done;
+    pending->ctx = call->ctx;
+    g_ptr_array_add(client->pending, pending);
+
+    struct evhttp_request *request = evhttp_request_new(on_reply, pending);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", client->host);
+    for (const struct http_header *h = call->headers;
+         h != NULL && h->name != NULL; h++) {
+        evhttp_add_header(headers, h->name, h->value);
+    }
+    if (call->body != NULL) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
+                     call->body_bytes);
+    }
+    if (evhttp_make_request(client->connection, request,
+                            method_type(call->method), call->path) != 0) {
+        struct timeval now = {0};
+        event_base_once(client->base, -1, EV_TIMEOUT, on_not_sent, pending,
+                        &now);
+    }
+}
+
+uint32_t
+http_client_pending(const struct http_client *client)
+{
+    return client->pending->len;
+}
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -2,7 +2,7 @@
 # Installs what the build and the tests need, from Debian's packages.
 set -eu
 packages="gcc make meson ninja-build pkg-config libglib2.0-dev
-libsoup-3.0-dev libjson-glib-dev libmsgpack-dev liblog4c-dev libcunit1-dev
+libsoup-3.0-dev libjson-glib-dev libmsgpack-dev liblog4c-dev libcunit1-dev libevent-dev libcjson-dev
 clang-format clang-tidy scdoc curl"
 missing=""
 for package in $packages; do
