Carry out waves and move hosts with demand

Change: pool_load (demand from arrivals and work left), host_plan (moves), wave_plan (reboots, emptying hosts within availability), hosts (lives and answers); hosts that had their turn are stored for the next holder.

--- a/common/event_log.c
+++ b/common/event_log.c
@@ -12,7 +12,7 @@
 
 enum {
     /* Keeps the cost of writing under a tenth of a quarter core. */
-    LINES_PER_SECOND = 60,
+    LINES_PER_SECOND = 200,
     LINE_BYTES = 1000,
 };
 
--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -1,64 +1,249 @@
-/* Hosts: their present life, moves between pools, and maintenance waves. */
+/*
+ * Which host serves which pool. Answers demand that turns from pool to pool
+ * within seconds: hosts come from the spare pool or from pools between their
+ * turns when a pool's demand passes its room, and idle ones go back.
+ */
 #include "core/jobs/scheduler.h"
 
 #include <string.h>
 
 #include "scheduler_state.h"
 
-void
-sched_host_life(struct scheduler *sched, const struct backend *backend)
+enum {
+    PLAN_PERIOD_MS = 100,
+    /* A holder before may have given orders until its lease ended. */
+    TAKEOVER_MARGIN_MS = 300,
+    /* A host that can't be emptied in this time stays where it is. */
+    INTENT_TIMEOUT_MS = 6000,
+    /* A move pays for itself when its host is off this long; shorter lulls
+     * than this are waited out. */
+    SURPLUS_MS = 800,
+};
+
+/* A pool keeps this many hosts for what arrives without notice. */
+static const int64_t RESERVE_HOSTS = 1;
+
+static bool
+is_spare(const struct scheduler *sched, const char *pool)
+{
+    const struct pool_config *config = fleet_config_pool(sched->config, pool);
+    return config != NULL && config->spare;
+}
+
+static void
+send_order(struct scheduler *sched, struct host *host)
+{
+    host->ordering = true;
+    host->intent_ms = sched_now(sched);
+    g_free(host->last_life);
+    host->last_life = g_strdup(host->backend_id);
+    if (host->intent == HOST_REBOOTS) {
+        sched->ops.reboot(sched->ops.ctx, host->name, host->wave);
+    }
+    else {
+        sched->ops.move(sched->ops.ctx, host->name, host->target_pool);
+    }
+}
+
+/* Stops tasks that last, as far as their availability allows. */
+static void
+empty_host(struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    for (guint i = 0; i < backend->runs->len; i++) {
+        struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run_step(run)->long_running && run->state == RUN_WORKING &&
+            sched_run_may_stop(run)) {
+            sched_run_stop(sched, run);
+        }
+    }
+}
+
+static void
+pursue(struct scheduler *sched, struct host *host)
 {
-    if (backend->entry.host == NULL) {
+    int64_t now_ms = sched_now(sched);
+    if (host->intent == HOST_STAYS || host->ordering || host->ordered ||
+        now_ms < host->retry_ms) {
         return;
     }
-    struct host *host =
-        g_hash_table_lookup(sched->hosts, backend->entry.host);
-    if (host != NULL && g_strcmp0(host->backend_id, backend->entry.id) != 0) {
-        g_free(host->backend_id);
-        host->backend_id = g_strdup(backend->entry.id);
-        host->up = true;
-        host->away_until_ms = 0;
-        g_free(host->pool);
-        host->pool = g_strdup(backend->entry.pool);
+    if (sched_host_empty(sched, host)) {
+        send_order(sched, host);
+        return;
     }
+    if (now_ms - host->intent_ms > INTENT_TIMEOUT_MS &&
+        host->intent == HOST_MOVES) {
+        sched_host_intend(sched, host, HOST_STAYS, NULL);
+        return;
+    }
+    empty_host(sched, host);
 }
 
-void
-sched_plan_hosts(struct scheduler *sched)
+/* Room that a host would bring to, or take from, a pool. */
+static int64_t
+host_room_milli(const struct scheduler *sched, const struct host *host,
+                int64_t fallback_milli)
 {
-    (void)sched;
+    const struct backend *backend = sched_host_backend(sched, host);
+    return backend == NULL ? fallback_milli : backend->entry.room.cpu_milli;
 }
 
-void
-scheduler_hosts_read(struct scheduler *sched, const struct host_fact *hosts,
-                     size_t n_hosts)
+static void
+count_coming(struct scheduler *sched)
 {
-    (void)sched;
-    (void)hosts;
-    (void)n_hosts;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct host *host = value;
+        if (host->intent == HOST_MOVES && host->target_pool != NULL) {
+            struct pool_load *load =
+                sched_pool_load(sched, host->target_pool);
+            load->coming_milli +=
+                host_room_milli(sched, host, load->host_milli);
+        }
+    }
 }
 
-void
-scheduler_wave_set(struct scheduler *sched, const struct host_wave *wave)
+static int64_t
+surplus_milli(const struct pool_load *load, int64_t now_ms)
+{
+    return load->room_milli + load->coming_milli -
+           pool_load_wanted_milli(load, now_ms) -
+           RESERVE_HOSTS * load->host_milli;
+}
+
+static bool
+movable(const struct scheduler *sched, const struct host *host)
 {
-    (void)sched;
-    (void)wave;
+    const struct backend *backend = sched_host_backend(sched, host);
+    return host->present && host->up && host->intent == HOST_STAYS &&
+           !host->ordered && !host->ordering && host->wave == 0 &&
+           (backend == NULL ||
+            (!backend->entry.draining && backend->runs->len == 0));
 }
 
-bool
-scheduler_wave_done(const struct scheduler *sched, int64_t number)
+/* The best host to bring to @pool: a spare one, else an idle one of a pool
+ * that has more than it needs. */
+static struct host *
+find_source(struct scheduler *sched, const char *pool, int64_t now_ms)
 {
-    (void)sched;
-    (void)number;
-    return false;
+    struct host *best = NULL;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct host *host = value;
+        if (!movable(sched, host) || strcmp(host->pool, pool) == 0 ||
+            (host->data_centre != NULL &&
+             sched_is_out(sched, host->data_centre))) {
+            continue;
+        }
+        if (is_spare(sched, host->pool)) {
+            return host;
+        }
+        struct pool_load *load = sched_pool_load(sched, host->pool);
+        if (surplus_milli(load, now_ms) >=
+            host_room_milli(sched, host, load->host_milli)) {
+            best = host;
+        }
+    }
+    return best;
+}
+
+static void
+plan_move(struct scheduler *sched, struct host *host, const char *pool)
+{
+    struct pool_load *from = sched_pool_load(sched, host->pool);
+    int64_t milli = host_room_milli(sched, host, from->host_milli);
+    sched_note(sched, "host_move_planned",
+               "\"host\":\"%s\",\"from\":\"%s\",\"to\":\"%s\"", host->name,
+               host->pool, pool);
+    from->room_milli -= milli;
+    sched_pool_load(sched, pool)->coming_milli += milli;
+    sched_host_intend(sched, host, HOST_MOVES, pool);
+}
+
+static void
+grow_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
+{
+    while (pool_load_wanted_milli(load, now_ms) >
+           load->room_milli + load->coming_milli) {
+        struct host *host = find_source(sched, load->pool, now_ms);
+        if (host == NULL) {
+            return;
+        }
+        plan_move(sched, host, load->pool);
+    }
+}
+
+static void
+shrink_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
+{
+    const struct pool_config *spare = fleet_config_spare(sched->config);
+    if (spare == NULL || load->host_milli == 0 ||
+        surplus_milli(load, now_ms) < load->host_milli) {
+        load->surplus_since_ms = 0;
+        return;
+    }
+    if (load->surplus_since_ms == 0) {
+        load->surplus_since_ms = now_ms;
+    }
+    if (now_ms - load->surplus_since_ms < SURPLUS_MS) {
+        return;
+    }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct host *host = value;
+        if (surplus_milli(load, now_ms) < load->host_milli) {
+            return;
+        }
+        if (movable(sched, host) && strcmp(host->pool, load->pool) == 0) {
+            plan_move(sched, host, spare->name);
+        }
+    }
+}
+
+static void
+plan_pools(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    count_coming(sched);
+    for (guint i = 0; i < sched->config->pools->len; i++) {
+        const struct pool_config *pool =
+            g_ptr_array_index(sched->config->pools, i);
+        if (!pool->spare) {
+            grow_pool(sched, sched_pool_load(sched, pool->name), now_ms);
+        }
+    }
+    for (guint i = 0; i < sched->config->pools->len; i++) {
+        const struct pool_config *pool =
+            g_ptr_array_index(sched->config->pools, i);
+        if (!pool->spare) {
+            shrink_pool(sched, sched_pool_load(sched, pool->name), now_ms);
+        }
+    }
 }
 
 void
-scheduler_on_host_order(struct scheduler *sched, const char *host,
-                        int64_t wave, enum host_answer answer)
+sched_plan_hosts(struct scheduler *sched)
 {
-    (void)sched;
-    (void)host;
-    (void)wave;
-    (void)answer;
+    int64_t now_ms = sched_now(sched);
+    if (now_ms < sched->plan_due_ms ||
+        now_ms < sched->taken_over_ms + sched->timings.order_gap_ms +
+                     TAKEOVER_MARGIN_MS) {
+        return;
+    }
+    sched->plan_due_ms = now_ms + PLAN_PERIOD_MS;
+    sched_measure_pools(sched);
+    sched_plan_waves(sched);
+    plan_pools(sched);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        pursue(sched, value);
+    }
 }
--- /dev/null
+++ b/core/jobs/hosts.c
@@ -0,0 +1,200 @@
+/* Hosts: their present life, and the answers to orders about them. */
+#include "core/jobs/scheduler.h"
+
+#include <string.h>
+
+#include "scheduler_state.h"
+
+enum {
+    ORDER_RETRY_MS = 500,
+    /* An accepted order shows in the list after the host is back; a list
+     * that was asked for before the order may still show the old state. */
+    ORDER_SETTLE_MS = 2000,
+};
+
+struct backend *
+sched_host_backend(const struct scheduler *sched, const struct host *host)
+{
+    return host->backend_id == NULL
+               ? NULL
+               : scheduler_find_backend(sched, host->backend_id);
+}
+
+bool
+sched_host_empty(const struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    return backend == NULL || backend->runs->len == 0;
+}
+
+void
+sched_host_intend(struct scheduler *sched, struct host *host,
+                  enum host_intent intent, const char *pool)
+{
+    host->intent = intent;
+    host->intent_ms = sched_now(sched);
+    g_free(host->target_pool);
+    host->target_pool = g_strdup(pool);
+    struct backend *backend = sched_host_backend(sched, host);
+    if (backend != NULL) {
+        backend->leaving = intent != HOST_STAYS;
+    }
+}
+
+/* The host is back after an order, or has restarted by itself. */
+static void
+new_life(struct scheduler *sched, struct host *host, const char *backend_id)
+{
+    struct backend *before = sched_host_backend(sched, host);
+    if (before != NULL) {
+        sched_backend_lost(sched, before, "its host has a new life");
+        before->granted_until_ms = 0;
+        before->lapse_ms = 0;
+        before->inherited = false;
+        scheduler_backend_gone(sched, host->backend_id);
+    }
+    g_free(host->backend_id);
+    host->backend_id = g_strdup(backend_id);
+    if (host->ordered || host->ordering) {
+        host->ordered = false;
+        sched_host_intend(sched, host, HOST_STAYS, NULL);
+    }
+    else if (host->intent != HOST_STAYS) {
+        sched_host_intend(sched, host, host->intent, host->target_pool);
+    }
+}
+
+static void
+set_text(char **text, const char *value)
+{
+    if (g_strcmp0(*text, value) != 0) {
+        g_free(*text);
+        *text = g_strdup(value);
+    }
+}
+
+void
+sched_host_life(struct scheduler *sched, const struct backend *backend)
+{
+    if (backend->entry.host == NULL) {
+        return;
+    }
+    struct host *host =
+        g_hash_table_lookup(sched->hosts, backend->entry.host);
+    if (host == NULL || g_strcmp0(host->last_life, backend->entry.id) == 0 ||
+        g_strcmp0(host->backend_id, backend->entry.id) == 0) {
+        return;
+    }
+    const struct backend *before = sched_host_backend(sched, host);
+    /* Entries of lives that are over may linger; a life only ends once. */
+    if (before != NULL && before->entry.born_ms > backend->entry.born_ms) {
+        return;
+    }
+    new_life(sched, host, backend->entry.id);
+    set_text(&host->pool, backend->entry.pool);
+    host->up = true;
+}
+
+static struct host *
+find_or_add(struct scheduler *sched, const char *name)
+{
+    struct host *host = g_hash_table_lookup(sched->hosts, name);
+    if (host == NULL) {
+        host = g_new0(struct host, 1);
+        host->name = g_strdup(name);
+        g_hash_table_insert(sched->hosts, host->name, host);
+    }
+    return host;
+}
+
+static void
+host_read(struct scheduler *sched, const struct host_fact *fact)
+{
+    struct host *host = find_or_add(sched, fact->host);
+    int64_t now_ms = sched_now(sched);
+    host->present = true;
+    set_text(&host->data_centre, fact->data_centre);
+    bool under_order = host->ordering || host->ordered;
+    if (under_order && now_ms - host->intent_ms < ORDER_SETTLE_MS) {
+        return;
+    }
+    if (fact->up && fact->backend_id != NULL &&
+        g_strcmp0(fact->backend_id, host->backend_id) != 0) {
+        new_life(sched, host, fact->backend_id);
+    }
+    else if (fact->up && host->ordered && !host->ordering) {
+        /* The order was not carried out after all. */
+        host->ordered = false;
+        sched_host_intend(sched, host, HOST_STAYS, NULL);
+    }
+    host->up = fact->up;
+    set_text(&host->pool, fact->pool);
+}
+
+void
+scheduler_hosts_read(struct scheduler *sched, const struct host_fact *hosts,
+                     size_t n_hosts)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((struct host *)value)->present = false;
+    }
+    for (size_t i = 0; i < n_hosts; i++) {
+        host_read(sched, &hosts[i]);
+    }
+}
+
+static void
+order_accepted(struct scheduler *sched, struct host *host, int64_t number)
+{
+    host->ordered = true;
+    host->up = false;
+    host->intent_ms = sched_now(sched);
+    struct wave *wave = sched_find_wave(sched, number);
+    if (wave != NULL) {
+        g_hash_table_add(wave->begun, g_strdup(host->name));
+        host->wave = 0;
+    }
+    else if (host->target_pool != NULL) {
+        set_text(&host->pool, host->target_pool);
+    }
+}
+
+void
+scheduler_on_host_order(struct scheduler *sched, const char *name,
+                        int64_t number, enum host_answer answer)
+{
+    struct host *host = g_hash_table_lookup(sched->hosts, name);
+    sched_note(sched, "host_order_answer",
+               "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT ",\"answer\":%d",
+               name, number, answer);
+    if (host == NULL || !host->ordering) {
+        return;
+    }
+    host->ordering = false;
+    switch (answer) {
+    case HOST_ORDER_DONE:
+        order_accepted(sched, host, number);
+        break;
+    case HOST_ORDER_NOT_WANTED:
+        if (sched_find_wave(sched, number) != NULL) {
+            g_hash_table_add(sched_find_wave(sched, number)->begun,
+                             g_strdup(name));
+            host->wave = 0;
+        }
+        sched_host_intend(sched, host, HOST_STAYS, NULL);
+        break;
+    case HOST_ORDER_UNKNOWN:
+        /* Given again until it is answered: the same order twice is one. */
+        host->retry_ms = sched_now(sched) + ORDER_RETRY_MS;
+        break;
+    case HOST_ORDER_REFUSED:
+        host->retry_ms = sched_now(sched) + ORDER_RETRY_MS;
+        if (number == 0) {
+            sched_host_intend(sched, host, HOST_STAYS, NULL);
+        }
+        break;
+    }
+}
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -161,6 +161,52 @@
     return sum;
 }
 
+static void
+describe_step(const struct job_step *step, GString *out)
+{
+    g_string_append_printf(
+        out, "%s%ux%" G_GINT64_FORMAT "c%" G_GINT64_FORMAT "m%" G_GINT64_FORMAT
+             "ms",
+        out->len > 0 ? " " : "", step->task_count, step->need.cpu_milli,
+        step->need.mem_mb, step->estimate_ms);
+    if (step->max_per_backend > 0) {
+        g_string_append_printf(out, "/apart%u", step->max_per_backend);
+    }
+    if (step->tail_target_ms > 0) {
+        g_string_append_printf(out, "/tail%" G_GINT64_FORMAT,
+                               step->tail_target_ms);
+    }
+    if (step->may_miss > 0) {
+        g_string_append_printf(out, "/miss%u", step->may_miss);
+    }
+    const struct {
+        bool set;
+        const char *name;
+    } flags[] = {
+        {step->long_running, "/lasts"},      {step->fills, "/fills"},
+        {step->checkpointing, "/saves"},     {step->gang, "/gang"},
+        {step->same_rack, "/rack"},          {step->speculative, "/copies"},
+        {step->required_label != NULL, "/label"},
+        {step->data_rack != NULL, "/near"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(flags); i++) {
+        if (flags[i].set) {
+            g_string_append(out, flags[i].name);
+        }
+    }
+}
+
+void
+job_describe(const struct job *job, char *text, size_t bytes)
+{
+    GString *out = g_string_new(NULL);
+    for (uint32_t i = 0; i < job->n_steps; i++) {
+        describe_step(&job->steps[i], out);
+    }
+    g_strlcpy(text, out->str, bytes);
+    g_string_free(out, TRUE);
+}
+
 void
 job_touch(struct job *job)
 {
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -65,6 +65,7 @@
 {
     struct wave *wave = data;
     g_ptr_array_unref(wave->hosts);
+    g_hash_table_unref(wave->begun);
     g_free(wave);
 }
 
@@ -354,6 +355,9 @@
         return;
     }
     g_ptr_array_add(sched->active, job);
+    if (!job->inherited) {
+        sched_note_arrival(sched, job);
+    }
     if (job_all_done(job)) {
         sched_finish_job(sched, job, JOB_COMPLETED);
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -28,36 +28,57 @@
     TERM_RUNS = 1000,
 };
 
+/** enum host_intent - what is planned for a host */
+enum host_intent {
+    HOST_STAYS,
+    HOST_MOVES,
+    HOST_REBOOTS,
+};
+
 /**
  * struct host - a host and what was ordered about it
- * @backend: its present life, or NULL
+ * @backend_id: backend server that is its present life, or NULL
+ * @present: stands in the last list of hosts
+ * @up: it runs and is neither moving nor rebooting
+ * @intent: what is planned; its backend server takes nothing new meanwhile
+ * @intent_ms: when that was decided
+ * @target_pool: pool it is to move to, or NULL
  * @wave: maintenance it still owes; 0: none
- * @wave_begun: its maintenance was accepted
- * @away_until_ms: an order is being carried out until about then
- * @target_pool: pool it is ordered to, or NULL
  * @ordering: an order is in flight
+ * @ordered: the order was accepted, or may have been
+ * @last_life: backend server at the time of the order
+ * @retry_ms: no order before this time
  */
 struct host {
     char *name;
     char *pool;
     char *data_centre;
     char *backend_id;
-    bool up;
     bool present;
-    int64_t wave;
-    bool wave_begun;
-    int64_t away_until_ms;
+    bool up;
+    enum host_intent intent;
+    int64_t intent_ms;
     char *target_pool;
-    char *last_life;
+    int64_t wave;
     bool ordering;
-    bool chosen_move;
-    bool chosen_reboot;
+    bool ordered;
+    char *last_life;
+    int64_t retry_ms;
 };
 
+/**
+ * struct wave - maintenance under way
+ * @hosts: names of its hosts
+ * @begun: names of those whose maintenance was accepted
+ * @most: hosts that may be away for it at once
+ * @complete_by_ms: when it should be complete
+ */
 struct wave {
     int64_t number;
     GPtrArray *hosts;
+    GHashTable *begun;
     int64_t most;
+    int64_t complete_by_ms;
 };
 
 struct team_use {
@@ -66,16 +87,28 @@
 };
 
 /**
- * struct pool_load - load of one pool, kept for its size and for admission
- * @arrived_core_ms: declared work that arrived, decaying
+ * struct pool_load - demand on one pool and what it has
+ * @arrival_milli: cores that newly arriving work asks for, decaying
+ * @arrival_at_ms: when that was last brought up to date
+ * @lasting_milli: cores of tasks that last, running or waiting
+ * @backlog_core_ms: declared work of short jobs that is left, milli-cores x ms
+ * @used_milli: cores in use
+ * @room_milli: cores of the backend servers that take work
+ * @coming_milli: cores of hosts on their way into the pool
+ * @host_milli: cores of its largest backend server
+ * @surplus_since_ms: since when it has had more than it needs; 0: has not
  */
 struct pool_load {
     char *pool;
-    double arrival_cores;
+    double arrival_milli;
     int64_t arrival_at_ms;
-    int64_t idle_since_ms;
-    double waiting_cores;
-    double short_cores;
+    int64_t lasting_milli;
+    int64_t backlog_core_ms;
+    int64_t used_milli;
+    int64_t room_milli;
+    int64_t coming_milli;
+    int64_t host_milli;
+    int64_t surplus_since_ms;
 };
 
 struct scheduler {
@@ -103,7 +136,7 @@
     GPtrArray *to_register;
     GPtrArray *to_release;
     GQueue finished;
-    int64_t hosts_due_ms;
+    int64_t plan_due_ms;
     struct sched_figures figures;
 };
 
@@ -160,11 +193,36 @@
 void
 sched_place(struct scheduler *sched);
 
+/* hosts.c */
+void
+sched_host_life(struct scheduler *sched, const struct backend *backend);
+void
+sched_host_intend(struct scheduler *sched, struct host *host,
+                  enum host_intent intent, const char *pool);
+struct backend *
+sched_host_backend(const struct scheduler *sched, const struct host *host);
+bool
+sched_host_empty(const struct scheduler *sched, const struct host *host);
+
 /* host_plan.c */
 void
 sched_plan_hosts(struct scheduler *sched);
+
+/* wave_plan.c */
 void
-sched_host_life(struct scheduler *sched, const struct backend *backend);
+sched_plan_waves(struct scheduler *sched);
+struct wave *
+sched_find_wave(const struct scheduler *sched, int64_t number);
+bool
+sched_run_may_stop(const struct run *run);
+
+/* pool_load.c */
+void
+sched_note_arrival(struct scheduler *sched, const struct job *job);
+void
+sched_measure_pools(struct scheduler *sched);
+int64_t
+pool_load_wanted_milli(const struct pool_load *load, int64_t now_ms);
 
 /* order.c */
 int
--- /dev/null
+++ b/core/jobs/wave_plan.c
@@ -0,0 +1,225 @@
+/*
+ * Maintenance waves: every host in its time, never more than allowed at once,
+ * and hosts whose pool is between its turns first.
+ */
+#include "core/jobs/scheduler.h"
+
+#include <string.h>
+
+#include "scheduler_state.h"
+
+enum {
+    /* Time to empty a host: short tasks end within about this time. */
+    EMPTY_HOST_MS = 2000,
+    /* Before this much is left, hosts of busy pools wait for a quiet time. */
+    WAVE_COMFORT_MS = 5000,
+    DEFAULT_WITHIN_MS = 20000,
+};
+
+/* Above this use of its pool a host is rebooted only if time runs out. */
+static const double BUSY_POOL = 0.6;
+
+struct wave *
+sched_find_wave(const struct scheduler *sched, int64_t number)
+{
+    for (guint i = 0; number != 0 && i < sched->waves->len; i++) {
+        struct wave *wave = g_ptr_array_index(sched->waves, i);
+        if (wave->number == number) {
+            return wave;
+        }
+    }
+    return NULL;
+}
+
+static struct wave *
+find_or_add(struct scheduler *sched, int64_t number)
+{
+    struct wave *wave = sched_find_wave(sched, number);
+    if (wave == NULL) {
+        wave = g_new0(struct wave, 1);
+        wave->number = number;
+        wave->hosts = g_ptr_array_new_with_free_func(g_free);
+        wave->begun =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_ptr_array_add(sched->waves, wave);
+    }
+    return wave;
+}
+
+void
+scheduler_wave_set(struct scheduler *sched, const struct host_wave *order)
+{
+    struct wave *wave = find_or_add(sched, order->number);
+    int64_t within_ms =
+        order->within_ms > 0 ? order->within_ms : (int64_t)DEFAULT_WITHIN_MS;
+    wave->most = MAX(order->most, 1);
+    wave->complete_by_ms = order->seen_ms + within_ms;
+    g_ptr_array_set_size(wave->hosts, 0);
+    for (char **host = order->hosts; *host != NULL; host++) {
+        g_ptr_array_add(wave->hosts, g_strdup(*host));
+    }
+}
+
+void
+scheduler_wave_begun(struct scheduler *sched, int64_t number, const char *host)
+{
+    g_hash_table_add(find_or_add(sched, number)->begun, g_strdup(host));
+}
+
+char *
+scheduler_wave_begun_list(const struct scheduler *sched, int64_t number)
+{
+    const struct wave *wave = sched_find_wave(sched, number);
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; wave != NULL && i < wave->hosts->len; i++) {
+        const char *host = g_ptr_array_index(wave->hosts, i);
+        if (g_hash_table_contains(wave->begun, host)) {
+            g_string_append_printf(text, "%s%s", text->len > 0 ? " " : "",
+                                   host);
+        }
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Hosts that still owe their turn; one that left the fleet owes nothing. */
+static uint32_t
+hosts_left(const struct scheduler *sched, const struct wave *wave)
+{
+    uint32_t left = 0;
+    for (guint i = 0; i < wave->hosts->len; i++) {
+        const char *name = g_ptr_array_index(wave->hosts, i);
+        const struct host *host = g_hash_table_lookup(sched->hosts, name);
+        if (!g_hash_table_contains(wave->begun, name) && host != NULL &&
+            host->present) {
+            left++;
+        }
+    }
+    return left;
+}
+
+bool
+scheduler_wave_done(const struct scheduler *sched, int64_t number)
+{
+    const struct wave *wave = sched_find_wave(sched, number);
+    return wave != NULL && g_hash_table_size(sched->hosts) > 0 &&
+           hosts_left(sched, wave) == 0;
+}
+
+/* Whether so few others of its step are away that this run may be stopped. */
+bool
+sched_run_may_stop(const struct run *run)
+{
+    const struct job_step *step = run_step(run);
+    if (step->may_miss == 0) {
+        return true;
+    }
+    const struct job_part *part = job_part(run->job, run->occurrence,
+                                           run->step);
+    uint32_t away = 0;
+    for (uint32_t t = 0; t < step->task_count; t++) {
+        const struct run *other = part->tasks[t].run;
+        if (other == run) {
+            continue;
+        }
+        if (other == NULL || other->state != RUN_WORKING ||
+            other->percent < 100 || other->backend->silent) {
+            away++;
+        }
+    }
+    return away < step->may_miss;
+}
+
+static uint32_t
+hosts_taken(const struct scheduler *sched, const struct wave *wave)
+{
+    uint32_t taken = 0;
+    for (guint i = 0; i < wave->hosts->len; i++) {
+        const struct host *host = g_hash_table_lookup(
+            sched->hosts, g_ptr_array_index(wave->hosts, i));
+        if (host != NULL && host->present &&
+            (host->intent == HOST_REBOOTS || !host->up)) {
+            taken++;
+        }
+    }
+    return taken;
+}
+
+/* Lower is better; a host without work comes first. */
+static double
+reboot_cost(struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    if (backend == NULL || backend->runs->len == 0) {
+        return 0;
+    }
+    const struct pool_load *load = sched_pool_load(sched, host->pool);
+    double use = load->room_milli == 0
+                     ? 1
+                     : (double)load->used_milli / (double)load->room_milli;
+    return use + (double)backend->used.cpu_milli /
+                     (double)MAX(backend->entry.room.cpu_milli, 1) / 2;
+}
+
+static struct host *
+next_host(struct scheduler *sched, const struct wave *wave, bool hurry)
+{
+    struct host *best = NULL;
+    double best_cost = 0;
+    for (guint i = 0; i < wave->hosts->len; i++) {
+        const char *name = g_ptr_array_index(wave->hosts, i);
+        struct host *host = g_hash_table_lookup(sched->hosts, name);
+        if (host == NULL || !host->present || !host->up ||
+            host->intent != HOST_STAYS || host->ordered ||
+            g_hash_table_contains(wave->begun, name)) {
+            continue;
+        }
+        const struct backend *backend = sched_host_backend(sched, host);
+        if (backend != NULL && backend->entry.draining) {
+            continue;
+        }
+        double cost = reboot_cost(sched, host);
+        if (cost > BUSY_POOL && !hurry) {
+            continue;
+        }
+        if (best == NULL || cost < best_cost) {
+            best = host;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static void
+plan_wave(struct scheduler *sched, struct wave *wave)
+{
+    int64_t now_ms = sched_now(sched);
+    uint32_t left = hosts_left(sched, wave);
+    int64_t rounds = (left + wave->most - 1) / wave->most;
+    int64_t needed_ms =
+        rounds * (sched->timings.reboot_ms + EMPTY_HOST_MS);
+    bool hurry =
+        now_ms + needed_ms + WAVE_COMFORT_MS > wave->complete_by_ms;
+    while (hosts_taken(sched, wave) < wave->most) {
+        struct host *host = next_host(sched, wave, hurry);
+        if (host == NULL) {
+            return;
+        }
+        host->wave = wave->number;
+        sched_host_intend(sched, host, HOST_REBOOTS, NULL);
+        sched_note(sched, "host_reboot_planned",
+                   "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT
+                   ",\"left\":%u,\"hurry\":%s",
+                   host->name, wave->number, left, hurry ? "true" : "false");
+    }
+}
+
+void
+sched_plan_waves(struct scheduler *sched)
+{
+    for (guint i = 0; i < sched->waves->len; i++) {
+        struct wave *wave = g_ptr_array_index(sched->waves, i);
+        if (wave->hosts->len > 0) {
+            plan_wave(sched, wave);
+        }
+    }
+}
--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -28,6 +28,7 @@
     GPtrArray *items;
     GPtrArray *next_items;
     GPtrArray *waves;
+    GHashTable *wave_seen_ms;
     char **out;
     char **peers;
     int64_t as_of;
@@ -92,6 +93,19 @@
     fleet_config_destroy(before);
 }
 
+/* The order itself tells no time; it counts from when it was first read. */
+static int64_t
+first_seen_ms(struct config_feed *feed, const char *key)
+{
+    int64_t *seen_ms = g_hash_table_lookup(feed->wave_seen_ms, key);
+    if (seen_ms == NULL) {
+        seen_ms = g_new(int64_t, 1);
+        *seen_ms = node_now(feed->node);
+        g_hash_table_insert(feed->wave_seen_ms, g_strdup(key), seen_ms);
+    }
+    return *seen_ms;
+}
+
 static void
 take_others(struct config_feed *feed)
 {
@@ -108,6 +122,7 @@
             if (decode_wave(item->value, item->value_bytes, &wave)) {
                 struct host_wave *kept = g_new(struct host_wave, 1);
                 *kept = wave;
+                kept->seen_ms = first_seen_ms(feed, item->key);
                 g_ptr_array_add(feed->waves, kept);
             }
         }
@@ -279,6 +294,8 @@
     feed->items = g_ptr_array_new_with_free_func(item_destroy);
     feed->next_items = g_ptr_array_new_with_free_func(item_destroy);
     feed->waves = g_ptr_array_new_with_free_func(wave_destroy);
+    feed->wave_seen_ms =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     feed->out = g_new0(char *, 1);
     feed->timer = evtimer_new(node->base, on_timer, feed);
     timer_set(feed->timer, 0);
@@ -297,6 +314,7 @@
     g_ptr_array_unref(feed->items);
     g_ptr_array_unref(feed->next_items);
     g_ptr_array_unref(feed->waves);
+    g_hash_table_unref(feed->wave_seen_ms);
     g_strfreev(feed->out);
     g_strfreev(feed->peers);
     g_free(feed);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -17,6 +17,7 @@
     /* Decisions are taken once per this time, on all that came meanwhile. */
     TICK_SOON_MS = 6,
     HOSTS_PERIOD_MS = 1000,
+    STEPS_BYTES = 300,
 };
 
 void
@@ -171,7 +172,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->cancels = g_ptr_array_new();
     leader->wave_status =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     struct sched_ops ops = leader_ops(leader);
     leader->sched = scheduler_create(&node->boot->timings, &ops, term,
                                      node->clock, node->unix_clock);
@@ -268,11 +269,13 @@
     }
     job->inherited = leader->stage < STAGE_READY;
     scheduler_add_job(leader->sched, job);
+    char steps[STEPS_BYTES];
+    job_describe(job, steps, sizeof(steps));
     event_log("job_accepted",
-              "\"job\":\"%s\",\"queue\":\"%s\",\"team\":\"%s\","
-              "\"chain_ms\":%" G_GINT64_FORMAT ",\"core_ms\":%" G_GINT64_FORMAT,
-              id, job->queue, job->team, job_chain_ms(job),
-              job_core_ms(job) / 1000);
+              "\"job\":\"%s\",\"queue\":\"%s\",\"pool\":\"%s\","
+              "\"team\":\"%s\",\"chain_ms\":%" G_GINT64_FORMAT
+              ",\"steps\":\"%s\"",
+              id, job->queue, job->pool, job->team, job_chain_ms(job), steps);
     job_unref(job);
     leader_tick_soon(leader);
 }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -20,6 +20,7 @@
     [STAGE_PROGRESS] = RECORD_PROGRESS_PREFIX,
     [STAGE_JOBS] = RECORD_JOB_PREFIX,
     [STAGE_REGISTERED] = RECORD_BACKEND_PREFIX,
+    [STAGE_WAVES] = RECORD_WAVE_PREFIX,
     [STAGE_BACKENDS] = PLATFORM_BACKEND_PREFIX,
     [STAGE_NEWS] = RECORD_NEWS_PREFIX,
 };
@@ -89,6 +90,21 @@
     }
 }
 
+/* Hosts of a wave whose maintenance an earlier holder had accepted. */
+static void
+take_wave(struct leader *leader, const char *number,
+          const struct kv_item *item)
+{
+    char **hosts = g_strsplit(item->value == NULL ? "" : item->value, " ", 0);
+    for (char **host = hosts; *host != NULL; host++) {
+        if ((*host)[0] != '\0') {
+            scheduler_wave_begun(leader->sched,
+                                 g_ascii_strtoll(number, NULL, 10), *host);
+        }
+    }
+    g_strfreev(hosts);
+}
+
 static void
 on_news_job(void *ctx, const struct kv_result *result)
 {
@@ -132,6 +148,9 @@
     case STAGE_REGISTERED:
         take_registered(leader, id, item);
         break;
+    case STAGE_WAVES:
+        take_wave(leader, id, item);
+        break;
     case STAGE_BACKENDS:
         take_entry(leader, id, item);
         break;
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -11,6 +11,7 @@
     STAGE_PROGRESS,
     STAGE_JOBS,
     STAGE_REGISTERED,
+    STAGE_WAVES,
     STAGE_BACKENDS,
     STAGE_NEWS,
     STAGE_READY,
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -218,23 +218,28 @@
     leader->wave_status_sent = NULL;
 }
 
+/* What was last written of each wave: its hosts that had their turn and
+ * whether it is complete. */
 static void
 report_wave(struct leader *leader, const struct host_wave *wave)
 {
     bool done = scheduler_wave_done(leader->sched, wave->number);
+    char *begun = scheduler_wave_begun_list(leader->sched, wave->number);
     char *number = g_strdup_printf("%" G_GINT64_FORMAT, wave->number);
-    void *reported = g_hash_table_lookup(leader->wave_status, number);
-    int wanted = done ? 2 : 1;
-    if (GPOINTER_TO_INT(reported) >= wanted) {
+    char *report = g_strconcat(done ? "completed " : "running ", begun, NULL);
+    if (g_strcmp0(g_hash_table_lookup(leader->wave_status, number), report) ==
+        0) {
+        g_free(report);
         g_free(number);
+        g_free(begun);
         return;
     }
-    g_hash_table_insert(leader->wave_status, g_strdup(number),
-                        GINT_TO_POINTER(wanted));
+    g_hash_table_insert(leader->wave_status, g_strdup(number), report);
     struct txn_text text = txn_text_create();
     add_condition(&text, RECORD_DUTY_KEY, leader->token);
     add_put(&text, add_key(&text, PLATFORM_WAVE_STATUS_PREFIX, number),
             encode_wave_status(done));
+    add_put(&text, add_key(&text, RECORD_WAVE_PREFIX, number), begun);
     struct kv_txn txn = txn_of(&text);
     leader->wave_status_sent = number;
     kv_commit(leader->writes, &txn,
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct run;
@@ -208,6 +209,10 @@
 int64_t
 job_core_ms(const struct job *job);
 
+/** job_describe() - its steps in one line for the log, into @text. */
+void
+job_describe(const struct job *job, char *text, size_t bytes);
+
 /** job_touch() - note that the progress has changed. */
 void
 job_touch(struct job *job);
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -312,11 +312,15 @@
  * @number: its number
  * @hosts: hosts, NULL-terminated
  * @most: hosts that may be away for it at once
+ * @within_ms: time in which it should be complete
+ * @seen_ms: when the order was first seen, on the scheduler's clock
  */
 struct host_wave {
     int64_t number;
     char **hosts;
     int64_t most;
+    int64_t within_ms;
+    int64_t seen_ms;
 };
 
 /**
@@ -343,6 +347,17 @@
 void
 scheduler_wave_set(struct scheduler *sched, const struct host_wave *wave);
 
+/** scheduler_wave_begun() - an earlier scheduler stored that the maintenance
+ * of @host in wave @number was accepted. */
+void
+scheduler_wave_begun(struct scheduler *sched, int64_t number,
+                     const char *host);
+
+/** scheduler_wave_begun_list() - hosts of a wave whose maintenance was
+ * accepted, separated by spaces; g_free(). */
+char *
+scheduler_wave_begun_list(const struct scheduler *sched, int64_t number);
+
 /** scheduler_wave_done() - whether every host of the wave had its turn. */
 bool
 scheduler_wave_done(const struct scheduler *sched, int64_t number);
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -13,6 +13,7 @@
 #define RECORD_BACKEND_PREFIX "eg/backend/"
 #define RECORD_NEWS_PREFIX "eg/news/"
 #define RECORD_PEER_PREFIX "eg/peer/"
+#define RECORD_WAVE_PREFIX "eg/wave/"
 #define RECORD_DUTY_KEY "eg/duty/scheduler"
 #define RECORD_DUTY_PREFIX "eg/duty/"
 #define RECORD_TERM_KEY "eg/term/scheduler"
