Count failed ends that are listed again after a takeover

Change: numbers of failed runs are kept per task and stored; an end without a tracked run counts unless its number is known.

--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -207,6 +207,22 @@
     g_string_free(out, TRUE);
 }
 
+bool
+job_task_failed(struct job_task *task, uint32_t run_number)
+{
+    uint32_t known = MIN(task->failures, JOB_FAILED_RUNS_MAX);
+    for (uint32_t i = 0; i < known; i++) {
+        if (task->failed_runs[i] == run_number) {
+            return false;
+        }
+    }
+    if (task->failures < JOB_FAILED_RUNS_MAX) {
+        task->failed_runs[task->failures] = run_number;
+    }
+    task->failures++;
+    return true;
+}
+
 void
 job_touch(struct job *job)
 {
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -167,6 +167,10 @@
     else if (listed->reason == END_DONE && job->state == JOB_ACTIVE) {
         sched_task_done(sched, job, name.occurrence, name.step, name.index);
     }
+    else if (listed->reason == END_FAILED) {
+        sched_late_failure(sched, job, name.occurrence, name.step, name.index,
+                           listed->run);
+    }
     queue_end(backend, listed->number, job);
 }
 
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -139,6 +139,9 @@
     if (run_step(run)->long_running) {
         return;
     }
+    if (!job_task_failed(task, run->number)) {
+        return;
+    }
     backend->failures++;
     if (backend->failures >= SUSPECT_FAILURES) {
         backend->suspect_until_ms = sched_now(sched) + SUSPECT_MS;
@@ -146,18 +149,33 @@
                    "\"backend\":\"%s\",\"failures\":%u", backend->entry.id,
                    backend->failures);
     }
-    task->failures++;
     sched_mark_dirty(sched, job);
 }
 
 static bool
-attempts_used(const struct scheduler *sched, const struct run *run)
+attempts_used(const struct scheduler *sched, const struct job *job,
+              const struct job_step *step, const struct job_task *task)
 {
     const struct queue_config *queue =
-        fleet_config_queue(sched->config, run->job->queue);
-    uint32_t attempts = queue == NULL ? run->job->attempts : queue->attempts;
-    return !run_step(run)->long_running &&
-           run_task(run)->failures >= attempts;
+        fleet_config_queue(sched->config, job->queue);
+    uint32_t attempts = queue == NULL ? job->attempts : queue->attempts;
+    return !step->long_running && task->failures >= attempts;
+}
+
+void
+sched_late_failure(struct scheduler *sched, struct job *job,
+                   uint32_t occurrence, uint32_t step, uint32_t index,
+                   uint32_t number)
+{
+    struct job_task *task = &job_part(job, occurrence, step)->tasks[index];
+    if (job->state != JOB_ACTIVE || task->done ||
+        job->steps[step].long_running || !job_task_failed(task, number)) {
+        return;
+    }
+    sched_mark_dirty(sched, job);
+    if (attempts_used(sched, job, &job->steps[step], task)) {
+        sched_finish_job(sched, job, JOB_FAILED);
+    }
 }
 
 void
@@ -214,7 +232,7 @@
     if (failed) {
         count_failure(sched, run);
     }
-    bool give_up = failed && attempts_used(sched, run);
+    bool give_up = failed && attempts_used(sched, job, step, task);
     if (reason == END_DONE) {
         run->backend->failures = 0;
         run->backend->suspect_until_ms = 0;
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -177,6 +177,11 @@
 void
 sched_task_done(struct scheduler *sched, struct job *job,
                 uint32_t occurrence, uint32_t step, uint32_t index);
+/* A failed end of a run that is not tracked any more. */
+void
+sched_late_failure(struct scheduler *sched, struct job *job,
+                   uint32_t occurrence, uint32_t step, uint32_t index,
+                   uint32_t number);
 void
 sched_backend_lost(struct scheduler *sched, struct backend *backend,
                    const char *why);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -59,8 +59,7 @@
     return job;
 }
 
-/* Tasks that are done, one character each; then failures and checkpoints as
- * "step.index" members. */
+/* Tasks that are done, one character each. */
 static void
 encode_part(GString *out, const struct job *job, uint32_t part_index)
 {
@@ -76,6 +75,7 @@
     g_string_append_c(out, '"');
 }
 
+/* Rows of part, task, checkpoint and the numbers of runs that failed. */
 static void
 encode_tasks(GString *out, const struct job *job)
 {
@@ -88,9 +88,12 @@
             if (task->failures == 0 && task->saved == NULL) {
                 continue;
             }
-            g_string_append_printf(out, "%s[%u,%u,%u,", first ? "" : ",", p, t,
-                                   task->failures);
+            g_string_append_printf(out, "%s[%u,%u,", first ? "" : ",", p, t);
             json_text_add(out, task->saved == NULL ? "" : task->saved);
+            uint32_t n_failed = MIN(task->failures, JOB_FAILED_RUNS_MAX);
+            for (uint32_t i = 0; i < n_failed; i++) {
+                g_string_append_printf(out, ",%u", task->failed_runs[i]);
+            }
             g_string_append_c(out, ']');
             first = false;
         }
@@ -149,17 +152,18 @@
 {
     const cJSON *p = cJSON_GetArrayItem(row, 0);
     const cJSON *t = cJSON_GetArrayItem(row, 1);
-    const cJSON *failures = cJSON_GetArrayItem(row, 2);
-    const char *saved = cJSON_GetStringValue(cJSON_GetArrayItem(row, 3));
+    const char *saved = cJSON_GetStringValue(cJSON_GetArrayItem(row, 2));
     if (!cJSON_IsNumber(p) || !cJSON_IsNumber(t) ||
-        !cJSON_IsNumber(failures) ||
         p->valueint >= (int)(job->n_occurrences * job->n_steps) ||
         t->valueint >=
             (int)job->steps[p->valueint % (int)job->n_steps].task_count) {
         return;
     }
     struct job_task *task = &job->parts[p->valueint].tasks[t->valueint];
-    task->failures = (uint32_t)failures->valueint;
+    for (int i = 3; i < cJSON_GetArraySize(row); i++) {
+        job_task_failed(task,
+                        (uint32_t)cJSON_GetArrayItem(row, i)->valueint);
+    }
     if (saved != NULL && saved[0] != '\0') {
         task->saved = g_strdup(saved);
     }
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -14,6 +14,8 @@
     /* Bounds one job's memory: 64 steps of 1,000 tasks. */
     JOB_STEPS_MAX = 64,
     JOB_STEP_TASKS_MAX = 1000,
+    /* More attempts than any queue allows. */
+    JOB_FAILED_RUNS_MAX = 8,
 };
 
 /**
@@ -83,6 +85,8 @@
  * @run: run that may be in progress, or NULL
  * @run_number: highest number given to a run of this task
  * @failures: runs that ended as failed
+ * @failed_runs: their numbers, the first JOB_FAILED_RUNS_MAX of them; an end
+ *               is listed again to a scheduler that takes over
  * @done: a run ended as done
  * @saved: last checkpoint, or NULL
  * @wait_until_ms: no start before this time of the scheduler's clock
@@ -92,6 +96,7 @@
     struct run *run;
     uint32_t run_number;
     uint32_t failures;
+    uint32_t failed_runs[JOB_FAILED_RUNS_MAX];
     bool done;
     char *saved;
     int64_t wait_until_ms;
@@ -213,6 +218,11 @@
 void
 job_describe(const struct job *job, char *text, size_t bytes);
 
+/** job_task_failed() - note a run that ended as failed; false if that was
+ * noted before. */
+bool
+job_task_failed(struct job_task *task, uint32_t run_number);
+
 /** job_touch() - note that the progress has changed. */
 void
 job_touch(struct job *job);
