Read news of other processes as a list, and all records side by side

Change: news are read whole every 500 ms and deleted once their effect is stored; holder and term are read with one call; ranges are read in parallel.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -85,14 +85,14 @@
 send_batch(struct acceptor *acceptor);
 
 static void
-requeue(struct acceptor *acceptor, struct entry *entry)
+requeue(struct acceptor *acceptor, struct entry *entry, bool refused)
 {
     int64_t age_ms = node_now(acceptor->node) - entry->since_ms;
     if (age_ms > UNKNOWN_AFTER_MS) {
         entry_finish(acceptor, entry, entry->uncertain ? 504 : 503);
         return;
     }
-    if (!entry->uncertain && age_ms > REFUSED_AFTER_MS) {
+    if (refused && !entry->uncertain && age_ms > REFUSED_AFTER_MS) {
         entry_finish(acceptor, entry, 503);
         return;
     }
@@ -140,7 +140,7 @@
         if (result->outcome == KV_UNKNOWN) {
             entry->uncertain = true;
         }
-        requeue(acceptor, entry);
+        requeue(acceptor, entry, result->outcome == KV_REFUSED);
     }
     g_ptr_array_unref(batch);
     if (acceptor->with_duty && result->outcome == KV_CONFLICT &&
--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -47,26 +47,6 @@
     g_free(wave);
 }
 
-static void
-item_destroy(void *data)
-{
-    struct kv_item *item = data;
-    g_free(item->key);
-    g_free(item->value);
-    g_free(item);
-}
-
-static struct kv_item *
-item_copy(const struct kv_item *item)
-{
-    struct kv_item *copy = g_new0(struct kv_item, 1);
-    *copy = *item;
-    copy->key = g_strdup(item->key);
-    copy->value = g_strndup(item->value == NULL ? "" : item->value,
-                            item->value_bytes);
-    return copy;
-}
-
 static void
 take_config(struct config_feed *feed, const struct kv_item *item)
 {
@@ -186,7 +166,7 @@
                 .value_bytes = strlen(value),
                 .revision = json_int_get(row, "revision", 0),
             };
-            g_ptr_array_add(feed->next_items, item_copy(&item));
+            g_ptr_array_add(feed->next_items, kv_item_copy(&item));
         }
         /* The trip back is covered by the peer's own age being rounded up. */
         take_items(feed, as_of, feed->sent_ms - age_ms);
@@ -217,7 +197,7 @@
     }
     for (guint i = 0; i < result->items->len; i++) {
         g_ptr_array_add(feed->next_items,
-                        item_copy(g_ptr_array_index(result->items, i)));
+                        kv_item_copy(g_ptr_array_index(result->items, i)));
     }
     if (result->has_more && result->items->len > 0) {
         const struct kv_item *last =
@@ -291,8 +271,8 @@
     struct config_feed *feed = g_new0(struct config_feed, 1);
     feed->node = node;
     feed->kv = kv_create(node->base, node->boot->store, READ_TIMEOUT_MS);
-    feed->items = g_ptr_array_new_with_free_func(item_destroy);
-    feed->next_items = g_ptr_array_new_with_free_func(item_destroy);
+    feed->items = g_ptr_array_new_with_free_func(kv_item_destroy);
+    feed->next_items = g_ptr_array_new_with_free_func(kv_item_destroy);
     feed->waves = g_ptr_array_new_with_free_func(wave_destroy);
     feed->wave_seen_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -55,6 +55,7 @@
     int64_t term_revision;
     uint32_t term;
     bool watching;
+    bool spread;
     bool call_in_flight;
 };
 
@@ -96,6 +97,33 @@
            g_strcmp0(duty->holder_node, duty->node->boot->node) == 0;
 }
 
+/* Counts takeovers; read along with the holder. */
+static void
+set_term(struct duty *duty, const struct kv_item *item)
+{
+    duty->term_revision = item->revision;
+    duty->term = (uint32_t)g_ascii_strtoull(item->value, NULL, 10) + 1;
+}
+
+static void
+take_items(struct duty *duty, const struct kv_result *result)
+{
+    for (guint i = 0; i < result->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(result->items, i);
+        if (strcmp(item->key, RECORD_DUTY_KEY) == 0) {
+            set_holder(duty, item);
+        }
+        else if (strcmp(item->key, RECORD_TERM_KEY) == 0 &&
+                 item->value != NULL) {
+            set_term(duty, item);
+        }
+    }
+    duty->watch_from = MAX(duty->watch_from, result->as_of);
+}
+
+static void
+claim_or_watch(struct duty *duty);
+
 static void
 on_watch(void *ctx, const struct kv_result *result)
 {
@@ -108,17 +136,15 @@
         look_later(duty, LOOK_RETRY_MS);
         return;
     }
-    for (guint i = 0; i < result->items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(result->items, i);
-        if (strcmp(item->key, RECORD_DUTY_KEY) == 0) {
-            set_holder(duty, item);
-        }
+    take_items(duty, result);
+    if (duty->revision == 0) {
+        /* Processes that saw it become free at once claim one by one. */
+        duty->spread = true;
+        look_later(duty, g_random_int_range(0, CLAIM_SPREAD_MS));
+        return;
     }
-    duty->watch_from = MAX(duty->watch_from, result->as_of);
     /* Reads the record as well: a watch may have missed a change. */
-    look_later(duty, duty->revision == 0
-                         ? g_random_int_range(0, CLAIM_SPREAD_MS)
-                         : 0);
+    look_later(duty, 0);
 }
 
 static void
@@ -140,14 +166,18 @@
     if (duty->state != DUTY_LOOKING) {
         return;
     }
-    if (result->outcome != KV_OK && result->outcome != KV_NOT_FOUND) {
+    if (result->outcome != KV_OK) {
         look_later(duty, LOOK_RETRY_MS);
         return;
     }
-    set_holder(duty, result->outcome == KV_OK && result->items->len > 0
-                         ? g_ptr_array_index(result->items, 0)
-                         : NULL);
-    duty->watch_from = MAX(duty->watch_from, result->as_of);
+    set_holder(duty, NULL);
+    take_items(duty, result);
+    claim_or_watch(duty);
+}
+
+static void
+claim_or_watch(struct duty *duty)
+{
     if (claimable(duty) && !duty->node->leaving) {
         claim(duty);
         return;
@@ -162,8 +192,8 @@
         return;
     }
     duty->call_in_flight = true;
-    kv_get(duty->kv, RECORD_DUTY_KEY,
-           (struct kv_done){.call = on_look, .ctx = duty});
+    kv_range(duty->kv, RECORD_DUTY_PREFIX, NULL,
+             (struct kv_done){.call = on_look, .ctx = duty});
 }
 
 static void
@@ -247,26 +277,6 @@
               (struct kv_done){.call = on_claim, .ctx = duty});
 }
 
-static void
-on_term(void *ctx, const struct kv_result *result)
-{
-    struct duty *duty = ctx;
-    if (result->outcome == KV_OK && result->items->len > 0) {
-        const struct kv_item *item = g_ptr_array_index(result->items, 0);
-        duty->term_revision = item->revision;
-        duty->term = (uint32_t)g_ascii_strtoull(item->value, NULL, 10) + 1;
-    }
-    else if (result->outcome == KV_NOT_FOUND) {
-        duty->term_revision = 0;
-        duty->term = 0;
-    }
-    else {
-        look_later(duty, LOOK_RETRY_MS);
-        return;
-    }
-    commit_claim(duty);
-}
-
 static void
 on_lease(void *ctx, const struct kv_result *result)
 {
@@ -276,8 +286,7 @@
         return;
     }
     duty->lease = result->lease;
-    kv_get(duty->kv, RECORD_TERM_KEY,
-           (struct kv_done){.call = on_term, .ctx = duty});
+    commit_claim(duty);
 }
 
 static void
@@ -347,6 +356,10 @@
     if (duty->state == DUTY_HELD) {
         renew(duty);
     }
+    else if (duty->state == DUTY_LOOKING && duty->spread) {
+        duty->spread = false;
+        claim_or_watch(duty);
+    }
     else if (duty->state == DUTY_LOOKING) {
         look(duty);
     }
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -13,7 +13,6 @@
     READ_TIMEOUT_MS = 1500,
     WRITE_TIMEOUT_MS = 1200,
     BACKEND_WATCH_TIMEOUT_MS = 2000,
-    NEWS_WATCH_TIMEOUT_MS = 2500,
     /* Decisions are taken once per this time, on all that came meanwhile. */
     TICK_SOON_MS = 6,
     HOSTS_PERIOD_MS = 1000,
@@ -61,14 +60,6 @@
     }
 }
 
-static void
-on_load_retry(evutil_socket_t fd, short events, void *ctx)
-{
-    (void)fd;
-    (void)events;
-    leader_load(ctx);
-}
-
 static void
 on_watch_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -82,7 +73,7 @@
 {
     (void)fd;
     (void)events;
-    leader_watch_news(ctx);
+    leader_read_news(ctx);
 }
 
 static void
@@ -130,15 +121,6 @@
     backend_link_destroy(data);
 }
 
-static void
-progress_destroy(void *data)
-{
-    struct kv_item *item = data;
-    g_free(item->key);
-    g_free(item->value);
-    g_free(item);
-}
-
 struct leader *
 leader_create(struct node *node, int64_t token, uint32_t term)
 {
@@ -150,7 +132,7 @@
     leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS);
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS);
-    leader->news_watch = kv_create(node->base, store, NEWS_WATCH_TIMEOUT_MS);
+    leader->news = kv_create(node->base, store, READ_TIMEOUT_MS);
     struct hosts_events events = {
         .on_list = on_hosts,
         .on_order = on_host_order,
@@ -159,15 +141,14 @@
     leader->hosts = hosts_api_create(node->base, node->boot->hosts,
                                      node->boot->node, &events);
     leader->tick = evtimer_new(node->base, on_tick, leader);
-    leader->load_retry = evtimer_new(node->base, on_load_retry, leader);
     leader->watch_timer = evtimer_new(node->base, on_watch_timer, leader);
     leader->news_timer = evtimer_new(node->base, on_news_timer, leader);
     leader->hosts_timer = evtimer_new(node->base, on_hosts_timer, leader);
     leader->flush_timer = evtimer_new(node->base, on_flush_timer, leader);
     leader->links =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, link_destroy);
-    leader->progress = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                             progress_destroy);
+    leader->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             kv_item_destroy);
     leader->listed_now =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->cancels = g_ptr_array_new();
@@ -201,8 +182,8 @@
         return;
     }
     struct event *timers[] = {
-        leader->tick,       leader->load_retry,  leader->watch_timer,
-        leader->news_timer, leader->hosts_timer, leader->flush_timer,
+        leader->tick,        leader->watch_timer, leader->news_timer,
+        leader->hosts_timer, leader->flush_timer,
     };
     for (size_t i = 0; i < G_N_ELEMENTS(timers); i++) {
         event_free(timers[i]);
@@ -211,7 +192,8 @@
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
     kv_destroy(leader->backend_watch);
-    kv_destroy(leader->news_watch);
+    kv_destroy(leader->news);
+    leader_load_clear(leader);
     hosts_api_destroy(leader->hosts);
     g_hash_table_unref(leader->links);
     g_hash_table_unref(leader->progress);
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -12,7 +12,7 @@
     /* Entries of the host list change often; they are read in lots. */
     BACKEND_WATCH_GAP_MS = 200,
     BACKEND_WATCH_MS = 1000,
-    NEWS_WATCH_MS = 1500,
+    LOAD_TIMEOUT_MS = 1500,
     WATCH_RETRY_MS = 100,
 };
 
@@ -22,11 +22,11 @@
     [STAGE_REGISTERED] = RECORD_BACKEND_PREFIX,
     [STAGE_WAVES] = RECORD_WAVE_PREFIX,
     [STAGE_BACKENDS] = PLATFORM_BACKEND_PREFIX,
-    [STAGE_NEWS] = RECORD_NEWS_PREFIX,
 };
 
-static void
-take_job(struct leader *leader, const char *id, const struct kv_item *item)
+void
+leader_take_job(struct leader *leader, const char *id,
+                const struct kv_item *item)
 {
     if (item->value == NULL || scheduler_find_job(leader->sched, id) != NULL) {
         return;
@@ -54,12 +54,7 @@
     if (item->value == NULL) {
         return;
     }
-    struct kv_item *kept = g_new0(struct kv_item, 1);
-    kept->key = g_strdup(id);
-    kept->value = g_strndup(item->value, item->value_bytes);
-    kept->value_bytes = item->value_bytes;
-    kept->revision = item->revision;
-    g_hash_table_replace(leader->progress, kept->key, kept);
+    g_hash_table_replace(leader->progress, g_strdup(id), kv_item_copy(item));
 }
 
 static void
@@ -105,34 +100,6 @@
     g_strfreev(hosts);
 }
 
-static void
-on_news_job(void *ctx, const struct kv_result *result)
-{
-    struct leader *leader = ctx;
-    if (result->outcome == KV_OK && result->items->len > 0) {
-        const struct kv_item *item = g_ptr_array_index(result->items, 0);
-        take_job(leader, item->key + strlen(RECORD_JOB_PREFIX), item);
-        leader_tick_soon(leader);
-    }
-}
-
-static void
-take_news(struct leader *leader, const char *id, const struct kv_item *item)
-{
-    if (item->deleted || item->value == NULL) {
-        return;
-    }
-    if (strcmp(item->value, NEWS_CANCEL) == 0) {
-        scheduler_cancel(leader->sched, id);
-    }
-    else if (scheduler_find_job(leader->sched, id) == NULL) {
-        char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
-        kv_get(leader->reads, key,
-               (struct kv_done){.call = on_news_job, .ctx = leader});
-        g_free(key);
-    }
-}
-
 static void
 take_item(struct leader *leader, enum leader_stage kind,
           const struct kv_item *item)
@@ -143,7 +110,7 @@
         take_progress(leader, id, item);
         break;
     case STAGE_JOBS:
-        take_job(leader, id, item);
+        leader_take_job(leader, id, item);
         break;
     case STAGE_REGISTERED:
         take_registered(leader, id, item);
@@ -154,31 +121,25 @@
     case STAGE_BACKENDS:
         take_entry(leader, id, item);
         break;
-    case STAGE_NEWS:
-        take_news(leader, id, item);
-        break;
     case STAGE_READY:
         break;
     }
 }
 
 static void
-load_page(struct leader *leader, const char *after);
-
-static void
-next_stage(struct leader *leader, int64_t as_of)
+finish_load(struct leader *leader)
 {
-    if (leader->stage == STAGE_BACKENDS) {
-        leader->backends_as_of = as_of;
-    }
-    if (leader->stage == STAGE_NEWS) {
-        leader->news_as_of = as_of;
-    }
-    leader->stage++;
-    if (leader->stage < STAGE_READY) {
-        load_page(leader, NULL);
-        return;
+    for (int stage = 0; stage < STAGE_READY; stage++) {
+        struct leader_range *range = &leader->ranges[stage];
+        leader->stage = (enum leader_stage)stage;
+        for (guint i = 0; i < range->items->len; i++) {
+            take_item(leader, leader->stage,
+                      g_ptr_array_index(range->items, i));
+        }
+        g_ptr_array_set_size(range->items, 0);
     }
+    leader->stage = STAGE_READY;
+    leader->backends_as_of = leader->ranges[STAGE_BACKENDS].as_of;
     g_hash_table_remove_all(leader->progress);
     struct sched_figures figures;
     scheduler_figures(leader->sched, &figures);
@@ -189,42 +150,86 @@
     leader_config_changed(leader);
     leader_orders_changed(leader);
     leader_watch_backends(leader);
-    leader_watch_news(leader);
+    leader_read_news(leader);
     leader_tick_soon(leader);
 }
 
+static void
+load_page(struct leader_range *range, const char *after);
+
 static void
 on_page(void *ctx, const struct kv_result *result)
 {
-    struct leader *leader = ctx;
+    struct leader_range *range = ctx;
+    struct leader *leader = range->leader;
     if (result->outcome != KV_OK) {
-        timer_set(leader->load_retry, LOAD_RETRY_MS);
+        g_ptr_array_set_size(range->items, 0);
+        timer_set(range->retry, LOAD_RETRY_MS);
         return;
     }
     for (guint i = 0; i < result->items->len; i++) {
-        take_item(leader, leader->stage,
-                  g_ptr_array_index(result->items, i));
+        g_ptr_array_add(range->items,
+                        kv_item_copy(g_ptr_array_index(result->items, i)));
     }
     if (result->has_more && result->items->len > 0) {
         const struct kv_item *last =
             g_ptr_array_index(result->items, result->items->len - 1);
-        load_page(leader, last->key);
+        load_page(range, last->key);
         return;
     }
-    next_stage(leader, result->as_of);
+    range->as_of = result->as_of;
+    range->whole = true;
+    for (int stage = 0; stage < STAGE_READY; stage++) {
+        if (!leader->ranges[stage].whole) {
+            return;
+        }
+    }
+    finish_load(leader);
+}
+
+static void
+load_page(struct leader_range *range, const char *after)
+{
+    kv_range(range->kv, stage_prefixes[range->stage], after,
+             (struct kv_done){.call = on_page, .ctx = range});
 }
 
 static void
-load_page(struct leader *leader, const char *after)
+on_range_retry(evutil_socket_t fd, short events, void *ctx)
 {
-    kv_range(leader->reads, stage_prefixes[leader->stage], after,
-             (struct kv_done){.call = on_page, .ctx = leader});
+    (void)fd;
+    (void)events;
+    load_page(ctx, NULL);
 }
 
+/* All ranges are read side by side and taken in order at the end: what one
+ * read misses of another was written by no earlier holder, since those are
+ * barred by now. */
 void
 leader_load(struct leader *leader)
 {
-    load_page(leader, NULL);
+    struct node *node = leader->node;
+    for (int stage = 0; stage < STAGE_READY; stage++) {
+        struct leader_range *range = &leader->ranges[stage];
+        range->leader = leader;
+        range->stage = (enum leader_stage)stage;
+        range->kv =
+            kv_create(node->base, node->boot->store, LOAD_TIMEOUT_MS);
+        range->items = g_ptr_array_new_with_free_func(kv_item_destroy);
+        range->retry = evtimer_new(node->base, on_range_retry, range);
+        load_page(range, NULL);
+    }
+}
+
+void
+leader_load_clear(struct leader *leader)
+{
+    for (int stage = 0; stage < STAGE_READY; stage++) {
+        struct leader_range *range = &leader->ranges[stage];
+        kv_destroy(range->kv);
+        g_ptr_array_unref(range->items);
+        event_free(range->retry);
+    }
 }
 
 /* After lost history: what is not in the whole list any more is gone. */
@@ -307,32 +312,3 @@
              leader->backends_as_of, BACKEND_WATCH_MS,
              (struct kv_done){.call = on_backend_events, .ctx = leader});
 }
-
-static void
-on_news(void *ctx, const struct kv_result *result)
-{
-    struct leader *leader = ctx;
-    if (result->outcome != KV_OK) {
-        leader->news_as_of = 0;
-        timer_set(leader->news_timer, WATCH_RETRY_MS);
-        return;
-    }
-    for (guint i = 0; i < result->items->len; i++) {
-        take_item(leader, STAGE_NEWS, g_ptr_array_index(result->items, i));
-    }
-    leader->news_as_of = MAX(leader->news_as_of, result->as_of);
-    leader_tick_soon(leader);
-    timer_set(leader->news_timer, 0);
-}
-
-void
-leader_watch_news(struct leader *leader)
-{
-    struct kv_done done = {.call = on_news, .ctx = leader};
-    if (leader->news_as_of == 0) {
-        kv_range(leader->news_watch, RECORD_NEWS_PREFIX, NULL, done);
-        return;
-    }
-    kv_watch(leader->news_watch, RECORD_NEWS_PREFIX, leader->news_as_of,
-             NEWS_WATCH_MS, done);
-}
--- /dev/null
+++ b/egretjobd/leader_news.c
@@ -0,0 +1,119 @@
+/*
+ * News for the scheduler: jobs and cancels that another process stored while
+ * it could not reach this one. The whole list is read again and again, since
+ * a watch may miss a change; what is dealt with and stored is deleted.
+ */
+#include "leader_state.h"
+
+#include <string.h>
+
+#include "egretjobd/records.h"
+
+enum {
+    NEWS_PERIOD_MS = 500,
+    /* A condition and a deletion each, and the duty: one transaction. */
+    DELETES_MAX = 10,
+};
+
+static void
+on_job(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    leader->news_fetching = false;
+    if (result->outcome == KV_OK && result->items->len > 0) {
+        const struct kv_item *item = g_ptr_array_index(result->items, 0);
+        leader_take_job(leader, item->key + strlen(RECORD_JOB_PREFIX), item);
+        timer_set(leader->news_timer, 0);
+    }
+}
+
+static void
+fetch_job(struct leader *leader, const char *id)
+{
+    if (leader->news_fetching) {
+        return;
+    }
+    leader->news_fetching = true;
+    char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
+    kv_get(leader->reads, key,
+           (struct kv_done){.call = on_job, .ctx = leader});
+    g_free(key);
+}
+
+/* Whether nothing is left to do about one piece of news. */
+static bool
+news_settled(struct leader *leader, const char *id,
+             const struct kv_item *item)
+{
+    const struct job *job = scheduler_find_job(leader->sched, id);
+    if (job == NULL) {
+        fetch_job(leader, id);
+        return false;
+    }
+    if (strcmp(item->value, NEWS_CANCEL) == 0) {
+        scheduler_cancel(leader->sched, id);
+    }
+    return job->stored_version == job->version;
+}
+
+static void
+on_deleted(void *ctx, const struct kv_result *result)
+{
+    /* What was not deleted is read and tried again. */
+    (void)ctx;
+    (void)result;
+}
+
+static void
+delete_news(struct leader *leader, const struct kv_condition *conditions,
+            size_t n_conditions, const char *const *keys, size_t n_keys)
+{
+    struct kv_txn txn = {
+        .conditions = conditions,
+        .n_conditions = n_conditions,
+        .deletes = keys,
+        .n_deletes = n_keys,
+    };
+    kv_commit(leader->news, &txn,
+              (struct kv_done){.call = on_deleted, .ctx = leader});
+}
+
+static void
+on_news(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    timer_set(leader->news_timer, NEWS_PERIOD_MS);
+    if (result->outcome != KV_OK) {
+        return;
+    }
+    leader_enter(leader);
+    struct kv_condition conditions[DELETES_MAX + 1];
+    const char *keys[DELETES_MAX];
+    size_t n_keys = 0;
+    conditions[0] = (struct kv_condition){.key = RECORD_DUTY_KEY,
+                                          .revision = leader->token};
+    for (guint i = 0; i < result->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(result->items, i);
+        const char *id = item->key + strlen(RECORD_NEWS_PREFIX);
+        if (item->value == NULL || !news_settled(leader, id, item) ||
+            n_keys == DELETES_MAX) {
+            continue;
+        }
+        conditions[n_keys + 1] = (struct kv_condition){
+            .key = item->key, .revision = item->revision};
+        keys[n_keys++] = item->key;
+    }
+    if (n_keys > 0) {
+        delete_news(leader, conditions, n_keys + 1, keys, n_keys);
+    }
+    if (result->items->len > 0) {
+        leader_tick_soon(leader);
+    }
+}
+
+void
+leader_read_news(struct leader *leader)
+{
+    kv_range(leader->news, RECORD_NEWS_PREFIX, NULL,
+             (struct kv_done){.call = on_news, .ctx = leader});
+}
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -13,10 +13,26 @@
     STAGE_REGISTERED,
     STAGE_WAVES,
     STAGE_BACKENDS,
-    STAGE_NEWS,
     STAGE_READY,
 };
 
+/**
+ * struct leader_range - one kind of record on its way after a takeover
+ * @items: struct kv_item read so far
+ * @as_of: revision of the store at the last page
+ * @whole: all pages are read
+ */
+struct leader_range {
+    struct leader *leader;
+    enum leader_stage stage;
+    struct kv *kv;
+    struct event *retry;
+    GPtrArray *items;
+    int64_t as_of;
+    bool whole;
+};
+
+/** struct cancel_waiter - a caller that waits for a cancel to be stored */
 struct cancel_waiter {
     struct job *job;
     struct job_reply reply;
@@ -27,25 +43,23 @@
     struct scheduler *sched;
     int64_t token;
     enum leader_stage stage;
-    bool destroyed;
     struct kv *reads;
     struct kv *writes;
     struct kv *backend_watch;
-    struct kv *news_watch;
+    struct kv *news;
     struct hosts_api *hosts;
     struct event *tick;
-    struct event *load_retry;
     struct event *watch_timer;
     struct event *news_timer;
     struct event *hosts_timer;
     struct event *flush_timer;
     bool tick_soon;
-    int64_t tick_due_ms;
     GHashTable *links;
     GHashTable *progress;
     GHashTable *listed_now;
     int64_t backends_as_of;
-    int64_t news_as_of;
+    bool news_fetching;
+    struct leader_range ranges[STAGE_READY];
     struct store_batch *batch;
     GPtrArray *cancels;
     GHashTable *wave_status;
@@ -65,7 +79,14 @@
 void
 leader_watch_backends(struct leader *leader);
 void
-leader_watch_news(struct leader *leader);
+leader_load_clear(struct leader *leader);
+void
+leader_take_job(struct leader *leader, const char *id,
+                const struct kv_item *item);
+
+/* leader_news.c */
+void
+leader_read_news(struct leader *leader);
 
 /* leader_store.c */
 void
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -16,7 +16,7 @@
 #define RECORD_WAVE_PREFIX "eg/wave/"
 #define RECORD_DUTY_KEY "eg/duty/scheduler"
 #define RECORD_DUTY_PREFIX "eg/duty/"
-#define RECORD_TERM_KEY "eg/term/scheduler"
+#define RECORD_TERM_KEY "eg/duty/term"
 
 /* Values under RECORD_NEWS_PREFIX: what the scheduler has to look at. */
 #define NEWS_JOB "job"
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -94,6 +94,12 @@
     void *ctx;
 };
 
+/** kv_item_copy() - whole copy, to be freed with kv_item_destroy(). */
+struct kv_item *
+kv_item_copy(const struct kv_item *item);
+void
+kv_item_destroy(void *item);
+
 struct kv;
 
 /** kv_create() - client with one connection; calls go out in order. */
