Wait for stops of an earlier holder, and for the progress of early jobs

Change: absence after a stop counts only stop_ms after its acknowledgement; an inherited backend server is settled by a list read that late; jobs stored while records are read are taken afterwards.

--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -233,6 +233,7 @@
     sched_backend_lost(sched, backend, "restarted");
     backend->reconciled = false;
     backend->inherited = false;
+    backend->settle_ms = 0;
     backend->clock_at_ms = 0;
     backend->clock_ms = 0;
     backend->granted_until_ms = 0;
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -10,6 +10,8 @@
 enum {
     /* The users' pages: ends come 500 at a time. */
     ENDS_PER_LIST = 500,
+    /* A backend server's clock may be 2 % slow; a stop is on its way. */
+    STOP_MARGIN_MS = 100,
 };
 
 struct task_name {
@@ -174,6 +176,13 @@
     queue_end(backend, listed->number, job);
 }
 
+/* Time after which a stop has surely ended its run. */
+static int64_t
+stop_shows_ms(const struct scheduler *sched)
+{
+    return sched->timings.stop_ms + STOP_MARGIN_MS;
+}
+
 /* A run that was confirmed, or barred by a stop, before the list was asked
  * for and stands in neither list is not there. */
 static void
@@ -189,8 +198,10 @@
         bool listed_now = run->known_ms == now_ms;
         bool confirmed = run->known_ms != 0 &&
                          run->known_ms < backend->hold_sent_ms;
+        /* A run that is being stopped may be in neither list. */
         bool barred = run->stop_acked_ms != 0 &&
-                      run->stop_acked_ms < backend->hold_sent_ms;
+                      run->stop_acked_ms + stop_shows_ms(sched) <
+                          backend->hold_sent_ms;
         if (listed_now || (run->state != RUN_STOPPING && !confirmed) ||
             (run->state == RUN_STOPPING && !barred)) {
             continue;
@@ -212,6 +223,26 @@
     backend->hold_due_ms = sched_now(sched) + LIST_RETRY_MS;
 }
 
+/* A run that an earlier scheduler is stopping stands in neither list; until
+ * that has shown, nothing it may be is started again. */
+static void
+settle(struct scheduler *sched, struct backend *backend)
+{
+    if (!backend->inherited) {
+        return;
+    }
+    if (backend->settle_ms == 0) {
+        backend->settle_ms = sched_now(sched) + stop_shows_ms(sched);
+    }
+    else if (backend->hold_sent_ms >= backend->settle_ms) {
+        backend->inherited = false;
+        return;
+    }
+    if (backend->runs->len == 0) {
+        backend->hold_due_ms = backend->settle_ms;
+    }
+}
+
 void
 scheduler_on_list(struct scheduler *sched, const char *backend_id,
                   const struct backend_lists *lists)
@@ -269,7 +300,7 @@
     }
     drop_absent(sched, backend, lists);
     backend->reconciled = true;
-    backend->inherited = false;
+    settle(sched, backend);
 }
 
 static bool
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -149,6 +149,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, link_destroy);
     leader->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              kv_item_destroy);
+    leader->early = g_ptr_array_new_with_free_func(kv_item_destroy);
     leader->listed_now =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->cancels = g_ptr_array_new();
@@ -197,6 +198,7 @@
     hosts_api_destroy(leader->hosts);
     g_hash_table_unref(leader->links);
     g_hash_table_unref(leader->progress);
+    g_ptr_array_unref(leader->early);
     g_hash_table_unref(leader->listed_now);
     g_hash_table_unref(leader->wave_status);
     g_free(leader->wave_status_sent);
@@ -241,6 +243,13 @@
 leader_job_stored(struct leader *leader, const char *id, const char *value,
                   size_t bytes)
 {
+    if (leader->stage < STAGE_READY) {
+        /* It may be a repeated submission of a job with a stored progress. */
+        struct kv_item early = {
+            .key = (char *)id, .value = (char *)value, .value_bytes = bytes};
+        g_ptr_array_add(leader->early, kv_item_copy(&early));
+        return;
+    }
     if (scheduler_find_job(leader->sched, id) != NULL) {
         return;
     }
@@ -249,7 +258,6 @@
         event_log("record_unreadable", "\"job\":\"%s\"", id);
         return;
     }
-    job->inherited = leader->stage < STAGE_READY;
     scheduler_add_job(leader->sched, job);
     char steps[STEPS_BYTES];
     job_describe(job, steps, sizeof(steps));
@@ -262,6 +270,16 @@
     leader_tick_soon(leader);
 }
 
+void
+leader_take_early(struct leader *leader)
+{
+    for (guint i = 0; i < leader->early->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(leader->early, i);
+        leader_job_stored(leader, item->key, item->value, item->value_bytes);
+    }
+    g_ptr_array_set_size(leader->early, 0);
+}
+
 static void
 reply_with(const struct job_reply *reply, int status, const char *body)
 {
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -149,6 +149,7 @@
               figures.backends_unsettled);
     leader_config_changed(leader);
     leader_orders_changed(leader);
+    leader_take_early(leader);
     leader_watch_backends(leader);
     leader_read_news(leader);
     leader_tick_soon(leader);
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -56,6 +56,7 @@
     bool tick_soon;
     GHashTable *links;
     GHashTable *progress;
+    GPtrArray *early;
     GHashTable *listed_now;
     int64_t backends_as_of;
     bool news_fetching;
@@ -68,6 +69,9 @@
 };
 
 /* leader.c */
+/* Takes the jobs that were accepted while the records were read. */
+void
+leader_take_early(struct leader *leader);
 void
 leader_tick_soon(struct leader *leader);
 void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -124,7 +124,10 @@
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is under way
  * @reconciled: its lists were read with the current fencing token
- * @inherited: registered by an earlier scheduler
+ * @inherited: registered by an earlier scheduler, whose runs and stops here
+ *             are not all known yet
+ * @settle_ms: when a stop sent by that scheduler has surely shown; 0: its
+ *             lists were not read yet
  * @silent: its last call got no answer
  * @leaving: its host is about to move or to be rebooted
  * @clock_ms: its clock when last told
@@ -152,6 +155,7 @@
     bool registering;
     bool reconciled;
     bool inherited;
+    int64_t settle_ms;
     bool silent;
     bool leaving;
     int64_t clock_ms;
