Size pools by what could run now, and spread what has to be spread

Change: wanted hosts come from ready tasks, at most all at once, at least in time, from arrivals over two seconds, and from the spread of steps. Ruled out: processor time (0.01 of a core in the mean).

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -17,7 +17,7 @@
     INTENT_TIMEOUT_MS = 6000,
     /* A move pays for itself when its host is off this long; shorter lulls
      * than this are waited out. */
-    SURPLUS_MS = 800,
+    SURPLUS_MS = 1500,
 };
 
 /* A pool keeps this many hosts for what arrives without notice. */
@@ -79,15 +79,6 @@
     empty_host(sched, host);
 }
 
-/* Room that a host would bring to, or take from, a pool. */
-static int64_t
-host_room_milli(const struct scheduler *sched, const struct host *host,
-                int64_t fallback_milli)
-{
-    const struct backend *backend = sched_host_backend(sched, host);
-    return backend == NULL ? fallback_milli : backend->entry.room.cpu_milli;
-}
-
 static void
 count_coming(struct scheduler *sched)
 {
@@ -97,20 +88,20 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct host *host = value;
         if (host->intent == HOST_MOVES && host->target_pool != NULL) {
-            struct pool_load *load =
-                sched_pool_load(sched, host->target_pool);
-            load->coming_milli +=
-                host_room_milli(sched, host, load->host_milli);
+            sched_pool_load(sched, host->target_pool)->coming++;
+        }
+        else if (host->intent == HOST_REBOOTS && host->ordered) {
+            sched_pool_load(sched, host->pool)->coming++;
         }
     }
 }
 
+/* Hosts beyond what the pool wants and its reserve. */
 static int64_t
-surplus_milli(const struct pool_load *load, int64_t now_ms)
+surplus_hosts(const struct pool_load *load, int64_t now_ms)
 {
-    return load->room_milli + load->coming_milli -
-           pool_load_wanted_milli(load, now_ms) -
-           RESERVE_HOSTS * load->host_milli;
+    return load->hosts + load->coming -
+           pool_load_wanted_hosts(load, now_ms) - RESERVE_HOSTS;
 }
 
 static bool
@@ -142,9 +133,7 @@
         if (is_spare(sched, host->pool)) {
             return host;
         }
-        struct pool_load *load = sched_pool_load(sched, host->pool);
-        if (surplus_milli(load, now_ms) >=
-            host_room_milli(sched, host, load->host_milli)) {
+        if (surplus_hosts(sched_pool_load(sched, host->pool), now_ms) > 0) {
             best = host;
         }
     }
@@ -154,21 +143,19 @@
 static void
 plan_move(struct scheduler *sched, struct host *host, const char *pool)
 {
-    struct pool_load *from = sched_pool_load(sched, host->pool);
-    int64_t milli = host_room_milli(sched, host, from->host_milli);
     sched_note(sched, "host_move_planned",
                "\"host\":\"%s\",\"from\":\"%s\",\"to\":\"%s\"", host->name,
                host->pool, pool);
-    from->room_milli -= milli;
-    sched_pool_load(sched, pool)->coming_milli += milli;
+    sched_pool_load(sched, host->pool)->hosts--;
+    sched_pool_load(sched, pool)->coming++;
     sched_host_intend(sched, host, HOST_MOVES, pool);
 }
 
 static void
 grow_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
 {
-    while (pool_load_wanted_milli(load, now_ms) >
-           load->room_milli + load->coming_milli) {
+    while (pool_load_wanted_hosts(load, now_ms) >
+           load->hosts + load->coming) {
         struct host *host = find_source(sched, load->pool, now_ms);
         if (host == NULL) {
             return;
@@ -181,8 +168,7 @@
 shrink_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
 {
     const struct pool_config *spare = fleet_config_spare(sched->config);
-    if (spare == NULL || load->host_milli == 0 ||
-        surplus_milli(load, now_ms) < load->host_milli) {
+    if (spare == NULL || surplus_hosts(load, now_ms) <= 0) {
         load->surplus_since_ms = 0;
         return;
     }
@@ -197,7 +183,7 @@
     g_hash_table_iter_init(&iter, sched->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct host *host = value;
-        if (surplus_milli(load, now_ms) < load->host_milli) {
+        if (surplus_hosts(load, now_ms) <= 0) {
             return;
         }
         if (movable(sched, host) && strcmp(host->pool, load->pool) == 0) {
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -10,14 +10,14 @@
 #include "scheduler_state.h"
 
 enum {
-    /* Arrivals of the last second count: a turn lasts some seconds. */
-    ARRIVAL_TAU_MS = 1000,
-    /* Work that is left is to be done in this time. */
-    BACKLOG_HORIZON_MS = 1200,
+    /* Arrivals of the last two seconds count: a turn lasts some seconds. */
+    ARRIVAL_TAU_MS = 2000,
+    /* Ready tasks are to be done in this time, or run all at once. */
+    READY_HORIZON_MS = 1000,
 };
 
-/* Headroom over arrivals: declared run times are often too low. */
-static const double ARRIVAL_HEADROOM = 1.25;
+/* Part of a host that tasks of uneven sizes fill. */
+static const double FILL = 0.9;
 
 static double
 decayed(const struct pool_load *load, int64_t now_ms)
@@ -40,19 +40,44 @@
 }
 
 static void
-measure_job(struct scheduler *sched, const struct job *job)
+measure_part(struct pool_load *load, const struct job *job,
+             uint32_t occurrence, uint32_t index)
+{
+    const struct job_step *step = &job->steps[index];
+    const struct job_part *part = job_part(job, occurrence, index);
+    int64_t left = step->task_count - part->done;
+    if (left == 0 || !job_step_ready(job, occurrence, index)) {
+        return;
+    }
+    struct job_room need = step->need;
+    if (step->fills) {
+        need.cpu_milli = 0;
+    }
+    if (step->max_per_backend > 0) {
+        int64_t hosts = (left + step->max_per_backend - 1) /
+                        step->max_per_backend;
+        load->spread_hosts = MAX(load->spread_hosts, hosts);
+    }
+    if (step->long_running) {
+        room_add(&load->lasting, &need, left);
+        return;
+    }
+    room_add(&load->ready, &need, left);
+    load->ready_milli += need.cpu_milli * left *
+                         MIN(step->estimate_ms, READY_HORIZON_MS) /
+                         READY_HORIZON_MS;
+}
+
+static void
+measure_job(struct scheduler *sched, const struct job *job, int64_t unix_ms)
 {
     struct pool_load *load = sched_pool_load(sched, job->pool);
-    uint32_t n_parts = job->n_occurrences * job->n_steps;
-    for (uint32_t p = 0; p < n_parts; p++) {
-        const struct job_step *step = &job->steps[p % job->n_steps];
-        int64_t left = step->task_count - job->parts[p].done;
-        int64_t milli = step->fills ? 0 : step->need.cpu_milli * left;
-        if (step->long_running) {
-            load->lasting_milli += milli;
+    for (uint32_t k = 0; k < job->n_occurrences; k++) {
+        if (job_due_ms(job, k) > unix_ms) {
+            return;
         }
-        else if (job->first_ms == 0) {
-            load->backlog_core_ms += milli * step->estimate_ms;
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            measure_part(load, job, k, s);
         }
     }
 }
@@ -61,12 +86,14 @@
 measure_backend(struct scheduler *sched, const struct backend *backend)
 {
     struct pool_load *load = sched_pool_load(sched, backend->entry.pool);
-    load->host_milli =
-        MAX(load->host_milli, backend->entry.room.cpu_milli);
+    const struct job_room *room = &backend->entry.room;
+    load->host.cpu_milli = MAX(load->host.cpu_milli, room->cpu_milli);
+    load->host.mem_mb = MAX(load->host.mem_mb, room->mem_mb);
+    load->host.gpus = MAX(load->host.gpus, room->gpus);
     if (backend->listed && !backend->leaving && !backend->entry.draining &&
         !backend->silent &&
         !sched_is_out(sched, backend->entry.data_centre)) {
-        load->room_milli += backend->entry.room.cpu_milli;
+        load->hosts++;
         load->used_milli += backend->used.cpu_milli;
     }
 }
@@ -74,22 +101,24 @@
 void
 sched_measure_pools(struct scheduler *sched)
 {
+    int64_t unix_ms = ms_clock_now(&sched->unix_clock);
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->pools);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct pool_load *load = value;
-        load->lasting_milli = 0;
-        load->backlog_core_ms = 0;
+        load->lasting = (struct job_room){0};
+        load->ready = (struct job_room){0};
+        load->ready_milli = 0;
+        load->spread_hosts = 0;
+        load->hosts = 0;
+        load->coming = 0;
         load->used_milli = 0;
-        load->room_milli = 0;
-        load->coming_milli = 0;
-        load->host_milli = 0;
     }
     for (guint i = 0; i < sched->active->len; i++) {
         const struct job *job = g_ptr_array_index(sched->active, i);
         if (job->pool != NULL) {
-            measure_job(sched, job);
+            measure_job(sched, job, unix_ms);
         }
     }
     g_hash_table_iter_init(&iter, sched->backends);
@@ -98,10 +127,23 @@
     }
 }
 
+static double
+hosts_for(double need, int64_t per_host)
+{
+    return per_host == 0 ? 0 : need / ((double)per_host * FILL);
+}
+
 int64_t
-pool_load_wanted_milli(const struct pool_load *load, int64_t now_ms)
+pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms)
 {
-    double arrivals = decayed(load, now_ms) * ARRIVAL_HEADROOM;
-    double backlog = (double)load->backlog_core_ms / BACKLOG_HORIZON_MS;
-    return load->lasting_milli + (int64_t)MAX(arrivals, backlog);
+    double cores = MAX(decayed(load, now_ms), (double)load->ready_milli);
+    double by_cpu = hosts_for((double)load->lasting.cpu_milli + cores,
+                              load->host.cpu_milli);
+    double by_memory =
+        hosts_for((double)load->lasting.mem_mb, load->host.mem_mb);
+    double by_gpus =
+        hosts_for((double)(load->lasting.gpus + load->ready.gpus),
+                  load->host.gpus);
+    int64_t hosts = (int64_t)ceil(MAX(MAX(by_cpu, by_memory), by_gpus));
+    return MAX(hosts, load->spread_hosts);
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -90,24 +90,28 @@
  * struct pool_load - demand on one pool and what it has
  * @arrival_milli: cores that newly arriving work asks for, decaying
  * @arrival_at_ms: when that was last brought up to date
- * @lasting_milli: cores of tasks that last, running or waiting
- * @backlog_core_ms: declared work of short jobs that is left, milli-cores x ms
- * @used_milli: cores in use
- * @room_milli: cores of the backend servers that take work
- * @coming_milli: cores of hosts on their way into the pool
- * @host_milli: cores of its largest backend server
+ * @lasting: room of tasks that last, running or waiting
+ * @ready: room of short tasks that run or could run now
+ * @ready_milli: cores that would finish these in time
+ * @spread_hosts: hosts over which some step has to be spread
+ * @host: room of its largest host
+ * @hosts: hosts that take work
+ * @coming: hosts on their way into the pool
+ * @used_milli: cores in use on those that take work
  * @surplus_since_ms: since when it has had more than it needs; 0: has not
  */
 struct pool_load {
     char *pool;
     double arrival_milli;
     int64_t arrival_at_ms;
-    int64_t lasting_milli;
-    int64_t backlog_core_ms;
+    struct job_room lasting;
+    struct job_room ready;
+    int64_t ready_milli;
+    int64_t spread_hosts;
+    struct job_room host;
+    int64_t hosts;
+    int64_t coming;
     int64_t used_milli;
-    int64_t room_milli;
-    int64_t coming_milli;
-    int64_t host_milli;
     int64_t surplus_since_ms;
 };
 
@@ -227,7 +231,7 @@
 void
 sched_measure_pools(struct scheduler *sched);
 int64_t
-pool_load_wanted_milli(const struct pool_load *load, int64_t now_ms);
+pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms);
 
 /* order.c */
 int
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -12,7 +12,7 @@
     /* Time to empty a host: short tasks end within about this time. */
     EMPTY_HOST_MS = 2000,
     /* Before this much is left, hosts of busy pools wait for a quiet time. */
-    WAVE_COMFORT_MS = 5000,
+    WAVE_COMFORT_MS = 8000,
     DEFAULT_WITHIN_MS = 20000,
 };
 
@@ -153,9 +153,10 @@
         return 0;
     }
     const struct pool_load *load = sched_pool_load(sched, host->pool);
-    double use = load->room_milli == 0
+    int64_t room_milli = load->hosts * load->host.cpu_milli;
+    double use = room_milli == 0
                      ? 1
-                     : (double)load->used_milli / (double)load->room_milli;
+                     : (double)load->used_milli / (double)room_milli;
     return use + (double)backend->used.cpu_milli /
                      (double)MAX(backend->entry.room.cpu_milli, 1) / 2;
 }
