Order shortest work first; order hosts away only when their lists are known

Change: jobs that can meet their objective, least remaining work first; an empty host is one whose lists were read. Ready tasks are to be done in 0.5 s or run at once; a host is counted as 0.85 full at most.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -50,7 +50,7 @@
 empty_host(struct scheduler *sched, const struct host *host)
 {
     const struct backend *backend = sched_host_backend(sched, host);
-    for (guint i = 0; i < backend->runs->len; i++) {
+    for (guint i = 0; backend != NULL && i < backend->runs->len; i++) {
         struct run *run = g_ptr_array_index(backend->runs, i);
         if (run_step(run)->long_running && run->state == RUN_WORKING &&
             sched_run_may_stop(run)) {
@@ -110,8 +110,8 @@
     const struct backend *backend = sched_host_backend(sched, host);
     return host->present && host->up && host->intent == HOST_STAYS &&
            !host->ordered && !host->ordering && host->wave == 0 &&
-           (backend == NULL ||
-            (!backend->entry.draining && backend->runs->len == 0));
+           (backend == NULL || !backend->entry.draining) &&
+           sched_host_empty(sched, host);
 }
 
 /* The best host to bring to @pool: a spare one, else an idle one of a pool
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -20,11 +20,18 @@
                : scheduler_find_backend(sched, host->backend_id);
 }
 
+/* Whether nothing runs on the host; without its lists that isn't known. */
 bool
 sched_host_empty(const struct scheduler *sched, const struct host *host)
 {
+    const struct pool_config *pool =
+        fleet_config_pool(sched->config, host->pool);
     const struct backend *backend = sched_host_backend(sched, host);
-    return backend == NULL || backend->runs->len == 0;
+    if (pool != NULL && pool->spare) {
+        return backend == NULL || backend->runs->len == 0;
+    }
+    return backend != NULL && backend->reconciled && !backend->inherited &&
+           !backend->silent && backend->runs->len == 0;
 }
 
 void
--- a/core/jobs/order.c
+++ b/core/jobs/order.c
@@ -40,6 +40,20 @@
     return longest_ms;
 }
 
+/* Declared work of a job that is left, in thousandths of a core times ms. */
+static int64_t
+remaining_core_ms(const struct job *job)
+{
+    int64_t sum = 0;
+    uint32_t n_parts = job->n_occurrences * job->n_steps;
+    for (uint32_t p = 0; p < n_parts; p++) {
+        const struct job_step *step = &job->steps[p % job->n_steps];
+        sum += (step->task_count - job->parts[p].done) * step->need.cpu_milli *
+               step->estimate_ms;
+    }
+    return sum;
+}
+
 static struct job_rank
 rank_job(const struct scheduler *sched, const struct job *job, int64_t unix_ms)
 {
@@ -56,9 +70,9 @@
         from_ms + (int64_t)(stretch * job_chain_ms(job)) + objective_ms;
     int64_t slack_ms = by_ms - unix_ms - remaining_chain_ms(job);
     if (slack_ms >= 0) {
-        return (struct job_rank){URGENCY_ATTAINABLE, slack_ms};
+        return (struct job_rank){URGENCY_ATTAINABLE, remaining_core_ms(job)};
     }
-    return (struct job_rank){URGENCY_LATE, job->accepted_unix_ms};
+    return (struct job_rank){URGENCY_LATE, remaining_core_ms(job)};
 }
 
 int
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -13,11 +13,11 @@
     /* Arrivals of the last two seconds count: a turn lasts some seconds. */
     ARRIVAL_TAU_MS = 2000,
     /* Ready tasks are to be done in this time, or run all at once. */
-    READY_HORIZON_MS = 1000,
+    READY_HORIZON_MS = 500,
 };
 
 /* Part of a host that tasks of uneven sizes fill. */
-static const double FILL = 0.9;
+static const double FILL = 0.85;
 
 static double
 decayed(const struct pool_load *load, int64_t now_ms)
