Reach the store through a peer while it turns this process away

Change: store_path decides per call whether it goes directly or through a peer that passes it on; the reading of the operator's orders is always tried directly and finds out when the direct way works again.

--- a/core/jobs/backend.c
+++ b/core/jobs/backend.c
@@ -105,8 +105,7 @@
 backend_clock_at_least_ms(const struct backend *backend, int64_t now_ms)
 {
     int64_t elapsed_ms = now_ms - backend->clock_at_ms;
-    return backend->clock_ms +
-           elapsed_ms * (100 - CLOCK_SLOW_PERCENT) / 100;
+    return backend->clock_ms + elapsed_ms * (100 - CLOCK_SLOW_PERCENT) / 100;
 }
 
 bool
--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -100,8 +100,8 @@
 static int64_t
 surplus_hosts(const struct pool_load *load, int64_t now_ms)
 {
-    return load->hosts + load->coming -
-           pool_load_wanted_hosts(load, now_ms) - RESERVE_HOSTS;
+    return load->hosts + load->coming - pool_load_wanted_hosts(load, now_ms) -
+           RESERVE_HOSTS;
 }
 
 static bool
@@ -154,8 +154,7 @@
 static void
 grow_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
 {
-    while (pool_load_wanted_hosts(load, now_ms) >
-           load->hosts + load->coming) {
+    while (pool_load_wanted_hosts(load, now_ms) > load->hosts + load->coming) {
         struct host *host = find_source(sched, load->pool, now_ms);
         if (host == NULL) {
             return;
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -86,8 +86,7 @@
     if (backend->entry.host == NULL) {
         return;
     }
-    struct host *host =
-        g_hash_table_lookup(sched->hosts, backend->entry.host);
+    struct host *host = g_hash_table_lookup(sched->hosts, backend->entry.host);
     if (host == NULL || g_strcmp0(host->last_life, backend->entry.id) == 0 ||
         g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -164,11 +164,12 @@
 static void
 describe_step(const struct job_step *step, GString *out)
 {
-    g_string_append_printf(
-        out, "%s%ux%" G_GINT64_FORMAT "c%" G_GINT64_FORMAT "m%" G_GINT64_FORMAT
-             "ms",
-        out->len > 0 ? " " : "", step->task_count, step->need.cpu_milli,
-        step->need.mem_mb, step->estimate_ms);
+    g_string_append_printf(out,
+                           "%s%ux%" G_GINT64_FORMAT "c%" G_GINT64_FORMAT
+                           "m%" G_GINT64_FORMAT "ms",
+                           out->len > 0 ? " " : "", step->task_count,
+                           step->need.cpu_milli, step->need.mem_mb,
+                           step->estimate_ms);
     if (step->max_per_backend > 0) {
         g_string_append_printf(out, "/apart%u", step->max_per_backend);
     }
@@ -183,9 +184,12 @@
         bool set;
         const char *name;
     } flags[] = {
-        {step->long_running, "/lasts"},      {step->fills, "/fills"},
-        {step->checkpointing, "/saves"},     {step->gang, "/gang"},
-        {step->same_rack, "/rack"},          {step->speculative, "/copies"},
+        {step->long_running, "/lasts"},
+        {step->fills, "/fills"},
+        {step->checkpointing, "/saves"},
+        {step->gang, "/gang"},
+        {step->same_rack, "/rack"},
+        {step->speculative, "/copies"},
         {step->required_label != NULL, "/label"},
         {step->data_rack != NULL, "/near"},
     };
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -77,8 +77,7 @@
     if (!room_fits(&free_room, &need)) {
         return false;
     }
-    if (backend->suspect_until_ms > placer->now_ms &&
-        backend->runs->len > 0) {
+    if (backend->suspect_until_ms > placer->now_ms && backend->runs->len > 0) {
         return false;
     }
     if (step->required_label != NULL &&
@@ -212,8 +211,7 @@
 place_gang_in(struct placer *placer, struct job *job, const char *pool,
               struct place_want *want)
 {
-    struct job_part *part =
-        job_part(job, want->occurrence, want->step_index);
+    struct job_part *part = job_part(job, want->occurrence, want->step_index);
     uint32_t n_tasks = want->step->task_count;
     uint32_t number = 0;
     for (uint32_t t = 0; t < n_tasks; t++) {
@@ -245,8 +243,7 @@
 place_gang(struct placer *placer, struct job *job, const char *pool,
            struct place_want *want)
 {
-    struct job_part *part =
-        job_part(job, want->occurrence, want->step_index);
+    struct job_part *part = job_part(job, want->occurrence, want->step_index);
     for (uint32_t t = 0; t < want->step->task_count; t++) {
         if (!task_waits(placer, &part->tasks[t])) {
             return;
@@ -255,8 +252,8 @@
     const GPtrArray *usable = g_hash_table_lookup(placer->usable, pool);
     GHashTable *tried = g_hash_table_new(g_str_hash, g_str_equal);
     bool placed = false;
-    for (guint i = 0; want->step->same_rack && usable != NULL && !placed &&
-                      i < usable->len;
+    for (guint i = 0;
+         want->step->same_rack && usable != NULL && !placed && i < usable->len;
          i++) {
         const char *rack = backend_rack(g_ptr_array_index(usable, i));
         if (g_hash_table_add(tried, (void *)rack)) {
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -54,8 +54,8 @@
         need.cpu_milli = 0;
     }
     if (step->max_per_backend > 0) {
-        int64_t hosts = (left + step->max_per_backend - 1) /
-                        step->max_per_backend;
+        int64_t hosts =
+            (left + step->max_per_backend - 1) / step->max_per_backend;
         load->spread_hosts = MAX(load->spread_hosts, hosts);
     }
     if (step->long_running) {
@@ -91,8 +91,7 @@
     load->host.mem_mb = MAX(load->host.mem_mb, room->mem_mb);
     load->host.gpus = MAX(load->host.gpus, room->gpus);
     if (backend->listed && !backend->leaving && !backend->entry.draining &&
-        !backend->silent &&
-        !sched_is_out(sched, backend->entry.data_centre)) {
+        !backend->silent && !sched_is_out(sched, backend->entry.data_centre)) {
         load->hosts++;
         load->used_milli += backend->used.cpu_milli;
     }
@@ -141,9 +140,8 @@
                               load->host.cpu_milli);
     double by_memory =
         hosts_for((double)load->lasting.mem_mb, load->host.mem_mb);
-    double by_gpus =
-        hosts_for((double)(load->lasting.gpus + load->ready.gpus),
-                  load->host.gpus);
+    double by_gpus = hosts_for((double)(load->lasting.gpus + load->ready.gpus),
+                               load->host.gpus);
     int64_t hosts = (int64_t)ceil(MAX(MAX(by_cpu, by_memory), by_gpus));
     return MAX(hosts, load->spread_hosts);
 }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -87,12 +87,12 @@
     sched->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                         job_value_destroy);
     sched->active = g_ptr_array_new();
-    sched->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                        run_destroy);
-    sched->team_use = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                            team_use_destroy);
-    sched->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                         host_destroy);
+    sched->runs =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, run_destroy);
+    sched->team_use =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_use_destroy);
+    sched->hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_destroy);
     sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          pool_load_destroy);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
@@ -126,8 +126,7 @@
 }
 
 void
-sched_note(struct scheduler *sched, const char *event, const char *format,
-           ...)
+sched_note(struct scheduler *sched, const char *event, const char *format, ...)
 {
     if (sched->ops.note == NULL) {
         return;
@@ -318,16 +317,15 @@
     backend->inherited = true;
     backend->registered = true;
     /* The scheduler before granted its last lease before this one began. */
-    backend->lapse_ms = sched->taken_over_ms +
-                        sched->timings.lease_max_ms * 102 / 100 + 100;
+    backend->lapse_ms =
+        sched->taken_over_ms + sched->timings.lease_max_ms * 102 / 100 + 100;
 }
 
 bool
 sched_usable(const struct scheduler *sched, const struct backend *backend)
 {
     return backend->listed && backend->reconciled && backend->registered &&
-           !backend->entry.draining && !backend->silent &&
-           !backend->leaving &&
+           !backend->entry.draining && !backend->silent && !backend->leaving &&
            !sched_is_out(sched, backend->entry.data_centre);
 }
 
@@ -465,8 +463,8 @@
     g_hash_table_iter_init(&iter, sched->backends);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct backend *backend = value;
-        if (backend->listed && !backend->registered &&
-            !backend->registering && !backend->entry.draining) {
+        if (backend->listed && !backend->registered && !backend->registering &&
+            !backend->entry.draining) {
             const struct pool_config *pool =
                 fleet_config_pool(sched->config, backend->entry.pool);
             if (pool == NULL || pool->spare) {
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -123,9 +123,8 @@
         stop_stray(sched, backend, listed);
         return;
     }
-    struct run *run =
-        sched_run_create(sched, job, name.occurrence, name.step, name.index,
-                         listed->number, backend);
+    struct run *run = sched_run_create(sched, job, name.occurrence, name.step,
+                                       name.index, listed->number, backend);
     run->state = RUN_WORKING;
     update_run(sched, run, listed);
     sched_note(sched, "run_adopted", "\"task\":\"%s\",\"backend\":\"%s\"",
@@ -162,8 +161,7 @@
         &job_part(job, name.occurrence, name.step)->tasks[name.index];
     task->run_number = MAX(task->run_number, listed->run);
     struct run *run = task->run;
-    if (run != NULL && run->backend == backend &&
-        run->number == listed->run) {
+    if (run != NULL && run->backend == backend && run->number == listed->run) {
         sched_run_end(sched, run, listed->reason, listed->saved);
     }
     else if (listed->reason == END_DONE && job->state == JOB_ACTIVE) {
@@ -196,12 +194,12 @@
     for (guint i = backend->runs->len; i > 0; i--) {
         struct run *run = g_ptr_array_index(backend->runs, i - 1);
         bool listed_now = run->known_ms == now_ms;
-        bool confirmed = run->known_ms != 0 &&
-                         run->known_ms < backend->hold_sent_ms;
+        bool confirmed =
+            run->known_ms != 0 && run->known_ms < backend->hold_sent_ms;
         /* A run that is being stopped may be in neither list. */
-        bool barred = run->stop_acked_ms != 0 &&
-                      run->stop_acked_ms + stop_shows_ms(sched) <
-                          backend->hold_sent_ms;
+        bool barred =
+            run->stop_acked_ms != 0 &&
+            run->stop_acked_ms + stop_shows_ms(sched) < backend->hold_sent_ms;
         if (listed_now || (run->state != RUN_STOPPING && !confirmed) ||
             (run->state == RUN_STOPPING && !barred)) {
             continue;
@@ -327,10 +325,9 @@
     bool first = !backend->reconciled || backend->silent;
     int64_t until_ms = 0;
     if (sched->valid && !first && backend->runs->len > 0) {
-        until_ms = backend_grant(backend,
-                                 sched->outage ? sched->timings.lease_max_ms
-                                               : LEASE_MS,
-                                 now_ms);
+        until_ms = backend_grant(
+            backend, sched->outage ? sched->timings.lease_max_ms : LEASE_MS,
+            now_ms);
     }
     bool wait = !first && !sched->outage && backend->runs->len > 0;
     int64_t wait_ms = wait ? LIST_WAIT_MS : 0;
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -113,8 +113,8 @@
     if (step->may_miss == 0) {
         return true;
     }
-    const struct job_part *part = job_part(run->job, run->occurrence,
-                                           run->step);
+    const struct job_part *part =
+        job_part(run->job, run->occurrence, run->step);
     uint32_t away = 0;
     for (uint32_t t = 0; t < step->task_count; t++) {
         const struct run *other = part->tasks[t].run;
@@ -154,9 +154,8 @@
     }
     const struct pool_load *load = sched_pool_load(sched, host->pool);
     int64_t room_milli = load->hosts * load->host.cpu_milli;
-    double use = room_milli == 0
-                     ? 1
-                     : (double)load->used_milli / (double)room_milli;
+    double use =
+        room_milli == 0 ? 1 : (double)load->used_milli / (double)room_milli;
     return use + (double)backend->used.cpu_milli /
                      (double)MAX(backend->entry.room.cpu_milli, 1) / 2;
 }
@@ -196,10 +195,8 @@
     int64_t now_ms = sched_now(sched);
     uint32_t left = hosts_left(sched, wave);
     int64_t rounds = (left + wave->most - 1) / wave->most;
-    int64_t needed_ms =
-        rounds * (sched->timings.reboot_ms + EMPTY_HOST_MS);
-    bool hurry =
-        now_ms + needed_ms + WAVE_COMFORT_MS > wave->complete_by_ms;
+    int64_t needed_ms = rounds * (sched->timings.reboot_ms + EMPTY_HOST_MS);
+    bool hurry = now_ms + needed_ms + WAVE_COMFORT_MS > wave->complete_by_ms;
     while (hosts_taken(sched, wave) < wave->most) {
         struct host *host = next_host(sched, wave, hurry);
         if (host == NULL) {
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -6,6 +6,7 @@
 #include "egretjobd/duty.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/decode.h"
 #include "platform/kv.h"
 
@@ -183,8 +184,8 @@
         puts[txn.n_puts++] =
             (struct kv_put){.key = entry->key, .value = entry->value};
         if (!acceptor->with_duty) {
-            puts[txn.n_puts++] = (struct kv_put){.key = entry->news_key,
-                                                 .value = NEWS_JOB};
+            puts[txn.n_puts++] =
+                (struct kv_put){.key = entry->news_key, .value = NEWS_JOB};
         }
     }
     kv_commit(acceptor->kv, &txn,
@@ -204,9 +205,10 @@
 {
     struct acceptor *acceptor = g_new0(struct acceptor, 1);
     acceptor->node = node;
-    acceptor->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS);
-    acceptor->reads =
-        kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS);
+    acceptor->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
+                             store_path_any(node->path));
+    acceptor->reads = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
+                                store_path_any(node->path));
     acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
     acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&acceptor->waiting);
--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -7,6 +7,7 @@
 #include "egretjobd/leader.h"
 #include "egretjobd/peers.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/decode.h"
 #include "platform/json_text.h"
 
@@ -94,8 +95,8 @@
     for (guint i = 0; i < feed->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(feed->items, i);
         if (g_str_has_prefix(item->key, PLATFORM_OUT_PREFIX)) {
-            g_ptr_array_add(
-                out, g_strdup(item->key + strlen(PLATFORM_OUT_PREFIX)));
+            g_ptr_array_add(out,
+                            g_strdup(item->key + strlen(PLATFORM_OUT_PREFIX)));
         }
         else if (g_str_has_prefix(item->key, PLATFORM_WAVE_PREFIX)) {
             struct host_wave wave;
@@ -270,7 +271,8 @@
 {
     struct config_feed *feed = g_new0(struct config_feed, 1);
     feed->node = node;
-    feed->kv = kv_create(node->base, node->boot->store, READ_TIMEOUT_MS);
+    feed->kv = kv_create(node->base, node->boot->store, READ_TIMEOUT_MS,
+                         store_path_direct(node->path));
     feed->items = g_ptr_array_new_with_free_func(kv_item_destroy);
     feed->next_items = g_ptr_array_new_with_free_func(kv_item_destroy);
     feed->waves = g_ptr_array_new_with_free_func(wave_destroy);
@@ -349,8 +351,9 @@
         const struct kv_item *item = g_ptr_array_index(feed->items, i);
         g_string_append(out, i == 0 ? "{\"key\":" : ",{\"key\":");
         json_text_add(out, item->key);
-        g_string_append_printf(out, ",\"revision\":%" G_GINT64_FORMAT
-                               ",\"value\":", item->revision);
+        g_string_append_printf(
+            out,
+            ",\"revision\":%" G_GINT64_FORMAT ",\"value\":", item->revision);
         json_text_add(out, item->value);
         g_string_append_c(out, '}');
     }
--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/json_text.h"
 #include "platform/kv.h"
 
@@ -204,12 +205,10 @@
     duty->revision = revision;
     duty->renewed_ms = duty->lease_sent_ms;
     duty->valid_until_ms = duty->lease_sent_ms + DUTY_TTL_MS - TTL_MARGIN_MS;
-    event_log("duty_won",
-              "\"token\":%" G_GINT64_FORMAT ",\"term\":%u", duty->token,
-              duty->term);
+    event_log("duty_won", "\"token\":%" G_GINT64_FORMAT ",\"term\":%u",
+              duty->token, duty->term);
     timer_set(duty->timer, RENEW_MS);
-    duty->node->leader =
-        leader_create(duty->node, duty->token, duty->term);
+    duty->node->leader = leader_create(duty->node, duty->token, duty->term);
 }
 
 static void
@@ -273,8 +272,7 @@
         .puts = puts,
         .n_puts = G_N_ELEMENTS(puts),
     };
-    kv_commit(duty->kv, &txn,
-              (struct kv_done){.call = on_claim, .ctx = duty});
+    kv_commit(duty->kv, &txn, (struct kv_done){.call = on_claim, .ctx = duty});
 }
 
 static void
@@ -304,9 +302,8 @@
     if (duty->state != DUTY_HELD) {
         return;
     }
-    event_log("duty_lost",
-              "\"token\":%" G_GINT64_FORMAT ",\"why\":\"%s\"", duty->token,
-              why);
+    event_log("duty_lost", "\"token\":%" G_GINT64_FORMAT ",\"why\":\"%s\"",
+              duty->token, why);
     struct leader *leader = duty->node->leader;
     duty->node->leader = NULL;
     leader_destroy(leader);
@@ -370,8 +367,10 @@
 {
     struct duty *duty = g_new0(struct duty, 1);
     duty->node = node;
-    duty->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS);
-    duty->watch = kv_create(node->base, node->boot->store, WATCH_TIMEOUT_MS);
+    duty->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
+                         store_path_any(node->path));
+    duty->watch = kv_create(node->base, node->boot->store, WATCH_TIMEOUT_MS,
+                            store_path_any(node->path));
     duty->timer = evtimer_new(node->base, on_timer, duty);
     look_later(duty, g_random_int_range(0, CLAIM_SPREAD_MS));
     return duty;
--- a/egretjobd/front.c
+++ b/egretjobd/front.c
@@ -281,8 +281,7 @@
         refuse(front, exchange, 503, "no fresh configuration");
         return;
     }
-    const struct fleet_config *config =
-        config_feed_current(front->node->feed);
+    const struct fleet_config *config = config_feed_current(front->node->feed);
     char path[PATH_BYTES_MAX];
     char host[PATH_BYTES_MAX];
     copy_host(exchange, host);
@@ -313,17 +312,16 @@
     if (kind == JOB_CALL_SUBMIT && !check_body(front, exchange)) {
         return;
     }
-    start_request(front, exchange, kind, queue,
-                  team == NULL ? "" : team->name, rest);
+    start_request(front, exchange, kind, queue, team == NULL ? "" : team->name,
+                  rest);
 }
 
 static void
 on_health(void *ctx, struct http_exchange *exchange)
 {
     struct front *front = ctx;
-    bool ready =
-        strcmp(http_exchange_path(exchange), READY_PATH) == 0 &&
-        !front->node->leaving && config_feed_fresh(front->node->feed);
+    bool ready = strcmp(http_exchange_path(exchange), READY_PATH) == 0 &&
+                 !front->node->leaving && config_feed_fresh(front->node->feed);
     http_exchange_reply(exchange, ready ? 200 : 503, NULL);
 }
 
@@ -335,28 +333,27 @@
     struct sched_figures s;
     leader_figures(front->node->leader, &s);
     char text[METRICS_BYTES];
-    g_snprintf(text, sizeof(text),
-               "requests_total %" G_GUINT64_FORMAT "\n"
-               "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
-               "requests_refused_total %" G_GUINT64_FORMAT "\n"
-               "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
-               "requests_not_found_total %" G_GUINT64_FORMAT "\n"
-               "requests_invalid_total %" G_GUINT64_FORMAT "\n"
-               "requests_unknown_total %" G_GUINT64_FORMAT "\n"
-               "scheduler_held %d\n"
-               "config_fresh %d\n"
-               "jobs_active %u\nruns %u\nbackends %u\n"
-               "backends_unsettled %u\n"
-               "runs_started_total %" G_GUINT64_FORMAT "\n"
-               "tasks_done_total %" G_GUINT64_FORMAT "\n"
-               "runs_failed_total %" G_GUINT64_FORMAT "\n"
-               "runs_lost_total %" G_GUINT64_FORMAT "\n",
-               f->requests, f->accepted, f->refused, f->unauthorized,
-               f->not_found, f->invalid, f->unknown,
-               duty_held(front->node->duty),
-               config_feed_fresh(front->node->feed), s.jobs_active, s.runs,
-               s.backends, s.backends_unsettled, s.started, s.done, s.failed,
-               s.lost);
+    g_snprintf(
+        text, sizeof(text),
+        "requests_total %" G_GUINT64_FORMAT "\n"
+        "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
+        "requests_refused_total %" G_GUINT64_FORMAT "\n"
+        "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
+        "requests_not_found_total %" G_GUINT64_FORMAT "\n"
+        "requests_invalid_total %" G_GUINT64_FORMAT "\n"
+        "requests_unknown_total %" G_GUINT64_FORMAT "\n"
+        "scheduler_held %d\n"
+        "config_fresh %d\n"
+        "jobs_active %u\nruns %u\nbackends %u\n"
+        "backends_unsettled %u\n"
+        "runs_started_total %" G_GUINT64_FORMAT "\n"
+        "tasks_done_total %" G_GUINT64_FORMAT "\n"
+        "runs_failed_total %" G_GUINT64_FORMAT "\n"
+        "runs_lost_total %" G_GUINT64_FORMAT "\n",
+        f->requests, f->accepted, f->refused, f->unauthorized, f->not_found,
+        f->invalid, f->unknown, duty_held(front->node->duty),
+        config_feed_fresh(front->node->feed), s.jobs_active, s.runs,
+        s.backends, s.backends_unsettled, s.started, s.done, s.failed, s.lost);
     http_exchange_reply(exchange, 200, text);
 }
 
@@ -365,12 +362,12 @@
 {
     struct front *front = g_new0(struct front, 1);
     front->node = node;
-    front->callers = http_server_create(node->base, node->boot->front,
-                                        on_caller, front);
+    front->callers =
+        http_server_create(node->base, node->boot->front, on_caller, front);
     front->health =
         http_server_create(node->base, node->boot->ready, on_health, front);
-    front->metrics = http_server_create(node->base, node->boot->metrics,
-                                        on_metrics, front);
+    front->metrics =
+        http_server_create(node->base, node->boot->metrics, on_metrics, front);
     if (front->callers == NULL || front->health == NULL ||
         front->metrics == NULL) {
         front_destroy(front);
@@ -395,8 +392,8 @@
 front_config_changed(struct front *front, const struct fleet_config *config)
 {
     const struct ingress_limits *limits = &config->limits;
-    http_server_limit(front->callers, limits->header_bytes,
-                      limits->body_bytes, limits->idle_timeout_ms);
+    http_server_limit(front->callers, limits->header_bytes, limits->body_bytes,
+                      limits->idle_timeout_ms);
 }
 
 void
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -7,6 +7,7 @@
 #include "egretjobd/config_feed.h"
 #include "egretjobd/duty.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/decode.h"
 
 enum {
@@ -128,11 +129,15 @@
     const char *store = node->boot->store;
     leader->node = node;
     leader->token = token;
-    leader->reads = kv_create(node->base, store, READ_TIMEOUT_MS);
-    leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS);
+    leader->reads = kv_create(node->base, store, READ_TIMEOUT_MS,
+                              store_path_any(node->path));
+    leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS,
+                               store_path_any(node->path));
     leader->backend_watch =
-        kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS);
-    leader->news = kv_create(node->base, store, READ_TIMEOUT_MS);
+        kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
+                  store_path_any(node->path));
+    leader->news = kv_create(node->base, store, READ_TIMEOUT_MS,
+                             store_path_any(node->path));
     struct hosts_events events = {
         .on_list = on_hosts,
         .on_order = on_host_order,
@@ -356,8 +361,7 @@
         call_cancel(leader, call, reply);
         break;
     case JOB_CALL_WAITING:
-        body = encode_waiting(
-            scheduler_waiting(leader->sched, call->queue));
+        body = encode_waiting(scheduler_waiting(leader->sched, call->queue));
         reply_with(&reply, 200, body);
         g_free(body);
         break;
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -46,8 +46,8 @@
 {
     struct backend_link *link =
         g_hash_table_lookup(leader->links, backend->entry.id);
-    if (link != NULL && strcmp(backend_link_address(link),
-                               backend->entry.address) == 0) {
+    if (link != NULL &&
+        strcmp(backend_link_address(link), backend->entry.address) == 0) {
         return link;
     }
     struct backend_events events = {
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -5,6 +5,7 @@
 
 #include "common/event_log.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/decode.h"
 
 enum {
@@ -143,8 +144,7 @@
     g_hash_table_remove_all(leader->progress);
     struct sched_figures figures;
     scheduler_figures(leader->sched, &figures);
-    event_log("leader_ready",
-              "\"jobs\":%u,\"backends\":%u,\"unsettled\":%u",
+    event_log("leader_ready", "\"jobs\":%u,\"backends\":%u,\"unsettled\":%u",
               figures.jobs_active, figures.backends,
               figures.backends_unsettled);
     leader_config_changed(leader);
@@ -214,8 +214,8 @@
         struct leader_range *range = &leader->ranges[stage];
         range->leader = leader;
         range->stage = (enum leader_stage)stage;
-        range->kv =
-            kv_create(node->base, node->boot->store, LOAD_TIMEOUT_MS);
+        range->kv = kv_create(node->base, node->boot->store, LOAD_TIMEOUT_MS,
+                              store_path_any(node->path));
         range->items = g_ptr_array_new_with_free_func(kv_item_destroy);
         range->retry = evtimer_new(node->base, on_range_retry, range);
         load_page(range, NULL);
@@ -267,8 +267,7 @@
         return;
     }
     for (guint i = 0; i < result->items->len; i++) {
-        take_item(leader, STAGE_BACKENDS,
-                  g_ptr_array_index(result->items, i));
+        take_item(leader, STAGE_BACKENDS, g_ptr_array_index(result->items, i));
     }
     if (result->has_more && result->items->len > 0) {
         const struct kv_item *last =
--- a/egretjobd/leader_news.c
+++ b/egretjobd/leader_news.c
@@ -42,8 +42,7 @@
 
 /* Whether nothing is left to do about one piece of news. */
 static bool
-news_settled(struct leader *leader, const char *id,
-             const struct kv_item *item)
+news_settled(struct leader *leader, const char *id, const struct kv_item *item)
 {
     const struct job *job = scheduler_find_job(leader->sched, id);
     if (job == NULL) {
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -187,8 +187,7 @@
 void
 leader_flush(struct leader *leader)
 {
-    if (leader->batch != NULL ||
-        evtimer_pending(leader->flush_timer, NULL)) {
+    if (leader->batch != NULL || evtimer_pending(leader->flush_timer, NULL)) {
         return;
     }
     leader->batch = scheduler_take_batch(leader->sched, BATCH_CHANGES);
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -14,6 +14,7 @@
 #include "egretjobd/leader.h"
 #include "egretjobd/peers.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_path.h"
 #include "platform/kv.h"
 
 enum {
@@ -138,6 +139,7 @@
 static bool
 start_parts(struct node *node)
 {
+    node->path = store_path_create(node);
     node->peers = peers_create(node);
     node->front = front_create(node);
     if (node->peers == NULL || node->front == NULL) {
@@ -161,6 +163,7 @@
     acceptor_destroy(node->acceptor);
     front_destroy(node->front);
     peers_destroy(node->peers);
+    store_path_destroy(node->path);
 }
 
 static void
@@ -202,13 +205,13 @@
     event_log("start", "\"data_centre\":\"%s\",\"version\":\"%s\"",
               boot->data_centre, EGRET_VERSION);
     state.leave_timer = evtimer_new(node->base, on_leave_timer, &state);
-    state.register_timer =
-        evtimer_new(node->base, on_register_timer, &state);
+    state.register_timer = evtimer_new(node->base, on_register_timer, &state);
     add_signals(&state);
     bool started = start_parts(node);
     if (started) {
         state.registry =
-            kv_create(node->base, boot->store, REGISTER_TIMEOUT_MS);
+            kv_create(node->base, boot->store, REGISTER_TIMEOUT_MS,
+                      store_path_any(node->path));
         timer_set(state.register_timer, 0);
         event_base_dispatch(node->base);
         kv_destroy(state.registry);
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -6,11 +6,15 @@
 #include "egretjobd/config_feed.h"
 #include "egretjobd/leader.h"
 #include "net/http_server.h"
+#include "platform/kv.h"
 
 enum {
     /* A job is stored in milliseconds; after this the store is asked. */
     CALL_TIMEOUT_MS = 700,
     CONNECTIONS = 2,
+    /* Longer than the longest wait that is relayed. */
+    RELAY_TIMEOUT_MS = 2500,
+    RELAY_NO_ANSWER = 504,
 };
 
 #define PATH_SUBMIT "/submit"
@@ -42,6 +46,11 @@
     GHashTable *by_address;
 };
 
+struct relayed {
+    struct http_exchange *exchange;
+    struct http_client *client;
+};
+
 struct forwarded {
     struct job_reply reply;
 };
@@ -84,11 +93,53 @@
     g_free(body);
 }
 
+static void
+on_relayed(void *ctx, const struct http_reply *reply)
+{
+    struct relayed *relayed = ctx;
+    char *body = reply->body_bytes == 0
+                     ? NULL
+                     : g_strndup(reply->body, reply->body_bytes);
+    /* A peer that gets no answer tells so by giving none that counts. */
+    http_exchange_reply(relayed->exchange,
+                        reply->status == 0 ? RELAY_NO_ANSWER : reply->status,
+                        body);
+    g_free(body);
+    http_client_destroy(relayed->client);
+    g_free(relayed);
+}
+
+/* Passes a call on to the store, which serves this process but not the peer.
+ * Each has a connection of its own: a long wait delays no other. */
+static void
+relay(struct peers *peers, struct http_exchange *exchange, const char *path)
+{
+    struct relayed *relayed = g_new0(struct relayed, 1);
+    relayed->exchange = exchange;
+    relayed->client = http_client_create(
+        peers->node->base, peers->node->boot->store, RELAY_TIMEOUT_MS);
+    struct http_call call = {
+        .method = http_exchange_method(exchange),
+        .path = path,
+        .done = on_relayed,
+        .ctx = relayed,
+    };
+    call.body = http_exchange_body(exchange, &call.body_bytes);
+    if (call.body_bytes == 0) {
+        call.body = NULL;
+    }
+    http_client_send(relayed->client, &call);
+}
+
 static void
 on_request(void *ctx, struct http_exchange *exchange)
 {
     struct peers *peers = ctx;
     const char *path = http_exchange_path(exchange);
+    if (g_str_has_prefix(path, KV_RELAY_PREFIX "/")) {
+        relay(peers, exchange, path + strlen(KV_RELAY_PREFIX));
+        return;
+    }
     if (strcmp(path, PATH_ORDERS) == 0) {
         serve_orders(peers, exchange);
         return;
@@ -119,8 +170,8 @@
 {
     struct peers *peers = g_new0(struct peers, 1);
     peers->node = node;
-    peers->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                              peer_destroy);
+    peers->by_address =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_destroy);
     peers->server =
         http_server_create(node->base, node->boot->peer, on_request, peers);
     if (peers->server == NULL) {
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -161,8 +161,7 @@
     }
     struct job_task *task = &job->parts[p->valueint].tasks[t->valueint];
     for (int i = 3; i < cJSON_GetArraySize(row); i++) {
-        job_task_failed(task,
-                        (uint32_t)cJSON_GetArrayItem(row, i)->valueint);
+        job_task_failed(task, (uint32_t)cJSON_GetArrayItem(row, i)->valueint);
     }
     if (saved != NULL && saved[0] != '\0') {
         task->saved = g_strdup(saved);
--- a/include/egretjobd/node.h
+++ b/include/egretjobd/node.h
@@ -14,6 +14,7 @@
 struct front;
 struct peers;
 struct acceptor;
+struct store_path;
 
 /**
  * struct node - what all parts share
@@ -26,6 +27,7 @@
     const struct boot *boot;
     struct ms_clock clock;
     struct ms_clock unix_clock;
+    struct store_path *path;
     struct config_feed *feed;
     struct duty *duty;
     struct leader *leader;
--- a/include/platform/backend_calls.h
+++ b/include/platform/backend_calls.h
@@ -54,15 +54,15 @@
 void
 backend_link_start(struct backend_link *link, const struct start_call *call);
 void
-backend_link_stop(struct backend_link *link, uint64_t handle,
-                  const char *task, uint32_t number, int64_t token);
+backend_link_stop(struct backend_link *link, uint64_t handle, const char *task,
+                  uint32_t number, int64_t token);
 
 /** backend_link_list() - read both lists; @until_ms 0 renews no lease. */
 void
 backend_link_list(struct backend_link *link, int64_t until_ms, int64_t token,
                   int64_t seen_upto, int64_t wait_ms);
 void
-backend_link_pace(struct backend_link *link, const char *task,
-                  uint32_t number, int32_t percent, int64_t token);
+backend_link_pace(struct backend_link *link, const char *task, uint32_t number,
+                  int32_t percent, int64_t token);
 
 #endif
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -50,7 +50,6 @@
 const char *
 encode_state(enum job_state state, bool begun);
 
-
 /** encode_waiting() - answer to a question for a queue's length; g_free() */
 char *
 encode_waiting(int64_t waiting);
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -102,9 +102,25 @@
 
 struct kv;
 
+/**
+ * struct kv_path - how calls reach the service; decided by the caller
+ * @relay: address of a peer that passes the next call on, or NULL for the
+ *         direct way; may be NULL itself
+ * @report: HTTP status of an answer, 0 for none; may be NULL
+ */
+struct kv_path {
+    const char *(*relay)(void *ctx);
+    void (*report)(void *ctx, bool relayed, int status);
+    void *ctx;
+};
+
+/* Path prefix under which a peer passes calls on to the service. */
+#define KV_RELAY_PREFIX "/relay"
+
 /** kv_create() - client with one connection; calls go out in order. */
 struct kv *
-kv_create(struct event_base *base, const char *address, int64_t timeout_ms);
+kv_create(struct event_base *base, const char *address, int64_t timeout_ms,
+          struct kv_path path);
 void
 kv_destroy(struct kv *kv);
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -33,10 +33,9 @@
     client->host = colon == NULL
                        ? g_strdup(address)
                        : g_strndup(address, (gsize)(colon - address));
-    unsigned long port =
-        colon == NULL ? 0 : strtoul(colon + 1, NULL, 10);
-    client->connection = evhttp_connection_base_new(
-        base, NULL, client->host, (unsigned short)port);
+    unsigned long port = colon == NULL ? 0 : strtoul(colon + 1, NULL, 10);
+    client->connection = evhttp_connection_base_new(base, NULL, client->host,
+                                                    (unsigned short)port);
     struct timeval timeout = {
         .tv_sec = timeout_ms / 1000,
         .tv_usec = timeout_ms % 1000 * 1000,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -38,14 +38,13 @@
     server->handle = handle;
     server->ctx = ctx;
     server->http = evhttp_new(base);
-    evhttp_set_allowed_methods(server->http,
-                               EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                   EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
-                                   EVHTTP_REQ_HEAD);
+    evhttp_set_allowed_methods(
+        server->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE |
+                          EVHTTP_REQ_PUT | EVHTTP_REQ_HEAD);
     evhttp_set_gencb(server->http, on_request, server);
     char *host = g_strndup(address, (gsize)(colon - address));
-    int bound = evhttp_bind_socket(
-        server->http, host, (ev_uint16_t)strtoul(colon + 1, NULL, 10));
+    int bound = evhttp_bind_socket(server->http, host,
+                                   (ev_uint16_t)strtoul(colon + 1, NULL, 10));
     g_free(host);
     if (bound != 0) {
         http_server_destroy(server);
