Tell the scheduler of every stored job; order hosts sooner after a takeover

After a takeover no host moved for 3.3 s. Change: unanswered writes are resolved for 12 s, also after the caller was told 504; who finds a job stored leaves a note. A host whose life is older than the gap may be ordered at once.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -13,6 +13,10 @@
     PLAN_PERIOD_MS = 100,
     /* A holder before may have given orders until its lease ended. */
     TAKEOVER_MARGIN_MS = 300,
+    /* An order that was on its way at the takeover shows by then. */
+    TAKEOVER_SETTLE_MS = 800,
+    /* Times of day may differ between hosts by this much. */
+    CLOCK_DIFFERENCE_MS = 500,
     /* A host that can't be emptied in this time stays where it is. */
     INTENT_TIMEOUT_MS = 6000,
     /* A move pays for itself when its host is off this long; shorter lulls
@@ -59,12 +63,29 @@
     }
 }
 
+/* Whether an earlier holder's last order for this host is long enough ago:
+ * its backend server was started by that order, or after it. */
+static bool
+order_allowed(const struct scheduler *sched, const struct host *host)
+{
+    int64_t gap_ms = sched->timings.order_gap_ms + TAKEOVER_MARGIN_MS;
+    int64_t now_ms = sched_now(sched);
+    if (now_ms >= sched->taken_over_ms + gap_ms) {
+        return true;
+    }
+    const struct backend *backend = sched_host_backend(sched, host);
+    return now_ms >= sched->taken_over_ms + TAKEOVER_SETTLE_MS &&
+           backend != NULL && backend->entry.born_ms > 0 &&
+           ms_clock_now(&sched->unix_clock) - backend->entry.born_ms >=
+               gap_ms + CLOCK_DIFFERENCE_MS;
+}
+
 static void
 pursue(struct scheduler *sched, struct host *host)
 {
     int64_t now_ms = sched_now(sched);
     if (host->intent == HOST_STAYS || host->ordering || host->ordered ||
-        now_ms < host->retry_ms) {
+        now_ms < host->retry_ms || !order_allowed(sched, host)) {
         return;
     }
     if (sched_host_empty(sched, host)) {
@@ -217,8 +238,7 @@
 {
     int64_t now_ms = sched_now(sched);
     if (now_ms < sched->plan_due_ms ||
-        now_ms < sched->taken_over_ms + sched->timings.order_gap_ms +
-                     TAKEOVER_MARGIN_MS) {
+        now_ms < sched->taken_over_ms + TAKEOVER_SETTLE_MS) {
         return;
     }
     sched->plan_due_ms = now_ms + PLAN_PERIOD_MS;
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -19,8 +19,17 @@
     REFUSED_AFTER_MS = 250,
     /* A write without an answer is resolved within a caller's usual time. */
     UNKNOWN_AFTER_MS = 2400,
+    /* The store may carry a write out some seconds late; until then the
+     * scheduler could miss the job. */
+    GIVE_UP_MS = 12000,
 };
 
+/**
+ * struct entry - a job on its way into the store
+ * @uncertain: a write got no answer and may still be carried out
+ * @exists: the job is stored, maybe without the scheduler's knowledge
+ * @replies: callers that wait for it
+ */
 struct entry {
     char *id;
     char *key;
@@ -28,6 +37,7 @@
     char *value;
     int64_t since_ms;
     bool uncertain;
+    bool exists;
     GArray *replies;
 };
 
@@ -52,18 +62,25 @@
 };
 
 static void
-entry_finish(struct acceptor *acceptor, struct entry *entry, int status)
+entry_answer(struct entry *entry, int status)
 {
     struct job_answer answer = {.status = status};
     if (status == 503) {
         answer.retry_after_ms = REFUSED_AFTER_MS;
     }
-    g_hash_table_remove(acceptor->by_id, entry->id);
     for (guint i = 0; i < entry->replies->len; i++) {
         struct job_reply *reply =
             &g_array_index(entry->replies, struct job_reply, i);
         reply->call(reply->ctx, &answer);
     }
+    g_array_set_size(entry->replies, 0);
+}
+
+static void
+entry_finish(struct acceptor *acceptor, struct entry *entry, int status)
+{
+    g_hash_table_remove(acceptor->by_id, entry->id);
+    entry_answer(entry, status);
     g_array_unref(entry->replies);
     g_free(entry->id);
     g_free(entry->key);
@@ -89,10 +106,18 @@
 requeue(struct acceptor *acceptor, struct entry *entry, bool refused)
 {
     int64_t age_ms = node_now(acceptor->node) - entry->since_ms;
-    if (age_ms > UNKNOWN_AFTER_MS) {
-        entry_finish(acceptor, entry, entry->uncertain ? 504 : 503);
+    if (age_ms > UNKNOWN_AFTER_MS && !entry->uncertain) {
+        entry_finish(acceptor, entry, 503);
+        return;
+    }
+    if (age_ms > GIVE_UP_MS) {
+        event_log("job_unresolved", "\"job\":\"%s\"", entry->id);
+        entry_finish(acceptor, entry, 504);
         return;
     }
+    if (age_ms > UNKNOWN_AFTER_MS) {
+        entry_answer(entry, 504);
+    }
     if (refused && !entry->uncertain && age_ms > REFUSED_AFTER_MS) {
         entry_finish(acceptor, entry, 503);
         return;
@@ -133,11 +158,16 @@
     bool progress = result->outcome == KV_OK;
     for (guint i = 0; i < batch->len; i++) {
         struct entry *entry = g_ptr_array_index(batch, i);
-        if (result->outcome == KV_OK || found_in(result, entry->key)) {
+        bool found = found_in(result, entry->key);
+        if (result->outcome == KV_OK || found_in(result, entry->news_key) ||
+            (found && acceptor->with_duty)) {
             progress = true;
             entry_stored(acceptor, entry);
             continue;
         }
+        if (found) {
+            entry->exists = true;
+        }
         if (result->outcome == KV_UNKNOWN) {
             entry->uncertain = true;
         }
