Model take-over, orders, leases and storing with seeds

Change: tests/jobs: schedulers that are cut off, killed and replaced, four backend servers with slow clocks, orders lost, late and overtaking, writes without answers; drives the real scheduler and records. One mutation per mechanism: fencing, wait for lists, record of used backend servers, wait for stops, storing before acknowledging, lapse.

--- /dev/null
+++ b/tests/jobs/model_backend.c
@@ -0,0 +1,188 @@
+#include "model_backend.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static void
+run_free(void *data)
+{
+    struct model_task_run *run = data;
+    g_free(run->task);
+    g_free(run);
+}
+
+static void
+end_free(void *data)
+{
+    struct model_end *end = data;
+    g_free(end->task);
+    g_free(end);
+}
+
+void
+model_backend_init(struct model_backend *backend, int index,
+                   int64_t speed_percent, int64_t offset_ms)
+{
+    *backend = (struct model_backend){
+        .speed_percent = speed_percent,
+        .offset_ms = offset_ms,
+        .next_end = 1,
+    };
+    snprintf(backend->id, sizeof(backend->id), "b%d", index);
+    backend->runs = g_ptr_array_new_with_free_func(run_free);
+    backend->ends = g_ptr_array_new_with_free_func(end_free);
+    backend->barred =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+model_backend_clear(struct model_backend *backend)
+{
+    g_ptr_array_unref(backend->runs);
+    g_ptr_array_unref(backend->ends);
+    g_hash_table_unref(backend->barred);
+}
+
+int64_t
+model_backend_clock(const struct model_backend *backend, int64_t now_ms)
+{
+    return backend->offset_ms + now_ms * backend->speed_percent / 100;
+}
+
+static uint32_t
+barred_upto(const struct model_backend *backend, const char *task)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(backend->barred, task));
+}
+
+static void
+bar(struct model_backend *backend, const char *task, uint32_t number)
+{
+    if (number > barred_upto(backend, task)) {
+        g_hash_table_replace(backend->barred, g_strdup(task),
+                             GUINT_TO_POINTER(number));
+    }
+}
+
+static void
+end_run(struct model_backend *backend, guint index, enum end_reason reason)
+{
+    struct model_task_run *run = g_ptr_array_index(backend->runs, index);
+    struct model_end *end = g_new0(struct model_end, 1);
+    end->number = backend->next_end++;
+    end->task = g_strdup(run->task);
+    end->run = run->number;
+    end->reason = reason;
+    g_ptr_array_add(backend->ends, end);
+    bar(backend, run->task, run->number);
+    g_ptr_array_remove_index_fast(backend->runs, index);
+}
+
+void
+model_backend_advance(struct model_backend *backend, int64_t now_ms)
+{
+    bool lapsed = !backend->no_lapse &&
+                  model_backend_clock(backend, now_ms) > backend->until_ms;
+    for (guint i = backend->runs->len; i > 0; i--) {
+        const struct model_task_run *run =
+            g_ptr_array_index(backend->runs, i - 1);
+        if (now_ms >= run->ends_ms) {
+            end_run(backend, i - 1, run->fails ? END_FAILED : END_DONE);
+        }
+        else if (lapsed) {
+            end_run(backend, i - 1, END_LAPSED);
+        }
+        else if (run->stops_ms != 0 && now_ms >= run->stops_ms) {
+            end_run(backend, i - 1, END_STOPPED);
+        }
+    }
+}
+
+static bool
+fenced(struct model_backend *backend, int64_t token)
+{
+    if (backend->no_fence) {
+        return false;
+    }
+    if (token < backend->token) {
+        return true;
+    }
+    backend->token = token;
+    return false;
+}
+
+static struct model_task_run *
+find_run(const struct model_backend *backend, const char *task)
+{
+    for (guint i = 0; i < backend->runs->len; i++) {
+        struct model_task_run *run = g_ptr_array_index(backend->runs, i);
+        if (strcmp(run->task, task) == 0) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+enum start_answer
+model_backend_start(struct model_backend *backend, const char *task,
+                    uint32_t number, int64_t until_ms, int64_t token,
+                    int64_t run_ms, bool fails, int64_t now_ms, bool *began)
+{
+    *began = false;
+    if (fenced(backend, token)) {
+        return START_FENCED;
+    }
+    backend->until_ms = MAX(backend->until_ms, until_ms);
+    const struct model_task_run *there = find_run(backend, task);
+    if (there != NULL) {
+        return there->number == number ? START_DONE : START_OLD_NUMBER;
+    }
+    if (number <= barred_upto(backend, task)) {
+        return START_OLD_NUMBER;
+    }
+    if (until_ms <= model_backend_clock(backend, now_ms)) {
+        return START_REFUSED;
+    }
+    struct model_task_run *run = g_new0(struct model_task_run, 1);
+    run->task = g_strdup(task);
+    run->number = number;
+    run->ends_ms = now_ms + run_ms;
+    run->fails = fails;
+    g_ptr_array_add(backend->runs, run);
+    *began = true;
+    return START_DONE;
+}
+
+bool
+model_backend_stop(struct model_backend *backend, const char *task,
+                   uint32_t number, int64_t token, int64_t stop_ms,
+                   int64_t now_ms)
+{
+    if (fenced(backend, token)) {
+        return false;
+    }
+    bar(backend, task, number);
+    struct model_task_run *run = find_run(backend, task);
+    if (run != NULL && run->number <= number && run->stops_ms == 0) {
+        run->stops_ms = now_ms + stop_ms;
+    }
+    return true;
+}
+
+bool
+model_backend_hold(struct model_backend *backend, int64_t until_ms,
+                   int64_t seen_upto, int64_t token, int64_t now_ms)
+{
+    (void)now_ms;
+    if (fenced(backend, token)) {
+        return false;
+    }
+    backend->until_ms = MAX(backend->until_ms, until_ms);
+    for (guint i = backend->ends->len; i > 0; i--) {
+        const struct model_end *end = g_ptr_array_index(backend->ends, i - 1);
+        if (end->number <= seen_upto) {
+            g_ptr_array_remove_index(backend->ends, i - 1);
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/tests/jobs/model_backend.h
@@ -0,0 +1,78 @@
+/* Model of a backend server: leases, fencing, ends, checkpoints. */
+#ifndef TESTS_JOBS_MODEL_BACKEND_H
+#define TESTS_JOBS_MODEL_BACKEND_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/jobs/scheduler.h"
+
+/** struct model_task_run - a run on a backend server */
+struct model_task_run {
+    char *task;
+    uint32_t number;
+    int64_t ends_ms;
+    int64_t stops_ms;
+    bool fails;
+};
+
+/** struct model_end - an end that is listed until it is acknowledged */
+struct model_end {
+    int64_t number;
+    char *task;
+    uint32_t run;
+    enum end_reason reason;
+};
+
+/**
+ * struct model_backend - a backend server
+ * @speed_percent: its clock against true time, 98 to 100
+ * @offset_ms: its clock at time 0
+ * @until_ms: end of the lease, on its clock; 0: none
+ * @barred: highest number of a run stopped or ended here, by task
+ */
+struct model_backend {
+    char id[16];
+    int64_t speed_percent;
+    int64_t offset_ms;
+    int64_t token;
+    int64_t until_ms;
+    GPtrArray *runs;
+    GPtrArray *ends;
+    GHashTable *barred;
+    int64_t next_end;
+    bool no_fence;
+    bool no_lapse;
+};
+
+void
+model_backend_init(struct model_backend *backend, int index,
+                   int64_t speed_percent, int64_t offset_ms);
+void
+model_backend_clear(struct model_backend *backend);
+
+int64_t
+model_backend_clock(const struct model_backend *backend, int64_t now_ms);
+
+/** model_backend_advance() - let runs end that end by @now_ms. */
+void
+model_backend_advance(struct model_backend *backend, int64_t now_ms);
+
+/** model_backend_start() - an order arrives; @began tells whether a run
+ * began. */
+enum start_answer
+model_backend_start(struct model_backend *backend, const char *task,
+                    uint32_t number, int64_t until_ms, int64_t token,
+                    int64_t run_ms, bool fails, int64_t now_ms, bool *began);
+bool
+model_backend_stop(struct model_backend *backend, const char *task,
+                   uint32_t number, int64_t token, int64_t stop_ms,
+                   int64_t now_ms);
+
+/** model_backend_hold() - a list call arrives; false if fenced. */
+bool
+model_backend_hold(struct model_backend *backend, int64_t until_ms,
+                   int64_t seen_upto, int64_t token, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/tests/jobs/model_test.c
@@ -0,0 +1,82 @@
+/*
+ * Seeded schedules of take-over, orders, leases and storing. With the number
+ * of schedules as argument, more of them are played; CI plays some.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../suite.h"
+#include "model.h"
+
+enum {
+    SCHEDULES = 400,
+    /* Schedules in which a missing mechanism has to show. */
+    MUTATION_SCHEDULES = 600,
+};
+
+static uint32_t schedules = SCHEDULES;
+
+static void
+test_schedules(void)
+{
+    uint32_t n_broken = 0;
+    uint32_t unfinished = 0;
+    uint64_t starts = 0;
+    uint64_t takeovers = 0;
+    for (uint32_t seed = 1; seed <= schedules; seed++) {
+        struct model_result result = model_run(seed, MUTATION_NONE);
+        starts += result.starts;
+        takeovers += result.takeovers;
+        unfinished += result.unfinished;
+        if (result.broken != NULL && n_broken++ < 5) {
+            printf("seed %u: %s\n", seed, result.broken);
+        }
+        if (result.unfinished > 0 && unfinished < 10) {
+            printf("seed %u: %u unfinished\n", seed, result.unfinished);
+        }
+    }
+    printf("%u schedules, %lu starts, %lu takeovers, %u broken, "
+           "%u unfinished\n",
+           schedules, (unsigned long)starts, (unsigned long)takeovers,
+           n_broken, unfinished);
+    CU_ASSERT_EQUAL(n_broken, 0);
+    CU_ASSERT_EQUAL(unfinished, 0);
+    CU_ASSERT(starts > schedules * 10);
+    CU_ASSERT(takeovers > schedules);
+}
+
+/* Each mechanism is missed by the model when it is taken away. */
+static void
+test_mutations(void)
+{
+    for (int m = MUTATION_NONE + 1; m < MUTATIONS; m++) {
+        uint32_t first = 0;
+        const char *broken = NULL;
+        for (uint32_t seed = 1; seed <= MUTATION_SCHEDULES && first == 0;
+             seed++) {
+            struct model_result result =
+                model_run(seed, (enum model_mutation)m);
+            if (result.broken != NULL) {
+                first = seed;
+                broken = result.broken;
+            }
+        }
+        printf("%s: seed %u, %s\n",
+               model_mutation_name((enum model_mutation)m), first,
+               broken == NULL ? "not noticed" : broken);
+        CU_ASSERT(first > 0);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc > 1) {
+        schedules = (uint32_t)strtoul(argv[1], NULL, 10);
+    }
+    static const struct suite_test tests[] = {
+        {"seeded schedules keep every promise", test_schedules},
+        {"the model notices each missing mechanism", test_mutations},
+    };
+    return suite_main("jobs model", tests, sizeof(tests) / sizeof(tests[0]));
+}
