Add an emulator of the prepared platform

Cause: nothing without the kit could play the daemon's own calls. Change: standins/jobs: store with leases, history and watches, backend servers (the model's), heartbeats, host list and moves, faults to order, and checks of every start.

--- a/tests/jobs/model_backend.c
+++ b/standins/jobs/backend_model.c
@@ -1,4 +1,4 @@
-#include "model_backend.h"
+#include "backend_model.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -83,6 +83,10 @@
 {
     bool lapsed = !backend->no_lapse &&
                   model_backend_clock(backend, now_ms) > backend->until_ms;
+    for (guint i = 0; lapsed && i < backend->ends->len; i++) {
+        ((struct model_end *)g_ptr_array_index(backend->ends, i))->lapsed =
+            true;
+    }
     for (guint i = backend->runs->len; i > 0; i--) {
         const struct model_task_run *run =
             g_ptr_array_index(backend->runs, i - 1);
--- a/tests/jobs/model_backend.h
+++ b/standins/jobs/backend_model.h
@@ -1,6 +1,6 @@
 /* Model of a backend server: leases, fencing, ends, checkpoints. */
-#ifndef TESTS_JOBS_MODEL_BACKEND_H
-#define TESTS_JOBS_MODEL_BACKEND_H
+#ifndef STANDINS_JOBS_BACKEND_MODEL_H
+#define STANDINS_JOBS_BACKEND_MODEL_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -17,12 +17,16 @@
     bool fails;
 };
 
-/** struct model_end - an end that is listed until it is acknowledged */
+/**
+ * struct model_end - an end that is listed until it is acknowledged
+ * @lapsed: the lease ran out after it, so that it counts as not noted
+ */
 struct model_end {
     int64_t number;
     char *task;
     uint32_t run;
     enum end_reason reason;
+    bool lapsed;
 };
 
 /**
--- /dev/null
+++ b/standins/jobs/emulator.h
@@ -0,0 +1,85 @@
+/* Emulator of the prepared platform: store, backend servers and hosts. */
+#ifndef STANDINS_JOBS_EMULATOR_H
+#define STANDINS_JOBS_EMULATOR_H
+
+#include <event2/event.h>
+
+#include "backend_model.h"
+#include "kv_model.h"
+#include "net/http_server.h"
+
+enum {
+    EMULATOR_BACKENDS_MAX = 64,
+    EMULATOR_TICK_MS = 5,
+};
+
+/**
+ * struct emulated_host - a host and its present backend server
+ * @away_until_ms: it moves or reboots until then; 0: it is up
+ * @life: counts its backend servers
+ */
+struct emulated_host {
+    struct emulator *emulator;
+    int index;
+    char name[16];
+    char *pool;
+    char *data_centre;
+    char *address;
+    int64_t away_until_ms;
+    int64_t next_heartbeat_ms;
+    int64_t born_ms;
+    int64_t seq;
+    uint32_t life;
+    bool dark;
+    struct model_backend backend;
+    struct http_server *server;
+    GPtrArray *holds;
+};
+
+/**
+ * struct emulator - the platform
+ * @store_down: the store answers nothing but 503
+ * @store_silent: the store does not answer
+ * @done_noted: tasks whose end as done was acknowledged
+ * @checks: starts that were checked
+ * @violations: promises that were broken
+ */
+struct emulator {
+    struct event_base *base;
+    struct event *tick;
+    struct kv_model kv;
+    struct http_server *store;
+    struct http_server *hosts_api;
+    struct http_server *admin;
+    GPtrArray *watches;
+    struct emulated_host hosts[EMULATOR_BACKENDS_MAX];
+    int n_hosts;
+    bool store_down;
+    bool store_silent;
+    GPtrArray *silenced;
+    GHashTable *done_noted;
+    uint64_t checks;
+    uint64_t violations;
+    uint64_t moves;
+};
+
+int64_t
+emulator_now_ms(void);
+
+/* emulator_kv.c */
+void
+emulator_kv_request(void *ctx, struct http_exchange *exchange);
+void
+emulator_kv_answer_watches(struct emulator *emulator, int64_t now_ms);
+
+/* emulator_hosts.c */
+void
+emulator_backend_request(void *ctx, struct http_exchange *exchange);
+void
+emulator_hosts_request(void *ctx, struct http_exchange *exchange);
+void
+emulator_hosts_tick(struct emulator *emulator, int64_t now_ms);
+void
+emulator_host_crash(struct emulated_host *host);
+
+#endif
--- /dev/null
+++ b/standins/jobs/emulator_hosts.c
@@ -0,0 +1,384 @@
+/* Backend servers and the calls about their hosts. */
+#include "emulator.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/json_text.h"
+
+enum {
+    HEARTBEAT_MS = 500,
+    STOP_MS = 200,
+    DEFAULT_RUN_MS = 300,
+    AWAY_MS = 1000,
+};
+
+/** struct hold - a list call that waits for an end */
+struct hold {
+    struct http_exchange *exchange;
+    int64_t until_ms;
+};
+
+static void
+put_entry(struct emulated_host *host, int64_t now_ms)
+{
+    struct model_backend *backend = &host->backend;
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(
+        text,
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+        "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"machine\":\"%s\","
+        "\"room\":{\"cpu\":16000,\"mem_mb\":65536,\"gpu\":0},"
+        "\"labels\":[\"a\",\"r-%d\"],\"born\":%" G_GINT64_FORMAT
+        ",\"clock_ms\":%" G_GINT64_FORMAT ",\"seq\":%" G_GINT64_FORMAT "}",
+        host->pool, host->address, host->data_centre, host->name,
+        host->index / 4, host->born_ms, model_backend_clock(backend, now_ms),
+        ++host->seq);
+    char *value = g_base64_encode((const guchar *)text->str, text->len);
+    char *key = g_strconcat("servers/", backend->id, NULL);
+    struct kv_model *kv = &host->emulator->kv;
+    kv_model_next_revision(kv);
+    kv_model_put(kv, key, value, 0);
+    g_free(key);
+    g_free(value);
+    g_string_free(text, TRUE);
+}
+
+static void
+drop_entry(struct emulated_host *host)
+{
+    char *key = g_strconcat("servers/", host->backend.id, NULL);
+    kv_model_next_revision(&host->emulator->kv);
+    kv_model_delete(&host->emulator->kv, key);
+    g_free(key);
+}
+
+/* A new life of the host: a new backend server that runs nothing. */
+static void
+new_life(struct emulated_host *host)
+{
+    drop_entry(host);
+    model_backend_clear(&host->backend);
+    model_backend_init(&host->backend, host->index, 100,
+                       1000 + 100 * host->index);
+    g_snprintf(host->backend.id, sizeof(host->backend.id), "i-%d-%u",
+               host->index, ++host->life);
+    host->born_ms = g_get_real_time() / 1000;
+    host->seq = 0;
+}
+
+void
+emulator_host_crash(struct emulated_host *host)
+{
+    new_life(host);
+    host->away_until_ms = emulator_now_ms() + AWAY_MS;
+}
+
+/* Run time in the job's text, "ms=N"; "forever" lasts until stopped. */
+static int64_t
+run_time_ms(const char *spec)
+{
+    const char *given = spec == NULL ? NULL : strstr(spec, "ms=");
+    if (spec != NULL && strstr(spec, "forever") != NULL) {
+        return INT32_MAX;
+    }
+    return given == NULL ? (int64_t)DEFAULT_RUN_MS
+                         : g_ascii_strtoll(given + 3, NULL, 10);
+}
+
+static void
+violation(struct emulator *emulator, const char *what, const char *task)
+{
+    emulator->violations++;
+    fprintf(stderr, "violation: %s: %s\n", what, task);
+}
+
+static void
+check_start(struct emulated_host *host, const char *task)
+{
+    struct emulator *emulator = host->emulator;
+    emulator->checks++;
+    for (int i = 0; i < emulator->n_hosts; i++) {
+        const struct emulated_host *other = &emulator->hosts[i];
+        for (guint r = 0; r < other->backend.runs->len; r++) {
+            const struct model_task_run *run =
+                g_ptr_array_index(other->backend.runs, r);
+            if (other != host && strcmp(run->task, task) == 0) {
+                violation(emulator, "two runs at the same time", task);
+            }
+        }
+    }
+    if (g_hash_table_contains(emulator->done_noted, task)) {
+        violation(emulator, "a start after its end was acknowledged", task);
+    }
+    char *key = g_strdup_printf("eg/job/%.16s", task);
+    if (kv_model_get(&emulator->kv, key) == NULL) {
+        violation(emulator, "a start without a stored job", task);
+    }
+    g_free(key);
+}
+
+static void
+serve_start(struct emulated_host *host, struct http_exchange *exchange,
+            const cJSON *body, int64_t now_ms)
+{
+    static const char *const reasons[] = {
+        [START_REFUSED] = "late",
+        [START_OLD_NUMBER] = "old",
+        [START_FENCED] = "fence",
+    };
+    const char *task = json_text_get(body, "task");
+    bool began = false;
+    enum start_answer answer = model_backend_start(
+        &host->backend, task, (uint32_t)json_int_get(body, "run", 0),
+        json_int_get(body, "until_ms", 0),
+        json_int_get(body, "fencing_token", 0),
+        run_time_ms(json_text_get(body, "spec")), false, now_ms, &began);
+    if (began) {
+        check_start(host, task);
+    }
+    char text[96];
+    int64_t clock_ms = model_backend_clock(&host->backend, now_ms);
+    if (answer == START_DONE) {
+        snprintf(text, sizeof(text), "{\"clock_ms\":%" G_GINT64_FORMAT "}",
+                 clock_ms);
+        http_exchange_reply(exchange, 200, text);
+        return;
+    }
+    snprintf(text, sizeof(text),
+             "{\"clock_ms\":%" G_GINT64_FORMAT ",\"reason\":\"%s\"}", clock_ms,
+             reasons[answer]);
+    http_exchange_reply(exchange, 409, text);
+}
+
+static void
+serve_stop(struct emulated_host *host, struct http_exchange *exchange,
+           const cJSON *body, int64_t now_ms)
+{
+    bool stopped = model_backend_stop(
+        &host->backend, json_text_get(body, "task"),
+        (uint32_t)json_int_get(body, "run", 0),
+        json_int_get(body, "fencing_token", 0), STOP_MS, now_ms);
+    http_exchange_reply(exchange, stopped ? 200 : 409,
+                        stopped ? "{}" : "{\"reason\":\"fence\"}");
+}
+
+static const char *
+reason_name(enum end_reason reason)
+{
+    static const char *const names[] = {
+        [END_DONE] = "done",       [END_FAILED] = "failed",
+        [END_STOPPED] = "stopped", [END_LAPSED] = "lapsed",
+        [END_BROKEN] = "broken",   [END_ALONE] = "alone",
+    };
+    return names[reason];
+}
+
+static void
+answer_hold(struct emulated_host *host, struct http_exchange *exchange,
+            int64_t now_ms)
+{
+    const struct model_backend *backend = &host->backend;
+    GString *out = g_string_new(NULL);
+    g_string_append_printf(out,
+                           "{\"born\":%" G_GINT64_FORMAT
+                           ",\"clock_ms\":%" G_GINT64_FORMAT ",\"running\":[",
+                           host->born_ms,
+                           model_backend_clock(backend, now_ms));
+    bool first = true;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct model_task_run *run = g_ptr_array_index(backend->runs, i);
+        if (run->stops_ms != 0) {
+            continue;
+        }
+        /* A task that lasts is at work; another gets on with its time. */
+        int64_t left_ms = run->ends_ms - now_ms;
+        int percent = left_ms > INT32_MAX / 2 ? 100 : (int)(now_ms % 97);
+        g_string_append_printf(out, "%s[\"%s\",%u,\"\",%d,0]",
+                               first ? "" : ",", run->task, run->number,
+                               percent);
+        first = false;
+    }
+    g_string_append(out, "],\"ended\":[");
+    for (guint i = 0; i < backend->ends->len; i++) {
+        const struct model_end *end = g_ptr_array_index(backend->ends, i);
+        g_string_append_printf(
+            out, "%s[%" G_GINT64_FORMAT ",\"%s\",%u,\"%s\",\"\"]",
+            i == 0 ? "" : ",", end->number, end->task, end->run,
+            reason_name(end->reason));
+    }
+    g_string_append(out, "]}");
+    http_exchange_reply(exchange, 200, out->str);
+    g_string_free(out, TRUE);
+}
+
+static void
+note_seen(struct emulated_host *host, int64_t seen_upto)
+{
+    for (guint i = 0; i < host->backend.ends->len; i++) {
+        const struct model_end *end = g_ptr_array_index(host->backend.ends, i);
+        if (end->number <= seen_upto && end->reason == END_DONE &&
+            !end->lapsed) {
+            g_hash_table_add(host->emulator->done_noted, g_strdup(end->task));
+        }
+    }
+}
+
+static void
+serve_hold(struct emulated_host *host, struct http_exchange *exchange,
+           const cJSON *body, int64_t now_ms)
+{
+    int64_t token = json_int_get(body, "fencing_token", 0);
+    int64_t seen_upto = json_int_get(body, "seen_upto", 0);
+    if (token >= host->backend.token) {
+        note_seen(host, seen_upto);
+    }
+    if (!model_backend_hold(&host->backend, json_int_get(body, "until_ms", 0),
+                            seen_upto, token, now_ms)) {
+        http_exchange_reply(exchange, 409, "{\"reason\":\"fence\"}");
+        return;
+    }
+    int64_t wait_ms = json_int_get(body, "wait_ms", 0);
+    if (wait_ms == 0 || host->backend.ends->len > 0) {
+        answer_hold(host, exchange, now_ms);
+        return;
+    }
+    struct hold *hold = g_new0(struct hold, 1);
+    hold->exchange = exchange;
+    hold->until_ms = now_ms + wait_ms;
+    g_ptr_array_add(host->holds, hold);
+}
+
+void
+emulator_backend_request(void *ctx, struct http_exchange *exchange)
+{
+    struct emulated_host *host = ctx;
+    int64_t now_ms = emulator_now_ms();
+    const char *path = http_exchange_path(exchange);
+    const char *expected = http_exchange_header(exchange, "X-Expect-Instance");
+    if (host->dark || host->away_until_ms != 0) {
+        g_ptr_array_add(host->emulator->silenced, exchange);
+        return;
+    }
+    if (expected != NULL && strcmp(expected, host->backend.id) != 0) {
+        http_exchange_reply(exchange, 421, "{}");
+        return;
+    }
+    model_backend_advance(&host->backend, now_ms);
+    size_t bytes = 0;
+    const char *text = http_exchange_body(exchange, &bytes);
+    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    if (strcmp(path, "/v1/run-start") == 0) {
+        serve_start(host, exchange, body, now_ms);
+    }
+    else if (strcmp(path, "/v1/run-stop") == 0) {
+        serve_stop(host, exchange, body, now_ms);
+    }
+    else if (strcmp(path, "/v1/hold") == 0) {
+        serve_hold(host, exchange, body, now_ms);
+    }
+    else {
+        http_exchange_reply(exchange, 404, "{}");
+    }
+    cJSON_Delete(body);
+}
+
+static void
+serve_host_list(struct emulator *emulator, struct http_exchange *exchange)
+{
+    GString *out = g_string_new("{\"machines\":[");
+    for (int i = 0; i < emulator->n_hosts; i++) {
+        const struct emulated_host *host = &emulator->hosts[i];
+        g_string_append_printf(
+            out,
+            "%s{\"machine\":\"%s\",\"pool\":\"%s\",\"state\":\"%s\","
+            "\"zone\":\"%s\",\"id\":\"%s\"}",
+            i == 0 ? "" : ",", host->name, host->pool,
+            host->away_until_ms == 0 ? "up" : "moving", host->data_centre,
+            host->backend.id);
+    }
+    g_string_append(out, "],\"next_token\":null}");
+    http_exchange_reply(exchange, 200, out->str);
+    g_string_free(out, TRUE);
+}
+
+static struct emulated_host *
+find_host(struct emulator *emulator, const char *name)
+{
+    for (int i = 0; i < emulator->n_hosts; i++) {
+        if (g_strcmp0(emulator->hosts[i].name, name) == 0) {
+            return &emulator->hosts[i];
+        }
+    }
+    return NULL;
+}
+
+void
+emulator_hosts_request(void *ctx, struct http_exchange *exchange)
+{
+    struct emulator *emulator = ctx;
+    const char *path = http_exchange_path(exchange);
+    if (g_str_has_prefix(path, "/v1/machines")) {
+        serve_host_list(emulator, exchange);
+        return;
+    }
+    size_t bytes = 0;
+    const char *text = http_exchange_body(exchange, &bytes);
+    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    struct emulated_host *host =
+        find_host(emulator, json_text_get(body, "machine"));
+    const char *pool = json_text_get(body, "pool");
+    if (host == NULL) {
+        http_exchange_reply(exchange, 400, "{}");
+    }
+    else if (host->away_until_ms != 0) {
+        http_exchange_reply(exchange, 409, "{\"reason\":\"busy\"}");
+    }
+    else {
+        if (pool != NULL) {
+            g_free(host->pool);
+            host->pool = g_strdup(pool);
+        }
+        emulator->moves++;
+        emulator_host_crash(host);
+        http_exchange_reply(exchange, 200, "{}");
+    }
+    cJSON_Delete(body);
+}
+
+static void
+answer_holds(struct emulated_host *host, int64_t now_ms)
+{
+    bool ended = host->backend.ends->len > 0;
+    for (guint i = host->holds->len; i > 0; i--) {
+        struct hold *hold = g_ptr_array_index(host->holds, i - 1);
+        if (!ended && now_ms < hold->until_ms) {
+            continue;
+        }
+        g_ptr_array_remove_index_fast(host->holds, i - 1);
+        answer_hold(host, hold->exchange, now_ms);
+        g_free(hold);
+    }
+}
+
+void
+emulator_hosts_tick(struct emulator *emulator, int64_t now_ms)
+{
+    for (int i = 0; i < emulator->n_hosts; i++) {
+        struct emulated_host *host = &emulator->hosts[i];
+        if (host->away_until_ms != 0 && now_ms >= host->away_until_ms) {
+            host->away_until_ms = 0;
+            host->next_heartbeat_ms = 0;
+        }
+        model_backend_advance(&host->backend, now_ms);
+        if (host->away_until_ms != 0 || host->dark) {
+            continue;
+        }
+        if (now_ms >= host->next_heartbeat_ms) {
+            host->next_heartbeat_ms = now_ms + HEARTBEAT_MS;
+            put_entry(host, now_ms);
+        }
+        answer_holds(host, now_ms);
+    }
+}
--- /dev/null
+++ b/standins/jobs/emulator_main.c
@@ -0,0 +1,248 @@
+/*
+ * Emulator of the prepared platform for the demo and the process tests.
+ *
+ * Ports from FIRST on: the store, the calls about hosts, administration,
+ * then one for each backend server.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "emulator.h"
+#include "platform/json_text.h"
+
+enum {
+    PORT_STORE,
+    PORT_HOSTS,
+    PORT_ADMIN,
+    PORT_BACKENDS,
+    HISTORY_ROWS = 4000,
+};
+
+struct arguments {
+    int first_port;
+    const char *config;
+};
+
+int64_t
+emulator_now_ms(void)
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct emulator *emulator = ctx;
+    int64_t now_ms = emulator_now_ms();
+    emulator_hosts_tick(emulator, now_ms);
+    kv_model_expire(&emulator->kv, now_ms);
+    if (emulator->kv.history->len > HISTORY_ROWS) {
+        g_ptr_array_remove_range(emulator->kv.history, 0, HISTORY_ROWS / 2);
+    }
+    emulator_kv_answer_watches(emulator, now_ms);
+    struct timeval tick = {.tv_usec = EMULATOR_TICK_MS * 1000};
+    evtimer_add(emulator->tick, &tick);
+}
+
+static void
+put_plain(struct emulator *emulator, const char *key, const char *text,
+          size_t bytes)
+{
+    char *value = g_base64_encode((const guchar *)text, bytes);
+    kv_model_next_revision(&emulator->kv);
+    kv_model_put(&emulator->kv, key, value, 0);
+    g_free(value);
+}
+
+static void
+serve_figures(struct emulator *emulator, struct http_exchange *exchange)
+{
+    char text[160];
+    snprintf(text, sizeof(text),
+             "{\"checks\":%" G_GUINT64_FORMAT
+             ",\"violations\":%" G_GUINT64_FORMAT
+             ",\"moves\":%" G_GUINT64_FORMAT "}",
+             emulator->checks, emulator->violations, emulator->moves);
+    http_exchange_reply(exchange, 200, text);
+}
+
+/* Answers that were held back while something was silent are dropped late:
+ * a refusal then means nothing to a caller that has given up. */
+static void
+release_silenced(struct emulator *emulator)
+{
+    for (guint i = 0; i < emulator->silenced->len; i++) {
+        http_exchange_reply(g_ptr_array_index(emulator->silenced, i), 503,
+                            NULL);
+    }
+    g_ptr_array_set_size(emulator->silenced, 0);
+}
+
+/* POST /put/KEY writes a key; POST /store/up|down|silent; POST /crash/N;
+ * POST /dark/N; GET /figures. */
+static void
+on_admin(void *ctx, struct http_exchange *exchange)
+{
+    struct emulator *emulator = ctx;
+    const char *path = http_exchange_path(exchange);
+    size_t bytes = 0;
+    const char *body = http_exchange_body(exchange, &bytes);
+    if (strcmp(path, "/figures") == 0) {
+        serve_figures(emulator, exchange);
+        return;
+    }
+    int index = 0;
+    if (g_str_has_prefix(path, "/put/")) {
+        put_plain(emulator, path + strlen("/put/"), body, bytes);
+    }
+    else if (g_str_has_prefix(path, "/store/")) {
+        emulator->store_down = strcmp(path, "/store/down") == 0;
+        emulator->store_silent = strcmp(path, "/store/silent") == 0;
+        if (!emulator->store_silent) {
+            release_silenced(emulator);
+        }
+    }
+    else if (sscanf(path, "/crash/%d", &index) == 1 && index >= 0 &&
+             index < emulator->n_hosts) {
+        emulator_host_crash(&emulator->hosts[index]);
+    }
+    else if (sscanf(path, "/dark/%d", &index) == 1 && index >= 0 &&
+             index < emulator->n_hosts) {
+        emulator->hosts[index].dark = !emulator->hosts[index].dark;
+    }
+    http_exchange_reply(exchange, 200, "{}");
+}
+
+static struct http_server *
+listen_on(struct emulator *emulator, int port,
+          void (*handle)(void *ctx, struct http_exchange *exchange), void *ctx)
+{
+    char address[32];
+    snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+    struct http_server *server =
+        http_server_create(emulator->base, address, handle, ctx);
+    if (server == NULL) {
+        fprintf(stderr, "cannot listen on %s\n", address);
+        exit(EXIT_FAILURE);
+    }
+    return server;
+}
+
+static void
+add_host(struct emulator *emulator, const char *pool, int first_port)
+{
+    int index = emulator->n_hosts++;
+    struct emulated_host *host = &emulator->hosts[index];
+    host->emulator = emulator;
+    host->index = index;
+    snprintf(host->name, sizeof(host->name), "m-%d", index);
+    host->pool = g_strdup(pool);
+    host->data_centre = g_strdup_printf("dc-%c", 'a' + index % 2);
+    host->address =
+        g_strdup_printf("127.0.0.1:%d", first_port + PORT_BACKENDS + index);
+    host->holds = g_ptr_array_new();
+    host->born_ms = g_get_real_time() / 1000;
+    model_backend_init(&host->backend, index, 100, 1000 + 100 * index);
+    snprintf(host->backend.id, sizeof(host->backend.id), "i-%d-0", index);
+    host->server = listen_on(emulator, first_port + PORT_BACKENDS + index,
+                             emulator_backend_request, host);
+}
+
+/* "hosts" in the file tells the hosts of each pool; the rest is the
+ * operator's configuration. */
+static bool
+read_config(struct emulator *emulator, const struct arguments *arguments)
+{
+    char *text = NULL;
+    gsize bytes = 0;
+    if (!g_file_get_contents(arguments->config, &text, &bytes, NULL)) {
+        fprintf(stderr, "%s: cannot be read\n", arguments->config);
+        return false;
+    }
+    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    g_free(text);
+    cJSON *pools = cJSON_DetachItemFromObject(body, "hosts");
+    if (pools == NULL) {
+        fprintf(stderr, "%s: $.hosts: missing\n", arguments->config);
+        cJSON_Delete(body);
+        return false;
+    }
+    const cJSON *pool;
+    cJSON_ArrayForEach(pool, pools)
+    {
+        for (int i = 0;
+             i < pool->valueint && emulator->n_hosts < EMULATOR_BACKENDS_MAX;
+             i++) {
+            add_host(emulator, pool->string, arguments->first_port);
+        }
+    }
+    char *config = cJSON_PrintUnformatted(body);
+    put_plain(emulator, "op/config", config, strlen(config));
+    cJSON_free(config);
+    cJSON_Delete(pools);
+    cJSON_Delete(body);
+    return true;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct arguments *arguments = state->input;
+    if (key == 'p') {
+        arguments->first_port = atoi(arg);
+        return 0;
+    }
+    if (key == ARGP_KEY_ARG) {
+        arguments->config = arg;
+        return 0;
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp_option options[] = {
+        {"port", 'p', "FIRST", 0, "first of the ports", 0},
+        {0},
+    };
+    static const struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .args_doc = "CONFIG",
+        .doc = "Emulates the prepared platform on loopback.",
+    };
+    struct arguments arguments = {.first_port = 7600};
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    if (arguments.config == NULL) {
+        fprintf(stderr, "a configuration is missing\n");
+        return EXIT_FAILURE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    static struct emulator emulator;
+    emulator.base = event_base_new();
+    emulator.watches = g_ptr_array_new();
+    emulator.silenced = g_ptr_array_new();
+    emulator.done_noted =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    kv_model_init(&emulator.kv);
+    if (!read_config(&emulator, &arguments)) {
+        return EXIT_FAILURE;
+    }
+    int port = arguments.first_port;
+    emulator.store = listen_on(&emulator, port + PORT_STORE,
+                               emulator_kv_request, &emulator);
+    emulator.hosts_api = listen_on(&emulator, port + PORT_HOSTS,
+                                   emulator_hosts_request, &emulator);
+    emulator.admin =
+        listen_on(&emulator, port + PORT_ADMIN, on_admin, &emulator);
+    emulator.tick = evtimer_new(emulator.base, on_tick, &emulator);
+    on_tick(-1, 0, &emulator);
+    event_base_dispatch(emulator.base);
+    return EXIT_SUCCESS;
+}
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "egretjobd/records.h"
-#include "model_backend.h"
+#include "../../standins/jobs/backend_model.h"
 
 enum {
     BACKENDS = 4,
@@ -495,7 +495,8 @@
 {
     for (guint i = 0; i < backend->ends->len; i++) {
         const struct model_end *end = g_ptr_array_index(backend->ends, i);
-        if (end->number <= seen_upto && end->reason == END_DONE) {
+        if (end->number <= seen_upto && end->reason == END_DONE &&
+            !end->lapsed) {
             g_hash_table_add(sim->done_noted, g_strdup(end->task));
         }
     }
@@ -517,7 +518,11 @@
         /* A run that is being stopped stands in neither list. */
         if (run->stops_ms == 0) {
             lists.running[lists.n_running++] = (struct listed_run){
-                .task = run->task, .number = run->number, .saved = ""};
+                .task = run->task,
+                .number = run->number,
+                .saved = "",
+                .percent = (int32_t)(holder->sim->now_ms / 50 % 97),
+            };
         }
     }
     for (guint i = 0; i < backend->ends->len; i++) {
--- a/tests/jobs/model_test.c
+++ b/tests/jobs/model_test.c
@@ -1,6 +1,6 @@
 /*
- * Seeded schedules of take-over, orders, leases and storing. With the number
- * of schedules as argument, more of them are played; CI plays some.
+ * Seeded schedules of take-over, orders, leases and storing. Arguments are
+ * the number of schedules and the first seed; CI plays some.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +15,7 @@
 };
 
 static uint32_t schedules = SCHEDULES;
+static uint32_t first_seed = 1;
 
 static void
 test_schedules(void)
@@ -23,7 +24,7 @@
     uint32_t unfinished = 0;
     uint64_t starts = 0;
     uint64_t takeovers = 0;
-    for (uint32_t seed = 1; seed <= schedules; seed++) {
+    for (uint32_t seed = first_seed; seed < first_seed + schedules; seed++) {
         struct model_result result = model_run(seed, MUTATION_NONE);
         starts += result.starts;
         takeovers += result.takeovers;
@@ -74,6 +75,9 @@
     if (argc > 1) {
         schedules = (uint32_t)strtoul(argv[1], NULL, 10);
     }
+    if (argc > 2) {
+        first_seed = (uint32_t)strtoul(argv[2], NULL, 10);
+    }
     static const struct suite_test tests[] = {
         {"seeded schedules keep every promise", test_schedules},
         {"the model notices each missing mechanism", test_mutations},
