--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -24,11 +24,17 @@
     WATCH_TIMEOUT_MS = 2300,
     LOOK_RETRY_MS = 150,
     /* Claims of several processes spread over this time. */
-    CLAIM_SPREAD_MS = 120,
+    CLAIM_SPREAD_MS = 100,
+    /* Hosts with little processor leave the duty to the others for up to
+     * this long. */
+    WEAK_HOST_MS = 500,
     /* Our clock against the store's: 2 % over the time to live. */
     TTL_MARGIN_MS = 60,
 };
 
+/* A host with this many cores claims without delay. */
+static const double STRONG_HOST_CORES = 0.5;
+
 enum duty_state {
     DUTY_LOOKING,
     DUTY_CLAIMING,
@@ -57,9 +63,19 @@
     uint32_t term;
     bool watching;
     bool spread;
+    bool waited;
     bool call_in_flight;
 };
 
+/* Delay of a claim: strong hosts first, equals one by one. */
+static int64_t
+claim_delay_ms(const struct duty *duty)
+{
+    double lack = 1 - MIN(duty->node->boot->cores / STRONG_HOST_CORES, 1);
+    return (int64_t)(lack * WEAK_HOST_MS) +
+           g_random_int_range(0, CLAIM_SPREAD_MS);
+}
+
 static void
 look(struct duty *duty);
 static void
@@ -141,7 +157,8 @@
     if (duty->revision == 0) {
         /* Processes that saw it become free at once claim one by one. */
         duty->spread = true;
-        look_later(duty, g_random_int_range(0, CLAIM_SPREAD_MS));
+        duty->waited = true;
+        look_later(duty, claim_delay_ms(duty));
         return;
     }
     /* Reads the record as well: a watch may have missed a change. */
@@ -179,11 +196,17 @@
 static void
 claim_or_watch(struct duty *duty)
 {
-    if (claimable(duty) && !duty->node->leaving) {
+    if (!claimable(duty) || duty->node->leaving) {
+        watch(duty);
+        return;
+    }
+    if (duty->waited) {
+        duty->waited = false;
         claim(duty);
         return;
     }
-    watch(duty);
+    duty->waited = true;
+    look_later(duty, duty->revision == 0 ? claim_delay_ms(duty) : 0);
 }
 
 static void
@@ -372,7 +395,7 @@
     duty->watch = kv_create(node->base, node->boot->store, WATCH_TIMEOUT_MS,
                             store_path_any(node->path));
     duty->timer = evtimer_new(node->base, on_timer, duty);
-    look_later(duty, g_random_int_range(0, CLAIM_SPREAD_MS));
+    look_later(duty, 0);
     return duty;
 }
 
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -18,6 +18,7 @@
  * @metrics: address of the metrics
  * @store: address of the key-value service
  * @hosts: address of the calls about hosts
+ * @cores: processor of this host, in cores
  * @grace_ms: time between SIGTERM and SIGKILL
  * @config_ms: time within which a configuration is in force
  * @timings: bounds for the scheduler
@@ -31,6 +32,7 @@
     char *metrics;
     char *store;
     char *hosts;
+    double cores;
     int64_t grace_ms;
     int64_t config_ms;
     int64_t min_ttl_ms;
