--- a/net/http_client.c
+++ b/net/http_client.c
@@ -125,11 +125,13 @@
 
     struct evhttp_request *request = evhttp_request_new(on_reply, pending);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", client->host);
     for (const struct http_header *h = call->headers;
          h != NULL && h->name != NULL; h++) {
         evhttp_add_header(headers, h->name, h->value);
     }
+    if (evhttp_find_header(headers, "Host") == NULL) {
+        evhttp_add_header(headers, "Host", client->host);
+    }
     if (call->body != NULL) {
         evhttp_add_header(headers, "Content-Type", "application/json");
         evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
--- /dev/null
+++ b/standins/jobs/job_caller.h
@@ -0,0 +1,78 @@
+/* Callers that submit jobs, ask for their state, and keep figures. */
+#ifndef STANDINS_JOBS_JOB_CALLER_H
+#define STANDINS_JOBS_JOB_CALLER_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct caller_queue - a queue as callers see it, and what became of jobs
+ * @name: for reports
+ * @host: Host header
+ * @prefix: path prefix
+ * @key: key of a client account, or NULL on an open queue
+ * @objective_ms: a job completed within this time is in its objective
+ * @times_ms: int64_t, time from submission to completion of each job
+ */
+struct caller_queue {
+    const char *name;
+    const char *host;
+    const char *prefix;
+    const char *key;
+    int64_t objective_ms;
+    uint32_t submitted;
+    uint32_t accepted;
+    uint32_t refused;
+    uint32_t completed;
+    uint32_t in_objective;
+    uint32_t failed;
+    uint32_t cancelled;
+    GArray *times_ms;
+};
+
+struct job_caller;
+
+/** job_caller_create() - @fronts: addresses of entry hosts, NULL-terminated */
+struct job_caller *
+job_caller_create(struct event_base *base, const char *const *fronts);
+void
+job_caller_destroy(struct job_caller *caller);
+
+/** job_caller_submit() - submit a job and follow it to its end. */
+void
+job_caller_submit(struct job_caller *caller, struct caller_queue *queue,
+                  const char *body);
+
+/** job_caller_submit_to_cancel() - same, cancelled after @cancel_ms. */
+void
+job_caller_submit_to_cancel(struct job_caller *caller,
+                            struct caller_queue *queue, const char *body,
+                            int64_t cancel_ms);
+
+/** job_caller_open() - jobs that are not at their end. */
+uint32_t
+job_caller_open(const struct job_caller *caller);
+
+/** caller_queue_init() - set up the figures of a queue. */
+void
+caller_queue_init(struct caller_queue *queue);
+void
+caller_queue_clear(struct caller_queue *queue);
+
+/** caller_queue_quantile_ms() - quantile of the completion times; 0: none. */
+int64_t
+caller_queue_quantile_ms(const struct caller_queue *queue, double quantile);
+
+/**
+ * http_ask() - one call, waiting for its answer in @base's loop
+ *
+ * Returns: the status, 0 for no answer; @body, if not NULL, receives the
+ * body, to be freed.
+ */
+int
+http_ask(struct event_base *base, const char *address, const char *method,
+         const char *path, const char *key, const char *text, char **body);
+
+#endif
--- /dev/null
+++ b/standins/jobs/jobs_load.c
@@ -0,0 +1,202 @@
+/*
+ * Submits jobs of both deployments to entry hosts, follows them to their end
+ * and prints a table; the last line tells the emulator's checks.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "job_caller.h"
+#include "platform/json_text.h"
+
+enum {
+    FRONTS_MAX = 16,
+    QUEUES = 4,
+    DEFAULT_SECONDS = 8,
+    SETTLE_MS = 15000,
+};
+
+struct arguments {
+    const char *fronts[FRONTS_MAX + 1];
+    int n_fronts;
+    const char *admin;
+    int seconds;
+};
+
+/** struct load_kind - jobs of one queue; @per_second of them */
+struct load_kind {
+    struct caller_queue queue;
+    double per_second;
+    const char *body;
+    int64_t cancel_ms;
+    uint32_t sent;
+};
+
+static struct load_kind kinds[QUEUES] = {
+    {
+        .queue = {.name = "draft-notice",
+                  .host = "jobs.example",
+                  .prefix = "/draft/",
+                  .key = "key-skela",
+                  .objective_ms = 2200},
+        .per_second = 4,
+        .body = "{\"spec\":\"ms=400\",\"steps\":[{\"count\":5,\"cpu\":800,"
+                "\"mem_mb\":1700,\"estimate_ms\":400},{\"count\":3,"
+                "\"cpu\":800,\"mem_mb\":1700,\"estimate_ms\":400,"
+                "\"after\":[0]}]}",
+    },
+    {
+        .queue = {.name = "archive-keeper",
+                  .host = "jobs.example",
+                  .prefix = "/archive/",
+                  .objective_ms = 2500},
+        .per_second = 0.3,
+        .body = "{\"spec\":\"forever\",\"steps\":[{\"count\":3,\"cpu\":1300,"
+                "\"mem_mb\":4500,\"long_running\":true,\"may_miss\":1,"
+                "\"anti_affinity\":1}]}",
+        .cancel_ms = 3000,
+    },
+    {
+        .queue = {.name = "plan-render",
+                  .host = "jobs.example",
+                  .prefix = "/plan/",
+                  .key = "key-skela",
+                  .objective_ms = 4000},
+        .per_second = 0.8,
+        .body = "{\"spec\":\"ms=900\",\"steps\":[{\"count\":8,\"cpu\":1800,"
+                "\"mem_mb\":6500,\"estimate_ms\":900,"
+                "\"checkpointing\":true},{\"count\":4,\"cpu\":1800,"
+                "\"mem_mb\":6500,\"estimate_ms\":900,\"after\":[0]}]}",
+    },
+    {
+        .queue = {.name = "label-quick",
+                  .host = "jobs.example",
+                  .prefix = "/label/",
+                  .key = "key-tresses",
+                  .objective_ms = 1600},
+        .per_second = 5,
+        .body = "{\"spec\":\"ms=250\",\"steps\":[{\"count\":6,\"cpu\":1100,"
+                "\"mem_mb\":2000,\"estimate_ms\":250,"
+                "\"speculative\":true}]}",
+    },
+};
+
+static void
+print_table(void)
+{
+    printf("%-16s %6s %8s %10s %6s %8s %7s %9s %8s %8s\n", "queue", "jobs",
+           "accepted", "in aim", "late", "refused", "failed", "cancelled",
+           "p50 ms", "p99 ms");
+    for (size_t i = 0; i < QUEUES; i++) {
+        const struct caller_queue *q = &kinds[i].queue;
+        printf("%-16s %6u %8u %10u %6u %8u %7u %9u %8ld %8ld\n", q->name,
+               q->submitted, q->accepted, q->in_objective,
+               q->completed - q->in_objective, q->refused, q->failed,
+               q->cancelled, (long)caller_queue_quantile_ms(q, 0.5),
+               (long)caller_queue_quantile_ms(q, 0.99));
+    }
+}
+
+static void
+send_due(struct job_caller *caller, int64_t passed_ms)
+{
+    for (size_t i = 0; i < QUEUES; i++) {
+        struct load_kind *kind = &kinds[i];
+        while (kind->sent < kind->per_second * (double)passed_ms / 1000) {
+            kind->sent++;
+            job_caller_submit_to_cancel(caller, &kind->queue, kind->body,
+                                        kind->cancel_ms);
+        }
+    }
+}
+
+static uint32_t
+judge(struct event_base *base, const struct arguments *arguments,
+      uint32_t open_jobs)
+{
+    char *body = NULL;
+    http_ask(base, arguments->admin, "GET", "/figures", NULL, NULL, &body);
+    cJSON *figures = cJSON_Parse(body);
+    uint32_t violated = (uint32_t)json_int_get(figures, "violations", 1);
+    uint32_t checked = (uint32_t)json_int_get(figures, "checks", 0);
+    cJSON_Delete(figures);
+    g_free(body);
+    /* Besides the starts: every accepted job came to an end. */
+    for (size_t i = 0; i < QUEUES; i++) {
+        checked += kinds[i].queue.accepted;
+    }
+    violated += open_jobs;
+    printf("invariants: %u checked, %u violated\n", checked, violated);
+    return violated;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    struct arguments *arguments = state->input;
+    switch (key) {
+    case 'a':
+        arguments->admin = arg;
+        return 0;
+    case 's':
+        arguments->seconds = atoi(arg);
+        return 0;
+    case ARGP_KEY_ARG:
+        if (arguments->n_fronts == FRONTS_MAX) {
+            argp_usage(state);
+        }
+        arguments->fronts[arguments->n_fronts++] = arg;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp_option options[] = {
+        {"admin", 'a', "ADDRESS", 0, "administration of the emulator", 0},
+        {"seconds", 's', "N", 0, "how long to submit", 0},
+        {0},
+    };
+    static const struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .args_doc = "FRONT...",
+        .doc = "Submits jobs to entry hosts and tells what became of them.",
+    };
+    struct arguments arguments = {.seconds = DEFAULT_SECONDS};
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    if (arguments.n_fronts == 0 || arguments.admin == NULL) {
+        fprintf(stderr, "entry hosts or the emulator are missing\n");
+        return EXIT_FAILURE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    struct event_base *base = event_base_new();
+    struct job_caller *caller = job_caller_create(base, arguments.fronts);
+    for (size_t i = 0; i < QUEUES; i++) {
+        caller_queue_init(&kinds[i].queue);
+    }
+    int64_t start_ms = g_get_monotonic_time() / 1000;
+    int64_t passed_ms = 0;
+    while (passed_ms < arguments.seconds * 1000 + SETTLE_MS) {
+        if (passed_ms < arguments.seconds * 1000) {
+            send_due(caller, passed_ms);
+        }
+        else if (job_caller_open(caller) == 0) {
+            break;
+        }
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(2000);
+        passed_ms = g_get_monotonic_time() / 1000 - start_ms;
+    }
+    print_table();
+    uint32_t violated = judge(base, &arguments, job_caller_open(caller));
+    job_caller_destroy(caller);
+    for (size_t i = 0; i < QUEUES; i++) {
+        caller_queue_clear(&kinds[i].queue);
+    }
+    return violated == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "egretjobd/records.h"
-#include "../../standins/jobs/backend_model.h"
+#include "backend_model.h"
 
 enum {
     BACKENDS = 4,
