--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -359,6 +359,11 @@
     g_hash_table_iter_init(&iter, sched->backends);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct backend *backend = value;
+        if (backend->hold_in_flight &&
+            now_ms - backend->hold_sent_ms > ANSWER_OVERDUE_MS) {
+            backend->hold_in_flight = false;
+            backend->silent = true;
+        }
         if (backend->hold_in_flight || now_ms < backend->hold_due_ms ||
             !list_wanted(sched, backend)) {
             continue;
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -272,6 +272,19 @@
     }
 }
 
+/* An order whose answer never came is one without an answer. */
+static void
+drop_overdue(struct run *run, int64_t now_ms)
+{
+    if (run->state == RUN_STARTING &&
+        now_ms - run->started_ms > ANSWER_OVERDUE_MS) {
+        run->state = RUN_UNCERTAIN;
+    }
+    if (run->stop_pending && now_ms - run->stop_sent_ms > ANSWER_OVERDUE_MS) {
+        run->stop_pending = false;
+    }
+}
+
 /* Sends stops again, and settles orders that got no answer. */
 void
 sched_watch_runs(struct scheduler *sched)
@@ -282,6 +295,7 @@
     g_hash_table_iter_init(&iter, sched->runs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct run *run = value;
+        drop_overdue(run, now_ms);
         if (run->state == RUN_UNCERTAIN) {
             sched_run_stop(sched, run);
         }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -14,6 +14,9 @@
      * together are read together. */
     LIST_GAP_MS = 15,
     LIST_RETRY_MS = 250,
+    /* Calls end by their own timeouts well before; an answer that is overdue
+     * by then never comes. */
+    ANSWER_OVERDUE_MS = 5000,
     /* A stop without an answer is sent again after this time. */
     STOP_RETRY_MS = 400,
     /* A start that found no room or was refused waits this long. */
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -54,6 +55,7 @@
 {
     pid_t pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (freopen(log, "a", stdout) == NULL ||
             dup2(STDOUT_FILENO, STDERR_FILENO) < 0) {
             _exit(EXIT_FAILURE);
