Replay faults and loads against single decisions of the scheduler

Change: 13 tests with a recorded scheduler: failed ends listed again, stops in neither list, unread hosts, wave limits, spread, a turn, single large jobs, overload, limits over pools, gangs, validity, draining.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # Short names for the common tasks; meson does the work.
 BUILD ?= build
 HOLD ?= 0
+SCHEDULES ?= 10000
 
-.PHONY: all deps build test demo bench format check-format lint clean
+.PHONY: all deps build test demo demo-jobs model bench format check-format lint clean
 
 all: build
 
@@ -21,6 +22,12 @@
 demo: deps build
 	HOLD=$(HOLD) sh scripts/demo.sh $(BUILD)
 
+demo-jobs: deps build
+	sh scripts/demo_jobs.sh $(BUILD)
+
+model: build
+	$(BUILD)/tests/jobs/jobs_model_test $(SCHEDULES)
+
 bench: deps build
 	sh scripts/bench.sh $(BUILD)
 
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -100,8 +100,9 @@
         dropped++;
         return;
     }
-    memcpy(line + bytes, "}\n", 2);
-    if (!write_line(line, (size_t)bytes + 2)) {
+    line[bytes++] = '}';
+    line[bytes++] = '\n';
+    if (!write_line(line, (size_t)bytes)) {
         dropped++;
     }
 }
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -40,8 +40,10 @@
 {
     host->intent = intent;
     host->intent_ms = sched_now(sched);
+    /* The pool may be the host's own present target. */
+    char *target = g_strdup(pool);
     g_free(host->target_pool);
-    host->target_pool = g_strdup(pool);
+    host->target_pool = target;
     struct backend *backend = sched_host_backend(sched, host);
     if (backend != NULL) {
         backend->leaving = intent != HOST_STAYS;
--- a/standins/jobs/backend_model.h
+++ b/standins/jobs/backend_model.h
@@ -8,13 +8,18 @@
 
 #include "core/jobs/scheduler.h"
 
-/** struct model_task_run - a run on a backend server */
+/**
+ * struct model_task_run - a run on a backend server
+ * @stops_ms: when a stop ends it; 0: not told to stop
+ * @stalls: its progress stands still
+ */
 struct model_task_run {
     char *task;
     uint32_t number;
     int64_t ends_ms;
     int64_t stops_ms;
     bool fails;
+    bool stalls;
 };
 
 /**
--- /dev/null
+++ b/tests/jobs/fleet_fixture.c
@@ -0,0 +1,272 @@
+#include "fleet_fixture.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/decode.h"
+
+enum {
+    STOP_MS = 500,
+    BATCH = 15,
+};
+
+static void
+order_free(void *data)
+{
+    struct order *order = data;
+    g_free(order->target);
+    g_free(order->task);
+    g_free(order);
+}
+
+static struct order *
+record(struct fleet_fixture *fixture, enum order_kind kind, const char *target)
+{
+    struct order *order = g_new0(struct order, 1);
+    order->kind = kind;
+    order->target = g_strdup(target);
+    order->at_ms = fixture->now_ms;
+    g_ptr_array_add(fixture->orders, order);
+    return order;
+}
+
+static void
+op_start(void *ctx, const struct start_order *given)
+{
+    struct order *order = record(ctx, ORDER_START, given->backend->entry.id);
+    order->handle = given->handle;
+    order->number = given->run->number;
+    order->task = g_strdup_printf("%s.%u.%u.%u", given->run->job->id,
+                                  given->run->occurrence, given->run->step,
+                                  given->run->index);
+}
+
+static void
+op_stop(void *ctx, const struct stop_order *given)
+{
+    struct order *order = record(ctx, ORDER_STOP, given->backend->entry.id);
+    order->handle = given->handle;
+    order->number = given->number;
+    order->task = g_strdup(given->task);
+}
+
+static void
+op_list(void *ctx, struct backend *backend, int64_t until_ms,
+        int64_t seen_upto, int64_t wait_ms)
+{
+    (void)until_ms;
+    (void)seen_upto;
+    (void)wait_ms;
+    record(ctx, ORDER_LIST, backend->entry.id);
+}
+
+static void
+op_move(void *ctx, const char *host, const char *pool)
+{
+    struct order *order = record(ctx, ORDER_MOVE, host);
+    order->task = g_strdup(pool);
+}
+
+static void
+op_reboot(void *ctx, const char *host, int64_t wave)
+{
+    record(ctx, ORDER_REBOOT, host)->number = (uint32_t)wave;
+}
+
+static int64_t
+now(void *ctx)
+{
+    return ((struct fleet_fixture *)ctx)->now_ms;
+}
+
+static int64_t
+unix_now(void *ctx)
+{
+    return ((struct fleet_fixture *)ctx)->now_ms + 1000000000;
+}
+
+static void
+add_queue(struct fleet_config *config, const char *name)
+{
+    struct pool_config *pool = g_new0(struct pool_config, 1);
+    pool->name = g_strdup(name);
+    g_ptr_array_add(config->pools, pool);
+    struct queue_config *queue = g_new0(struct queue_config, 1);
+    *queue = (struct queue_config){
+        .name = g_strdup(name),
+        .host = g_strdup("h"),
+        .prefix = g_strdup_printf("/%s/", name),
+        .pool = g_strdup(name),
+        .attempts = 3,
+        .stretch = 1.6,
+        .objective_ms = 600,
+    };
+    g_ptr_array_add(config->queues, queue);
+}
+
+void
+fixture_init(struct fleet_fixture *fixture, uint32_t term)
+{
+    *fixture = (struct fleet_fixture){.now_ms = 100000};
+    fixture->orders = g_ptr_array_new_with_free_func(order_free);
+    fixture->config = fleet_config_create();
+    add_queue(fixture->config, "p");
+    add_queue(fixture->config, "q");
+    struct pool_config *spare = g_new0(struct pool_config, 1);
+    spare->name = g_strdup("s");
+    spare->spare = true;
+    g_ptr_array_add(fixture->config->pools, spare);
+    struct team_config *team = g_new0(struct team_config, 1);
+    team->name = g_strdup("t");
+    g_ptr_array_add(fixture->config->teams, team);
+    struct sched_timings timings = {
+        .lease_max_ms = 6000,
+        .stop_ms = STOP_MS,
+        .move_ms = 1500,
+        .reboot_ms = 2000,
+        .order_gap_ms = 3000,
+        .keep_ms = 1000000,
+    };
+    struct sched_ops ops = {
+        .start = op_start,
+        .stop = op_stop,
+        .list = op_list,
+        .move = op_move,
+        .reboot = op_reboot,
+        .ctx = fixture,
+    };
+    fixture->sched = scheduler_create(
+        &timings, &ops, term, (struct ms_clock){.now = now, .ctx = fixture},
+        (struct ms_clock){.now = unix_now, .ctx = fixture});
+    scheduler_configure(fixture->sched, fixture->config);
+    scheduler_set_valid(fixture->sched, true);
+}
+
+void
+fixture_clear(struct fleet_fixture *fixture)
+{
+    scheduler_destroy(fixture->sched);
+    fleet_config_destroy(fixture->config);
+    g_ptr_array_unref(fixture->orders);
+}
+
+void
+fixture_backend(struct fleet_fixture *fixture, const char *id,
+                const char *pool, const char *host)
+{
+    static char *labels[] = {(char *)"a", (char *)"r1", NULL};
+    struct backend_entry entry = {
+        .id = (char *)id,
+        .born_ms = 1,
+        .pool = (char *)pool,
+        .address = (char *)"127.0.0.1:1",
+        .data_centre = (char *)"dc",
+        .host = (char *)host,
+        .labels = labels,
+        .room = {.cpu_milli = 16000, .mem_mb = 64000},
+    };
+    scheduler_backend_seen(fixture->sched, &entry);
+}
+
+static void
+store_all(struct fleet_fixture *fixture)
+{
+    struct store_batch *batch;
+    while ((batch = scheduler_take_batch(fixture->sched, BATCH)) != NULL) {
+        scheduler_batch_stored(fixture->sched, batch, true, 1);
+    }
+}
+
+void
+fixture_tick(struct fleet_fixture *fixture, int64_t now_ms)
+{
+    fixture->now_ms = now_ms;
+    scheduler_tick(fixture->sched);
+    store_all(fixture);
+}
+
+void
+fixture_lists(struct fleet_fixture *fixture, const char *id,
+              struct listed_run *running, size_t n_running,
+              struct listed_end *ends, size_t n_ends)
+{
+    struct backend_lists lists = {
+        .outcome = LIST_READ,
+        .born_ms = 1,
+        .clock_ms = fixture->now_ms + 5000,
+        .running = running,
+        .n_running = n_running,
+        .ends = ends,
+        .n_ends = n_ends,
+    };
+    scheduler_on_list(fixture->sched, id, &lists);
+}
+
+void
+fixture_settle(struct fleet_fixture *fixture)
+{
+    fixture_tick(fixture, fixture->now_ms + 10);
+    GPtrArray *ids = scheduler_list_backends(fixture->sched);
+    for (guint i = 0; i < ids->len; i++) {
+        fixture_lists(fixture, g_ptr_array_index(ids, i), NULL, 0, NULL, 0);
+    }
+    g_ptr_array_unref(ids);
+}
+
+struct job *
+fixture_job(struct fleet_fixture *fixture, const char *id, const char *pool,
+            const char *steps)
+{
+    char *error = NULL;
+    char *body = g_strdup_printf("{\"spec\":\"x\",\"steps\":%s}", steps);
+    struct job *job = decode_job(body, strlen(body), &error);
+    g_free(body);
+    g_strlcpy(job->id, id, sizeof(job->id));
+    job->queue = g_strdup(pool);
+    job->pool = g_strdup(pool);
+    job->team = g_strdup("t");
+    job->attempts = 3;
+    job->accepted_unix_ms = unix_now(fixture);
+    scheduler_add_job(fixture->sched, job);
+    job_unref(job);
+    return job;
+}
+
+uint32_t
+fixture_count(const struct fleet_fixture *fixture, enum order_kind kind,
+              const char *target)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < fixture->orders->len; i++) {
+        const struct order *order = g_ptr_array_index(fixture->orders, i);
+        if (order->kind == kind &&
+            (target == NULL || strcmp(order->target, target) == 0)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+const struct order *
+fixture_last(const struct fleet_fixture *fixture, enum order_kind kind)
+{
+    const struct order *last = NULL;
+    for (guint i = 0; i < fixture->orders->len; i++) {
+        const struct order *order = g_ptr_array_index(fixture->orders, i);
+        if (order->kind == kind) {
+            last = order;
+        }
+    }
+    return last;
+}
+
+void
+fixture_accept_starts(struct fleet_fixture *fixture)
+{
+    for (guint i = 0; i < fixture->orders->len; i++) {
+        const struct order *order = g_ptr_array_index(fixture->orders, i);
+        if (order->kind == ORDER_START) {
+            scheduler_on_start(fixture->sched, order->handle, START_DONE, 0);
+        }
+    }
+}
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -10,7 +10,7 @@
 enum {
     BACKENDS = 4,
     JOBS = 5,
-    LENGTH_MS = 26000,
+    LENGTH_MS = 33000,
     /* Faults end here; what is left has to finish by the end. */
     CALM_MS = 10000,
     DUTY_MS = 3000,
@@ -483,6 +483,9 @@
         backend, order->task, order->number, order->until_ms, order->token,
         run_ms, fails, sim->now_ms, &began);
     if (began) {
+        struct model_task_run *run =
+            g_ptr_array_index(backend->runs, backend->runs->len - 1);
+        run->stalls = troubled(sim) && is_long;
         check_start(sim, order);
     }
     answer_order(sim, order, answer, true);
@@ -521,7 +524,9 @@
                 .task = run->task,
                 .number = run->number,
                 .saved = "",
-                .percent = (int32_t)(holder->sim->now_ms / 50 % 97),
+                .percent = run->stalls
+                               ? 40
+                               : (int32_t)(holder->sim->now_ms / 50 % 97),
             };
         }
     }
--- /dev/null
+++ b/tests/jobs/scheduler_test.c
@@ -0,0 +1,409 @@
+/* Single decisions of the scheduler, each the replay of a fault or a load. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fleet_fixture.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+static const char one_task[] =
+    "[{\"count\":1,\"cpu\":1000,\"mem_mb\":100,\"estimate_ms\":500}]";
+
+/* A holder that lost the store counted failures that it could not store;
+ * their ends are listed again to the next one, which has no run of its own. */
+static void
+test_failures_listed_again(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    fixture_backend(&f, "b1", "p", "m1");
+    struct job *job = fixture_job(&f, JOB_A, "p", one_task);
+    struct listed_end ends[] = {
+        {.number = 1, .task = JOB_A ".0.0.0", .run = 1, .reason = END_FAILED},
+        {.number = 2, .task = JOB_A ".0.0.0", .run = 2, .reason = END_FAILED},
+        {.number = 3, .task = JOB_A ".0.0.0", .run = 3, .reason = END_FAILED},
+    };
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_lists(&f, "b1", NULL, 0, ends, 3);
+    /* Listed once more before the acknowledgement arrives. */
+    fixture_lists(&f, "b1", NULL, 0, ends, 3);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(job->state, JOB_FAILED);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 0);
+    fixture_clear(&f);
+}
+
+/* A failure that was stored and is listed again counts once. */
+static void
+test_failure_counts_once(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    fixture_backend(&f, "b1", "p", "m1");
+    struct job *job = fixture_job(&f, JOB_A, "p", one_task);
+    job_task_failed(&job_part(job, 0, 0)->tasks[0], 1);
+    struct listed_end ends[] = {
+        {.number = 1, .task = JOB_A ".0.0.0", .run = 1, .reason = END_FAILED},
+        {.number = 2, .task = JOB_A ".0.0.0", .run = 2, .reason = END_FAILED},
+    };
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_lists(&f, "b1", NULL, 0, ends, 2);
+    CU_ASSERT_EQUAL(job->state, JOB_ACTIVE);
+    CU_ASSERT_EQUAL(job_part(job, 0, 0)->tasks[0].failures, 2);
+    fixture_clear(&f);
+}
+
+/* A run that is being stopped stands in neither list of its backend server;
+ * its task must not start elsewhere before the stop has surely ended it. */
+static void
+test_stopping_run_is_waited_for(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_backend(&f, "b2", "p", "m2");
+    fixture_settle(&f);
+    struct job *job = fixture_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, ORDER_START, NULL), 1);
+    const struct order *start = fixture_last(&f, ORDER_START);
+    char *where = g_strdup(start->target);
+    scheduler_on_start(f.sched, start->handle, START_NO_ANSWER, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, ORDER_STOP, NULL), 1);
+    scheduler_on_stop(f.sched, fixture_last(&f, ORDER_STOP)->handle, true);
+    fixture_tick(&f, f.now_ms + 20);
+    fixture_lists(&f, where, NULL, 0, NULL, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 1);
+    /* A list that is asked for after the stop's time proves the absence. */
+    fixture_tick(&f, f.now_ms + 700);
+    fixture_lists(&f, where, NULL, 0, NULL, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 2);
+    CU_ASSERT_EQUAL(job->state, JOB_ACTIVE);
+    g_free(where);
+    fixture_clear(&f);
+}
+
+/* After a takeover a host whose lists are unread is not taken for empty. */
+static void
+test_unread_host_is_not_empty(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    fixture_backend(&f, "b1", "p", "m1");
+    struct host_fact facts[] = {{.host = "m1",
+                                 .pool = "p",
+                                 .backend_id = "b1",
+                                 .data_centre = "dc",
+                                 .up = true}};
+    scheduler_hosts_read(f.sched, facts, 1);
+    char *hosts[] = {(char *)"m1", NULL};
+    struct host_wave wave = {.number = 1,
+                             .hosts = hosts,
+                             .most = 1,
+                             .within_ms = 1000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 50; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 0);
+    fixture_lists(&f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 1);
+    fixture_clear(&f);
+}
+
+/* A wave never takes more hosts than allowed, and is done at its end. */
+static void
+test_wave_keeps_its_limit(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    struct host_fact facts[4];
+    static const char *const names[] = {"m0", "m1", "m2", "m3"};
+    static const char *const ids[] = {"b0", "b1", "b2", "b3"};
+    for (int i = 0; i < 4; i++) {
+        fixture_backend(&f, ids[i], "p", names[i]);
+        facts[i] = (struct host_fact){.host = names[i],
+                                      .pool = "p",
+                                      .backend_id = ids[i],
+                                      .data_centre = "dc",
+                                      .up = true};
+    }
+    scheduler_hosts_read(f.sched, facts, 4);
+    fixture_settle(&f);
+    char *hosts[] = {(char *)"m0", (char *)"m1", (char *)"m2", (char *)"m3",
+                     NULL};
+    struct host_wave wave = {.number = 7,
+                             .hosts = hosts,
+                             .most = 2,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    fixture_tick(&f, f.now_ms + 4000);
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 2);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 7));
+    for (int i = 0; i < 4; i++) {
+        scheduler_on_host_order(f.sched, names[i], 7, HOST_ORDER_DONE);
+    }
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 2);
+    char *begun = scheduler_wave_begun_list(f.sched, 7);
+    CU_ASSERT_EQUAL(g_strv_length(g_strsplit(begun, " ", 0)), 2);
+    g_free(begun);
+    fixture_clear(&f);
+}
+
+/* A pool keeps as many hosts as a step has to be spread over, though their
+ * processors are idle. */
+static void
+test_spread_keeps_hosts(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    struct host_fact facts[5];
+    char names[5][4];
+    char ids[5][4];
+    for (int i = 0; i < 5; i++) {
+        snprintf(names[i], sizeof(names[i]), "m%d", i);
+        snprintf(ids[i], sizeof(ids[i]), "b%d", i);
+        fixture_backend(&f, ids[i], "p", names[i]);
+        facts[i] = (struct host_fact){.host = names[i],
+                                      .pool = "p",
+                                      .backend_id = ids[i],
+                                      .data_centre = "dc",
+                                      .up = true};
+    }
+    scheduler_hosts_read(f.sched, facts, 5);
+    fixture_settle(&f);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":4,\"cpu\":100,\"mem_mb\":10,"
+                "\"long_running\":true,\"anti_affinity\":1}]");
+    for (int i = 0; i < 45; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        for (int b = 0; b < 5; b++) {
+            fixture_accept_starts(&f);
+        }
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 4);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_MOVE, NULL), 0);
+    fixture_clear(&f);
+}
+
+/* A turn: a pool that is asked for far more than it holds gets hosts from
+ * the spare pool and from an idle one, at once. */
+static void
+test_turn_brings_hosts(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    struct host_fact facts[8];
+    char names[8][4];
+    char ids[8][4];
+    for (int i = 0; i < 8; i++) {
+        const char *pool = i < 2 ? "p" : i < 6 ? "q" : "s";
+        snprintf(names[i], sizeof(names[i]), "m%d", i);
+        snprintf(ids[i], sizeof(ids[i]), "b%d", i);
+        fixture_backend(&f, ids[i], pool, names[i]);
+        facts[i] = (struct host_fact){.host = names[i],
+                                      .pool = pool,
+                                      .backend_id = ids[i],
+                                      .data_centre = "dc",
+                                      .up = true};
+    }
+    scheduler_hosts_read(f.sched, facts, 8);
+    fixture_settle(&f);
+    fixture_tick(&f, f.now_ms + 3400);
+    int64_t turn_ms = f.now_ms;
+    for (int i = 0; i < 12; i++) {
+        char id[JOB_ID_CHARS + 1];
+        snprintf(id, sizeof(id), "%016x", i);
+        fixture_job(&f, id, "p",
+                    "[{\"count\":6,\"cpu\":1500,\"mem_mb\":100,"
+                    "\"estimate_ms\":900}]");
+    }
+    fixture_tick(&f, f.now_ms + 150);
+    uint32_t to_p = 0;
+    for (guint i = 0; i < f.orders->len; i++) {
+        const struct order *order = g_ptr_array_index(f.orders, i);
+        if (order->kind == ORDER_MOVE && strcmp(order->task, "p") == 0) {
+            to_p++;
+            CU_ASSERT(order->at_ms - turn_ms <= 150);
+        }
+    }
+    /* Both spare hosts and those that the idle pool does not keep. */
+    CU_ASSERT(to_p >= 4);
+    fixture_clear(&f);
+}
+
+/* One large job now and then does not make a pool grow and shrink. */
+static void
+test_single_jobs_move_nothing(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    struct host_fact facts[4];
+    char names[4][4];
+    char ids[4][4];
+    for (int i = 0; i < 4; i++) {
+        snprintf(names[i], sizeof(names[i]), "m%d", i);
+        snprintf(ids[i], sizeof(ids[i]), "b%d", i);
+        fixture_backend(&f, ids[i], i < 2 ? "p" : "s", names[i]);
+        facts[i] = (struct host_fact){.host = names[i],
+                                      .pool = i < 2 ? "p" : "s",
+                                      .backend_id = ids[i],
+                                      .data_centre = "dc",
+                                      .up = true};
+    }
+    scheduler_hosts_read(f.sched, facts, 4);
+    fixture_settle(&f);
+    fixture_tick(&f, f.now_ms + 3400);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":8,\"cpu\":1800,\"mem_mb\":100,"
+                "\"estimate_ms\":2000}]");
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        fixture_accept_starts(&f);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 8);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_MOVE, NULL), 0);
+    fixture_clear(&f);
+}
+
+/* Overload: a job that can still meet its objective goes before one that is
+ * late, and the smaller of two attainable ones first. */
+static void
+test_order_under_overload(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_settle(&f);
+    static const char wide[] =
+        "[{\"count\":16,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":1000}]";
+    static const char narrow[] =
+        "[{\"count\":4,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":1000}]";
+    struct job *late = fixture_job(&f, JOB_A, "p", narrow);
+    late->accepted_unix_ms -= 60000;
+    fixture_job(&f, JOB_B, "p", wide);
+    fixture_job(&f, "00000000000000cc", "p", narrow);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, ORDER_START, NULL), 16);
+    uint32_t by_job[3] = {0};
+    for (guint i = 0; i < f.orders->len; i++) {
+        const struct order *order = g_ptr_array_index(f.orders, i);
+        if (order->kind == ORDER_START) {
+            by_job[order->task[15] - 'a']++;
+        }
+    }
+    CU_ASSERT_EQUAL(by_job[2], 4);
+    CU_ASSERT_EQUAL(by_job[1], 12);
+    CU_ASSERT_EQUAL(by_job[0], 0);
+    fixture_clear(&f);
+}
+
+/* The limit of a client account holds over all pools. */
+static void
+test_team_limit_over_pools(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    struct team_config *team = g_ptr_array_index(f.config->teams, 0);
+    team->maximum.cpu_milli = 5000;
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_backend(&f, "b2", "q", "m2");
+    fixture_settle(&f);
+    static const char tasks[] =
+        "[{\"count\":4,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":1000}]";
+    fixture_job(&f, JOB_A, "p", tasks);
+    fixture_job(&f, JOB_B, "q", tasks);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 5);
+    fixture_clear(&f);
+}
+
+/* Members of a gang start together or not at all, with one number. */
+static void
+test_gang_starts_whole(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_settle(&f);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":20,\"cpu\":1000,\"mem_mb\":10,"
+                "\"estimate_ms\":1000,\"gang\":true}]");
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 0);
+    fixture_backend(&f, "b2", "p", "m2");
+    fixture_settle(&f);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 20);
+    fixture_clear(&f);
+}
+
+/* Without validity nothing starts; afterwards it goes on. */
+static void
+test_no_start_without_validity(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_settle(&f);
+    scheduler_set_valid(f.sched, false);
+    fixture_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 0);
+    scheduler_set_valid(f.sched, true);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 1);
+    fixture_clear(&f);
+}
+
+/* A server that drains and a data centre that is out get nothing. */
+static void
+test_draining_and_out(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_settle(&f);
+    static char *out[] = {(char *)"dc", NULL};
+    static char *none[] = {NULL};
+    scheduler_take_out(f.sched, out);
+    fixture_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 0);
+    scheduler_take_out(f.sched, none);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 1);
+    fixture_clear(&f);
+}
+
+int
+main(void)
+{
+    static const struct suite_test tests[] = {
+        {"failed ends listed again count", test_failures_listed_again},
+        {"a stored failure counts once", test_failure_counts_once},
+        {"a stopping run is waited for", test_stopping_run_is_waited_for},
+        {"an unread host is not empty", test_unread_host_is_not_empty},
+        {"a wave keeps its limit", test_wave_keeps_its_limit},
+        {"spread keeps hosts in the pool", test_spread_keeps_hosts},
+        {"a turn brings hosts", test_turn_brings_hosts},
+        {"single jobs move nothing", test_single_jobs_move_nothing},
+        {"order under overload", test_order_under_overload},
+        {"a team's limit holds over pools", test_team_limit_over_pools},
+        {"a gang starts whole", test_gang_starts_whole},
+        {"no start without validity", test_no_start_without_validity},
+        {"draining and out", test_draining_and_out},
+    };
+    return suite_main("jobs scheduler", tests,
+                      sizeof(tests) / sizeof(tests[0]));
+}
