Learn from hosts' lives and from the handover what a takeover need not await

Change: the latest born life of a host ends its earlier ones, so does a host that moves or reboots; a holder that leaves tells the longest lease it granted; a job has begun when a start is known.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -10,6 +10,8 @@
     /* An accepted order shows in the list after the host is back; a list
      * that was asked for before the order may still show the old state. */
     ORDER_SETTLE_MS = 2000,
+    /* A life this young may have begun after the list was made. */
+    LIST_AGE_MS = 4000,
 };
 
 struct backend *
@@ -50,18 +52,26 @@
     }
 }
 
+/* Nothing runs any more on an earlier life of a host. */
+static void
+end_life(struct scheduler *sched, struct backend *backend)
+{
+    if (backend == NULL) {
+        return;
+    }
+    sched_backend_lost(sched, backend, "its host has a new life");
+    backend->granted_until_ms = 0;
+    backend->lapse_ms = 0;
+    backend->inherited = false;
+    backend->silent = true;
+    scheduler_backend_gone(sched, backend->entry.id);
+}
+
 /* The host is back after an order, or has restarted by itself. */
 static void
 new_life(struct scheduler *sched, struct host *host, const char *backend_id)
 {
-    struct backend *before = sched_host_backend(sched, host);
-    if (before != NULL) {
-        sched_backend_lost(sched, before, "its host has a new life");
-        before->granted_until_ms = 0;
-        before->lapse_ms = 0;
-        before->inherited = false;
-        scheduler_backend_gone(sched, host->backend_id);
-    }
+    end_life(sched, sched_host_backend(sched, host));
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
     if (host->ordered || host->ordering) {
@@ -82,20 +92,34 @@
     }
 }
 
+static struct host *
+find_or_add(struct scheduler *sched, const char *name)
+{
+    struct host *host = g_hash_table_lookup(sched->hosts, name);
+    if (host == NULL) {
+        host = g_new0(struct host, 1);
+        host->name = g_strdup(name);
+        g_hash_table_insert(sched->hosts, host->name, host);
+    }
+    return host;
+}
+
+/* Entries of lives that are over may linger; the latest born is the present
+ * one, and the others have ended. */
 void
-sched_host_life(struct scheduler *sched, const struct backend *backend)
+sched_host_life(struct scheduler *sched, struct backend *backend)
 {
     if (backend->entry.host == NULL) {
         return;
     }
-    struct host *host = g_hash_table_lookup(sched->hosts, backend->entry.host);
-    if (host == NULL || g_strcmp0(host->last_life, backend->entry.id) == 0 ||
-        g_strcmp0(host->backend_id, backend->entry.id) == 0) {
+    struct host *host = find_or_add(sched, backend->entry.host);
+    if (g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
     }
-    const struct backend *before = sched_host_backend(sched, host);
-    /* Entries of lives that are over may linger; a life only ends once. */
-    if (before != NULL && before->entry.born_ms > backend->entry.born_ms) {
+    const struct backend *present = sched_host_backend(sched, host);
+    if (g_strcmp0(host->last_life, backend->entry.id) == 0 ||
+        (present != NULL && present->entry.born_ms > backend->entry.born_ms)) {
+        end_life(sched, backend);
         return;
     }
     new_life(sched, host, backend->entry.id);
@@ -103,18 +127,6 @@
     host->up = true;
 }
 
-static struct host *
-find_or_add(struct scheduler *sched, const char *name)
-{
-    struct host *host = g_hash_table_lookup(sched->hosts, name);
-    if (host == NULL) {
-        host = g_new0(struct host, 1);
-        host->name = g_strdup(name);
-        g_hash_table_insert(sched->hosts, host->name, host);
-    }
-    return host;
-}
-
 static void
 host_read(struct scheduler *sched, const struct host_fact *fact)
 {
@@ -126,6 +138,12 @@
     if (under_order && now_ms - host->intent_ms < ORDER_SETTLE_MS) {
         return;
     }
+    struct backend *present = sched_host_backend(sched, host);
+    if (fact->away && present != NULL &&
+        ms_clock_now(&sched->unix_clock) - present->entry.born_ms >
+            LIST_AGE_MS) {
+        end_life(sched, present);
+    }
     if (fact->up && fact->backend_id != NULL &&
         g_strcmp0(fact->backend_id, host->backend_id) != 0) {
         new_life(sched, host, fact->backend_id);
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -176,6 +176,7 @@
         return;
     }
     sched->outage = outage;
+    sched->outage_ms = sched_now(sched);
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->backends);
@@ -308,7 +309,8 @@
 
 void
 scheduler_backend_inherited(struct scheduler *sched,
-                            const struct backend_entry *entry)
+                            const struct backend_entry *entry,
+                            int64_t lease_ms)
 {
     struct backend *backend = scheduler_find_backend(sched, entry->id);
     if (backend == NULL) {
@@ -316,9 +318,25 @@
     }
     backend->inherited = true;
     backend->registered = true;
+    sched->inherited_long = sched->inherited_long || lease_ms > LEASE_MS;
     /* The scheduler before granted its last lease before this one began. */
-    backend->lapse_ms =
-        sched->taken_over_ms + sched->timings.lease_max_ms * 102 / 100 + 100;
+    backend->lapse_ms = sched->taken_over_ms + lease_ms * 102 / 100 + 100;
+    sched_host_life(sched, backend);
+}
+
+int64_t
+scheduler_longest_lease_ms(const struct scheduler *sched)
+{
+    int64_t open_ms = sched->timings.lease_max_ms * 102 / 100;
+    int64_t now_ms = sched_now(sched);
+    bool outage_lately =
+        sched->outage ||
+        (sched->outage_ms != 0 && now_ms - sched->outage_ms < open_ms);
+    /* Leases of the holder before may be open just as long. */
+    bool inherited =
+        sched->inherited_long && now_ms - sched->taken_over_ms < open_ms;
+    return outage_lately || inherited ? sched->timings.lease_max_ms
+                                      : (int64_t)LEASE_MS;
 }
 
 bool
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -85,6 +85,7 @@
 {
     int64_t now_ms = sched_now(sched);
     run->known_ms = now_ms;
+    run->job->begun = true;
     if (run->percent != listed->percent) {
         run->percent = listed->percent;
         run->percent_at_ms = now_ms;
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -60,8 +60,6 @@
     struct job_task *task = run_task(run);
     task->run = run;
     task->run_number = MAX(task->run_number, number);
-    job_part(job, occurrence, step)->started = true;
-    job->begun = true;
     run_count(sched, run, 1);
     return run;
 }
@@ -189,7 +187,6 @@
     }
     task->done = true;
     part->done++;
-    part->started = true;
     job->begun = true;
     sched->figures.done++;
     sched_mark_dirty(sched, job);
@@ -217,6 +214,7 @@
               const char *saved)
 {
     struct job *job = job_ref(run->job);
+    job->begun = true;
     struct job_task *task = run_task(run);
     const struct job_step *step = run_step(run);
     bool was_stopping = run->state == RUN_STOPPING;
@@ -339,6 +337,7 @@
     }
     if (answer == START_DONE) {
         run->known_ms = now_ms;
+        run->job->begun = true;
         if (run->state == RUN_STARTING) {
             run->state = RUN_WORKING;
         }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -128,6 +128,8 @@
     char **out;
     bool valid;
     bool outage;
+    int64_t outage_ms;
+    bool inherited_long;
     bool fenced;
     int64_t taken_over_ms;
     uint64_t next_handle;
@@ -207,7 +209,7 @@
 
 /* hosts.c */
 void
-sched_host_life(struct scheduler *sched, const struct backend *backend);
+sched_host_life(struct scheduler *sched, struct backend *backend);
 void
 sched_host_intend(struct scheduler *sched, struct host *host,
                   enum host_intent intent, const char *pool);
--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -60,6 +60,9 @@
     int64_t renewed_ms;
     int64_t token;
     int64_t term_revision;
+    int64_t token_before;
+    int64_t handover_token;
+    int64_t handover_lease_ms;
     uint32_t term;
     bool watching;
     bool spread;
@@ -118,10 +121,20 @@
 static void
 set_term(struct duty *duty, const struct kv_item *item)
 {
+    /* The record is written with each claim, so it has its token. */
+    duty->token_before = item->revision;
     duty->term_revision = item->revision;
     duty->term = (uint32_t)g_ascii_strtoull(item->value, NULL, 10) + 1;
 }
 
+static void
+set_handover(struct duty *duty, const struct kv_item *item)
+{
+    char *rest = NULL;
+    duty->handover_token = g_ascii_strtoll(item->value, &rest, 10);
+    duty->handover_lease_ms = g_ascii_strtoll(rest, NULL, 10);
+}
+
 static void
 take_items(struct duty *duty, const struct kv_result *result)
 {
@@ -134,6 +147,10 @@
                  item->value != NULL) {
             set_term(duty, item);
         }
+        else if (strcmp(item->key, RECORD_HANDOVER_KEY) == 0 &&
+                 item->value != NULL) {
+            set_handover(duty, item);
+        }
     }
     duty->watch_from = MAX(duty->watch_from, result->as_of);
 }
@@ -452,6 +469,26 @@
     (void)result;
 }
 
+/* The next holder learns for how long leases of this one may be open. */
+static void
+store_handover(struct duty *duty, int64_t lease_ms)
+{
+    char value[48];
+    g_snprintf(value, sizeof(value), "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+               duty->token, lease_ms);
+    struct kv_condition condition = {.key = RECORD_DUTY_KEY,
+                                     .revision = duty->token};
+    struct kv_put put = {.key = RECORD_HANDOVER_KEY, .value = value};
+    struct kv_txn txn = {
+        .conditions = &condition,
+        .n_conditions = 1,
+        .puts = &put,
+        .n_puts = 1,
+    };
+    kv_commit(duty->kv, &txn,
+              (struct kv_done){.call = on_released, .ctx = duty});
+}
+
 void
 duty_release(struct duty *duty)
 {
@@ -459,7 +496,18 @@
         return;
     }
     int64_t lease = duty->lease;
+    int64_t lease_ms = leader_longest_lease_ms(duty->node->leader);
     duty_lose(duty, "released");
+    store_handover(duty, lease_ms);
     kv_lease_end(duty->kv, lease,
                  (struct kv_done){.call = on_released, .ctx = duty});
 }
+
+int64_t
+duty_inherited_lease_ms(const struct duty *duty)
+{
+    return duty->handover_token != 0 &&
+                   duty->handover_token == duty->token_before
+               ? duty->handover_lease_ms
+               : duty->node->boot->timings.lease_max_ms;
+}
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -368,6 +368,14 @@
     }
 }
 
+int64_t
+leader_longest_lease_ms(const struct leader *leader)
+{
+    /* Before its records are read the holder before counts. */
+    return leader_ready(leader) ? scheduler_longest_lease_ms(leader->sched)
+                                : leader->node->boot->timings.lease_max_ms;
+}
+
 void
 leader_figures(const struct leader *leader, struct sched_figures *figures)
 {
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "egretjobd/duty.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_path.h"
 #include "platform/decode.h"
@@ -81,7 +82,9 @@
     struct backend_entry entry;
     if (item->value != NULL &&
         record_backend_decode(id, item->value, item->value_bytes, &entry)) {
-        scheduler_backend_inherited(leader->sched, &entry);
+        scheduler_backend_inherited(
+            leader->sched, &entry,
+            duty_inherited_lease_ms(leader->node->duty));
         backend_entry_clear(&entry);
     }
 }
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -141,7 +141,6 @@
         if (marks[t] == 'd') {
             part->tasks[t].done = true;
             part->done++;
-            part->started = true;
             job->begun = true;
         }
     }
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -107,12 +107,10 @@
  * struct job_part - one step of one occurrence
  * @tasks: its tasks
  * @done: tasks that are done
- * @started: whether any task was ever started
  */
 struct job_part {
     struct job_task *tasks;
     uint32_t done;
-    bool started;
 };
 
 /**
@@ -141,7 +139,7 @@
  * @steps: the steps; @n_steps of them
  * @parts: progress, @n_occurrences x @n_steps
  * @state: state of the job
- * @begun: whether a task was ever started
+ * @begun: whether a task is known to have started
  * @version: counts changes of the progress
  * @stored_version: newest version known to be stored
  * @revision: revision of the stored progress; 0: none
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -212,11 +212,19 @@
 void
 scheduler_backend_gone(struct scheduler *sched, const char *id);
 
-/** scheduler_backend_inherited() - a backend server on which the scheduler
- * before may have started runs. */
+/**
+ * scheduler_backend_inherited() - a backend server on which the scheduler
+ * before may have started runs
+ * @lease_ms: longest lease that it may have granted
+ */
 void
 scheduler_backend_inherited(struct scheduler *sched,
-                            const struct backend_entry *entry);
+                            const struct backend_entry *entry,
+                            int64_t lease_ms);
+
+/** scheduler_longest_lease_ms() - longest lease that may still be open. */
+int64_t
+scheduler_longest_lease_ms(const struct scheduler *sched);
 
 /** scheduler_list_backends() - ids of all that are in the host list. */
 GPtrArray *
@@ -329,6 +337,7 @@
  * @pool: its pool
  * @backend_id: the backend server that is its present life, may be NULL
  * @up: it runs and is neither moving nor rebooting
+ * @away: it is moving or rebooting, so that its last life has ended
  */
 struct host_fact {
     const char *host;
@@ -336,6 +345,7 @@
     const char *backend_id;
     const char *data_centre;
     bool up;
+    bool away;
 };
 
 /** scheduler_hosts_read() - the whole list of hosts was read. */
--- a/include/egretjobd/duty.h
+++ b/include/egretjobd/duty.h
@@ -28,6 +28,11 @@
 int64_t
 duty_token(const struct duty *duty);
 
+/** duty_inherited_lease_ms() - longest lease that the holder before may have
+ * left open. */
+int64_t
+duty_inherited_lease_ms(const struct duty *duty);
+
 /** duty_holder() - peer address of the process that holds it, or NULL. */
 const char *
 duty_holder(const struct duty *duty);
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -40,6 +40,10 @@
 leader_call(struct leader *leader, const struct job_call *call,
             struct job_reply reply);
 
+/** leader_longest_lease_ms() - longest lease that may be open now. */
+int64_t
+leader_longest_lease_ms(const struct leader *leader);
+
 /** leader_figures() - figures of its scheduler. */
 void
 leader_figures(const struct leader *leader, struct sched_figures *figures);
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -16,6 +16,8 @@
 #define RECORD_WAVE_PREFIX "eg/wave/"
 #define RECORD_DUTY_KEY "eg/duty/scheduler"
 #define RECORD_DUTY_PREFIX "eg/duty/"
+/* Longest lease that the last holder left open when it handed over. */
+#define RECORD_HANDOVER_KEY "eg/duty/handover"
 #define RECORD_TERM_KEY "eg/duty/term"
 
 /* Values under RECORD_NEWS_PREFIX: what the scheduler has to look at. */
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -405,7 +405,7 @@
         fill_entry(&entry, sim, i);
         if (g_hash_table_contains(sim->registered, entry.id) &&
             sim->mutation != MUTATION_NO_REGISTRY) {
-            scheduler_backend_inherited(holder->sched, &entry);
+            scheduler_backend_inherited(holder->sched, &entry, LEASE_MAX_MS);
         }
         scheduler_backend_seen(holder->sched, &entry);
     }
