Watch the orders instead of reading them whole; never refuse what may run

Change: short watches from the last known change, whole reads only after lost history; queues by name in an index, ranks once a pass; a call without an answer makes its submission uncertain, so 504 and never 503.

--- a/core/jobs/fleet_config.c
+++ b/core/jobs/fleet_config.c
@@ -37,6 +37,7 @@
     config->teams = g_ptr_array_new_with_free_func(team_destroy);
     config->queues = g_ptr_array_new_with_free_func(queue_destroy);
     config->pools = g_ptr_array_new_with_free_func(pool_destroy);
+    config->queues_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     return config;
 }
 
@@ -46,6 +47,7 @@
     if (config == NULL) {
         return;
     }
+    g_hash_table_unref(config->queues_by_name);
     g_ptr_array_unref(config->teams);
     g_ptr_array_unref(config->queues);
     g_ptr_array_unref(config->pools);
@@ -73,17 +75,25 @@
     return best;
 }
 
+/* A configuration may hold thousands of queues, and every pass over the
+ * waiting jobs looks theirs up. */
+static void
+index_queues(struct fleet_config *config)
+{
+    g_hash_table_remove_all(config->queues_by_name);
+    for (guint i = 0; i < config->queues->len; i++) {
+        struct queue_config *queue = g_ptr_array_index(config->queues, i);
+        g_hash_table_insert(config->queues_by_name, queue->name, queue);
+    }
+}
+
 const struct queue_config *
 fleet_config_queue(const struct fleet_config *config, const char *name)
 {
-    for (guint i = 0; i < config->queues->len; i++) {
-        const struct queue_config *queue =
-            g_ptr_array_index(config->queues, i);
-        if (strcmp(queue->name, name) == 0) {
-            return queue;
-        }
+    if (g_hash_table_size(config->queues_by_name) != config->queues->len) {
+        index_queues((struct fleet_config *)config);
     }
-    return NULL;
+    return g_hash_table_lookup(config->queues_by_name, name);
 }
 
 const struct pool_config *
--- a/core/jobs/order.c
+++ b/core/jobs/order.c
@@ -8,18 +8,6 @@
 
 #include "scheduler_state.h"
 
-/* Jobs that last come first: they hold room for good and start once. */
-enum job_urgency {
-    URGENCY_LASTS,
-    URGENCY_ATTAINABLE,
-    URGENCY_LATE,
-};
-
-struct job_rank {
-    enum job_urgency urgency;
-    int64_t key_ms;
-};
-
 /* Declared run time of the longest chain of steps that are not done. */
 static int64_t
 remaining_chain_ms(const struct job *job)
@@ -75,17 +63,20 @@
     return (struct job_rank){URGENCY_LATE, remaining_core_ms(job)};
 }
 
+void
+job_order_rank(const struct scheduler *sched, struct job *job, int64_t unix_ms)
+{
+    job->rank = rank_job(sched, job, unix_ms);
+}
+
 int
-job_order_compare(const struct scheduler *sched, const struct job *a,
-                  const struct job *b, int64_t unix_ms)
+job_order_compare(const struct job *a, const struct job *b)
 {
-    struct job_rank rank_a = rank_job(sched, a, unix_ms);
-    struct job_rank rank_b = rank_job(sched, b, unix_ms);
-    if (rank_a.urgency != rank_b.urgency) {
-        return rank_a.urgency < rank_b.urgency ? -1 : 1;
+    if (a->rank.urgency != b->rank.urgency) {
+        return a->rank.urgency < b->rank.urgency ? -1 : 1;
     }
-    if (rank_a.key_ms != rank_b.key_ms) {
-        return rank_a.key_ms < rank_b.key_ms ? -1 : 1;
+    if (a->rank.key != b->rank.key) {
+        return a->rank.key < b->rank.key ? -1 : 1;
     }
     return 0;
 }
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -359,11 +359,9 @@
 }
 
 static int
-compare_jobs(const void *a, const void *b, void *ctx)
+compare_jobs(const void *a, const void *b)
 {
-    const struct placer *placer = ctx;
-    return job_order_compare(placer->sched, *(struct job *const *)a,
-                             *(struct job *const *)b, placer->unix_ms);
+    return job_order_compare(*(struct job *const *)a, *(struct job *const *)b);
 }
 
 void
@@ -378,7 +376,11 @@
         .unsettled = g_hash_table_new(g_str_hash, g_str_equal),
     };
     sort_backends(&placer);
-    g_ptr_array_sort_with_data(sched->active, compare_jobs, &placer);
+    for (guint i = 0; i < sched->active->len; i++) {
+        job_order_rank(sched, g_ptr_array_index(sched->active, i),
+                       placer.unix_ms);
+    }
+    g_ptr_array_sort(sched->active, compare_jobs);
     for (guint i = 0; i < sched->active->len; i++) {
         place_job(&placer, g_ptr_array_index(sched->active, i));
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -239,8 +239,10 @@
 pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms);
 
 /* order.c */
+void
+job_order_rank(const struct scheduler *sched, struct job *job,
+               int64_t unix_ms);
 int
-job_order_compare(const struct scheduler *sched, const struct job *a,
-                  const struct job *b, int64_t unix_ms);
+job_order_compare(const struct job *a, const struct job *b);
 
 #endif
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -264,6 +264,7 @@
 {
     struct entry *entry = g_hash_table_lookup(acceptor->by_id, call->id);
     if (entry != NULL) {
+        entry->uncertain = entry->uncertain || call->uncertain;
         g_array_append_val(entry->replies, reply);
         return;
     }
@@ -282,6 +283,7 @@
     entry->news_key = g_strconcat(RECORD_NEWS_PREFIX, call->id, NULL);
     entry->value = record_job_encode(&envelope);
     entry->since_ms = node_now(acceptor->node);
+    entry->uncertain = call->uncertain;
     entry->replies = g_array_new(FALSE, FALSE, sizeof(struct job_reply));
     g_array_append_val(entry->replies, reply);
     g_hash_table_insert(acceptor->by_id, entry->id, entry);
--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -12,9 +12,11 @@
 #include "platform/json_text.h"
 
 enum {
-    /* A change is in force after two of these and an answer at most. */
-    POLL_MS = 400,
-    POLL_RETRY_MS = 100,
+    /* How long a call waits for a change; each answer proves how fresh the
+     * orders are. */
+    WATCH_MS = 350,
+    NEXT_MS = 20,
+    RETRY_MS = 100,
     READ_TIMEOUT_MS = 900,
     /* Without an answer for this long the peers are asked. */
     ASK_PEERS_AFTER_MS = 700,
@@ -33,8 +35,10 @@
     char **out;
     char **peers;
     int64_t as_of;
+    int64_t watch_after;
     int64_t confirmed_ms;
     int64_t sent_ms;
+    int64_t asked_ms;
     int64_t peers_read_ms;
     bool asking_peers;
     size_t next_peer;
@@ -169,8 +173,8 @@
             };
             g_ptr_array_add(feed->next_items, kv_item_copy(&item));
         }
-        /* The trip back is covered by the peer's own age being rounded up. */
-        take_items(feed, as_of, feed->sent_ms - age_ms);
+        take_items(feed, as_of, feed->asked_ms - age_ms);
+        feed->watch_after = 0;
     }
     cJSON_Delete(body);
 }
@@ -184,6 +188,7 @@
     }
     const char *peer = feed->peers[feed->next_peer++ % n_peers];
     feed->asking_peers = true;
+    feed->asked_ms = node_now(feed->node);
     peers_orders(feed->node->peers, peer, on_peer_orders, feed);
 }
 
@@ -193,7 +198,7 @@
     struct config_feed *feed = ctx;
     if (result->outcome != KV_OK) {
         g_ptr_array_set_size(feed->next_items, 0);
-        timer_set(feed->timer, POLL_RETRY_MS);
+        timer_set(feed->timer, RETRY_MS);
         return;
     }
     for (guint i = 0; i < result->items->len; i++) {
@@ -206,8 +211,9 @@
         read_page(feed, last->key);
         return;
     }
+    feed->watch_after = result->as_of;
     take_items(feed, result->as_of, feed->sent_ms);
-    timer_set(feed->timer, POLL_MS);
+    timer_set(feed->timer, NEXT_MS);
 }
 
 static void
@@ -217,6 +223,58 @@
              (struct kv_done){.call = on_range, .ctx = feed});
 }
 
+/* The orders as they are after the changes of a watch. */
+static void
+merge_events(struct config_feed *feed, const GPtrArray *events)
+{
+    GHashTable *latest = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < feed->items->len; i++) {
+        struct kv_item *item = g_ptr_array_index(feed->items, i);
+        g_hash_table_insert(latest, item->key, item);
+    }
+    for (guint i = 0; i < events->len; i++) {
+        struct kv_item *item = g_ptr_array_index(events, i);
+        g_hash_table_replace(latest, item->key, item);
+    }
+    g_ptr_array_set_size(feed->next_items, 0);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, latest);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct kv_item *item = value;
+        if (!item->deleted) {
+            g_ptr_array_add(feed->next_items, kv_item_copy(item));
+        }
+    }
+    g_hash_table_unref(latest);
+}
+
+static void
+on_watch(void *ctx, const struct kv_result *result)
+{
+    struct config_feed *feed = ctx;
+    if (result->outcome == KV_COMPACTED) {
+        feed->watch_after = 0;
+        timer_set(feed->timer, 0);
+        return;
+    }
+    if (result->outcome != KV_OK) {
+        timer_set(feed->timer, RETRY_MS);
+        return;
+    }
+    if (result->items->len == 0) {
+        /* The revision stays: a change that a watch missed is then still
+         * asked for, or known to be lost. */
+        feed->confirmed_ms = MAX(feed->confirmed_ms, feed->sent_ms);
+    }
+    else {
+        merge_events(feed, result->items);
+        feed->watch_after = result->as_of;
+        take_items(feed, result->as_of, feed->sent_ms);
+    }
+    timer_set(feed->timer, NEXT_MS);
+}
+
 static void
 on_peers(void *ctx, const struct kv_result *result)
 {
@@ -262,8 +320,13 @@
     }
     read_peers(feed, now_ms);
     feed->sent_ms = now_ms;
-    g_ptr_array_set_size(feed->next_items, 0);
-    read_page(feed, NULL);
+    if (feed->watch_after == 0) {
+        g_ptr_array_set_size(feed->next_items, 0);
+        read_page(feed, NULL);
+        return;
+    }
+    kv_watch(feed->kv, PLATFORM_OPERATOR_PREFIX, feed->watch_after, WATCH_MS,
+             (struct kv_done){.call = on_watch, .ctx = feed});
 }
 
 struct config_feed *
--- a/egretjobd/front.c
+++ b/egretjobd/front.c
@@ -130,7 +130,9 @@
 on_scheduler_answer(void *ctx, const struct job_answer *answer)
 {
     struct request *request = ctx;
-    if (answer->status == JOB_ANSWER_ASK_STORE) {
+    if (answer->status == JOB_ANSWER_ASK_STORE ||
+        answer->status == JOB_ANSWER_NONE) {
+        request->call.uncertain = answer->status == JOB_ANSWER_NONE;
         ask_store(request);
         return;
     }
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -222,7 +222,7 @@
                      ? NULL
                      : g_strndup(reply->body, reply->body_bytes);
     struct job_answer answer = {
-        .status = reply->status == 0 ? JOB_ANSWER_ASK_STORE : reply->status,
+        .status = reply->status == 0 ? JOB_ANSWER_NONE : reply->status,
         .body = body,
     };
     forwarded->reply.call(forwarded->reply.ctx, &answer);
--- a/include/core/jobs/fleet_config.h
+++ b/include/core/jobs/fleet_config.h
@@ -76,6 +76,7 @@
  * @teams: struct team_config
  * @queues: struct queue_config
  * @pools: struct pool_config
+ * @queues_by_name: index of @queues, made when first needed
  * @limits: bounds of requests
  */
 struct fleet_config {
@@ -84,6 +85,7 @@
     GPtrArray *teams;
     GPtrArray *queues;
     GPtrArray *pools;
+    GHashTable *queues_by_name;
     struct ingress_limits limits;
 };
 
@@ -97,6 +99,7 @@
 fleet_config_match(const struct fleet_config *config, const char *host,
                    const char *path);
 
+/** fleet_config_queue() - queue with @name, or NULL. */
 const struct queue_config *
 fleet_config_queue(const struct fleet_config *config, const char *name);
 const struct pool_config *
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -124,6 +124,24 @@
     JOB_CANCELLED,
 };
 
+/**
+ * enum job_urgency - class of a waiting job, most urgent first
+ * @URGENCY_LASTS: holds its room for good and starts once
+ * @URGENCY_ATTAINABLE: can still meet its objective
+ * @URGENCY_LATE: cannot
+ */
+enum job_urgency {
+    URGENCY_LASTS,
+    URGENCY_ATTAINABLE,
+    URGENCY_LATE,
+};
+
+/** struct job_rank - place in the order; smaller is sooner */
+struct job_rank {
+    enum job_urgency urgency;
+    int64_t key;
+};
+
 /**
  * struct job - a submission and its progress
  * @id: sixteen hexadecimal digits chosen by the caller
@@ -145,6 +163,7 @@
  * @revision: revision of the stored progress; 0: none
  * @storing: a write of the progress is under way
  * @inherited: accepted before the current scheduler took over
+ * @rank: its place in the order at the last pass
  * @ref_count: holders of this struct
  */
 struct job {
@@ -168,6 +187,7 @@
     int64_t revision;
     bool storing;
     bool inherited;
+    struct job_rank rank;
     int ref_count;
 };
 
--- a/include/egretjobd/job_call.h
+++ b/include/egretjobd/job_call.h
@@ -2,6 +2,7 @@
 #ifndef EGRETJOBD_JOB_CALL_H
 #define EGRETJOBD_JOB_CALL_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -21,6 +22,7 @@
  * @team: client account, empty on an open queue
  * @attempts: attempts of the queue
  * @body: submission as sent
+ * @uncertain: another process may be storing it already
  */
 struct job_call {
     enum job_call_kind kind;
@@ -31,11 +33,14 @@
     uint32_t attempts;
     const char *body;
     size_t body_bytes;
+    bool uncertain;
 };
 
 enum {
     /* Internal: the process asked can't tell; ask the store. */
     JOB_ANSWER_ASK_STORE = 421,
+    /* Internal: the process asked gave no answer and may still act. */
+    JOB_ANSWER_NONE = 424,
 };
 
 /**
--- a/include/egretjobd/peers.h
+++ b/include/egretjobd/peers.h
@@ -13,7 +13,7 @@
 peers_destroy(struct peers *peers);
 
 /** peers_call() - let the process at @address answer a caller's request;
- * JOB_ANSWER_ASK_STORE if it can't. */
+ * JOB_ANSWER_ASK_STORE if it can't, JOB_ANSWER_NONE if it is silent. */
 void
 peers_call(struct peers *peers, const char *address,
            const struct job_call *call, struct job_reply reply);
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -472,6 +472,29 @@
     CU_ASSERT_EQUAL(post("/draft/xyz", "key-skela", job_body, NULL), 400);
 }
 
+/* A submission that was handed to a holder which then stands still may run
+ * later; its caller must not be told that it never will. */
+static void
+test_no_false_refusal(void)
+{
+    play(1000, false);
+    int paused = holder();
+    CU_ASSERT_FATAL(paused >= 0);
+    const char *front = fixture.fronts[(paused + 1) % ENTRIES];
+    kill(fixture.entries[paused], SIGSTOP);
+    ask(fixture.admin, "POST", "/store/down");
+    int status =
+        http_ask(fixture.base, front, "POST", "/draft/00000000000000ad",
+                 "key-skela", job_body, NULL);
+    CU_ASSERT_NOT_EQUAL(status, 503);
+    CU_ASSERT_NOT_EQUAL(status, 429);
+    ask(fixture.admin, "POST", "/store/up");
+    kill(fixture.entries[paused], SIGCONT);
+    play(6000, false);
+    CU_ASSERT(figure("checks") > 0);
+    CU_ASSERT_EQUAL(figure("violations"), 0);
+}
+
 /* One id at several entry hosts at once is one job. */
 static void
 test_same_id(void)
@@ -509,6 +532,7 @@
     {"cancel-at-takeover", test_cancel_at_takeover},
     {"invalid", test_invalid},
     {"same-id", test_same_id},
+    {"no-false-refusal", test_no_false_refusal},
 };
 
 static int first_port;
