--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -486,6 +486,7 @@
     int status =
         http_ask(fixture.base, front, "POST", "/draft/00000000000000ad",
                  "key-skela", job_body, NULL);
+    printf("status %d\n", status);
     CU_ASSERT_NOT_EQUAL(status, 503);
     CU_ASSERT_NOT_EQUAL(status, 429);
     ask(fixture.admin, "POST", "/store/up");
