Leave the note for a job that is found stored; back off between writes

Change: such an entry only writes the note; writes without progress back off with jitter up to 640 ms and are logged.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -15,6 +15,7 @@
     /* Two rows per job, a note and the duty: within one transaction. */
     BATCH_JOBS = 10,
     RETRY_MS = 40,
+    RETRY_MAX_MS = 640,
     /* A write that was refused is tried this long before the caller is. */
     REFUSED_AFTER_MS = 250,
     /* A write without an answer is resolved within a caller's usual time. */
@@ -50,6 +51,7 @@
     GPtrArray *batch;
     GHashTable *by_id;
     bool with_duty;
+    int64_t retry_ms;
 };
 
 struct question {
@@ -166,6 +168,7 @@
             continue;
         }
         if (found) {
+            progress = true;
             entry->exists = true;
         }
         if (result->outcome == KV_UNKNOWN) {
@@ -181,11 +184,20 @@
     if (g_queue_is_empty(&acceptor->waiting)) {
         return;
     }
-    if (progress || result->outcome == KV_CONFLICT) {
+    if (progress) {
+        acceptor->retry_ms = RETRY_MS;
         send_batch(acceptor);
         return;
     }
-    timer_set(acceptor->timer, RETRY_MS);
+    event_log("accept_retry",
+              "\"status\":%d,\"jobs\":%u,\"after_ms\":%" G_GINT64_FORMAT,
+              result->status, g_queue_get_length(&acceptor->waiting),
+              acceptor->retry_ms);
+    /* Spread out and ever more rarely: many hosts may be turned away. */
+    timer_set(acceptor->timer,
+              g_random_int_range((int32_t)acceptor->retry_ms / 2,
+                                 (int32_t)acceptor->retry_ms + 1));
+    acceptor->retry_ms = MIN(acceptor->retry_ms * 2, (int64_t)RETRY_MAX_MS);
 }
 
 static void
@@ -209,10 +221,14 @@
            !g_queue_is_empty(&acceptor->waiting)) {
         struct entry *entry = g_queue_pop_head(&acceptor->waiting);
         g_ptr_array_add(acceptor->batch, entry);
-        conditions[txn.n_conditions++] =
-            (struct kv_condition){.key = entry->key};
-        puts[txn.n_puts++] =
-            (struct kv_put){.key = entry->key, .value = entry->value};
+        /* A stored job needs nothing but the note for the scheduler. */
+        bool note_only = entry->exists && !acceptor->with_duty;
+        conditions[txn.n_conditions++] = (struct kv_condition){
+            .key = note_only ? entry->news_key : entry->key};
+        if (!note_only) {
+            puts[txn.n_puts++] =
+                (struct kv_put){.key = entry->key, .value = entry->value};
+        }
         if (!acceptor->with_duty) {
             puts[txn.n_puts++] =
                 (struct kv_put){.key = entry->news_key, .value = NEWS_JOB};
@@ -242,6 +258,7 @@
     acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
     acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&acceptor->waiting);
+    acceptor->retry_ms = RETRY_MS;
     return acceptor;
 }
 
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -496,6 +496,36 @@
     CU_ASSERT_EQUAL(figure("violations"), 0);
 }
 
+/* A job that is stored without the scheduler's knowledge, found by an entry
+ * host that cannot reach it, is told to it by a note. */
+static void
+test_stored_unknown(void)
+{
+    static const char record[] =
+        "{\"queue\":\"draft-notice\",\"pool\":\"notices\","
+        "\"team\":\"skela\",\"attempts\":3,\"accepted_unix_ms\":1,"
+        "\"body\":\"{\\\"spec\\\":\\\"ms=200\\\",\\\"steps\\\":"
+        "[{\\\"count\\\":2,\\\"cpu\\\":900,\\\"estimate_ms\\\":200}]}\"}";
+    play(1000, false);
+    int paused = holder();
+    CU_ASSERT_FATAL(paused >= 0);
+    kill(fixture.entries[paused], SIGSTOP);
+    http_ask(fixture.base, fixture.admin, "POST",
+             "/put/eg/job/00000000000000ae", NULL, record, NULL);
+    int status =
+        http_ask(fixture.base, fixture.fronts[(paused + 1) % ENTRIES], "POST",
+                 "/draft/00000000000000ae", "key-skela", job_body, NULL);
+    kill(fixture.entries[paused], SIGCONT);
+    CU_ASSERT_EQUAL(status, 200);
+    play(3000, false);
+    char *body = NULL;
+    http_ask(fixture.base, fixture.fronts[paused], "GET",
+             "/draft/00000000000000ae", "key-skela", NULL, &body);
+    CU_ASSERT_PTR_NOT_NULL(strstr(body, "completed"));
+    g_free(body);
+    CU_ASSERT_EQUAL(figure("violations"), 0);
+}
+
 /* One id at several entry hosts at once is one job. */
 static void
 test_same_id(void)
@@ -533,6 +563,7 @@
     {"cancel-at-takeover", test_cancel_at_takeover},
     {"invalid", test_invalid},
     {"same-id", test_same_id},
+    {"stored-unknown", test_stored_unknown},
     {"no-false-refusal", test_no_false_refusal},
 };
 
