Let weak hosts wait for each vacancy of the duty anew

Change: the step of a claim is a pure decision, claim_turn, which forgets its wait when the duty is held.

--- /dev/null
+++ b/core/jobs/claim_turn.c
@@ -0,0 +1,32 @@
+#include "core/jobs/claim_turn.h"
+
+#include <glib.h>
+
+enum {
+    /* Claims of equal hosts spread over this time. */
+    CLAIM_SPREAD_MS = 100,
+    /* Hosts with little processor leave the duty to the others for up to
+     * this long. */
+    WEAK_HOST_MS = 500,
+};
+
+/* A host with this many cores carries the scheduler of the grown fleet. */
+static const double STRONG_HOST_CORES = 0.5;
+
+enum claim_step
+claim_turn_next(struct claim_turn *turn, bool vacant, double cores,
+                double chance, int64_t *delay_ms)
+{
+    if (!vacant) {
+        turn->waited = false;
+        return CLAIM_LEAVE;
+    }
+    if (turn->waited) {
+        turn->waited = false;
+        return CLAIM_NOW;
+    }
+    turn->waited = true;
+    double lack = 1 - MIN(cores / STRONG_HOST_CORES, 1);
+    *delay_ms = (int64_t)(lack * WEAK_HOST_MS + chance * CLAIM_SPREAD_MS);
+    return CLAIM_WAIT;
+}
--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "common/event_log.h"
+#include "core/jobs/claim_turn.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_path.h"
@@ -23,18 +24,10 @@
     WATCH_MS = 1500,
     WATCH_TIMEOUT_MS = 2300,
     LOOK_RETRY_MS = 150,
-    /* Claims of several processes spread over this time. */
-    CLAIM_SPREAD_MS = 100,
-    /* Hosts with little processor leave the duty to the others for up to
-     * this long. */
-    WEAK_HOST_MS = 500,
     /* Our clock against the store's: 2 % over the time to live. */
     TTL_MARGIN_MS = 60,
 };
 
-/* A host with this many cores claims without delay. */
-static const double STRONG_HOST_CORES = 0.5;
-
 enum duty_state {
     DUTY_LOOKING,
     DUTY_CLAIMING,
@@ -65,20 +58,10 @@
     int64_t handover_lease_ms;
     uint32_t term;
     bool watching;
-    bool spread;
-    bool waited;
+    struct claim_turn turn;
     bool call_in_flight;
 };
 
-/* Delay of a claim: strong hosts first, equals one by one. */
-static int64_t
-claim_delay_ms(const struct duty *duty)
-{
-    double lack = 1 - MIN(duty->node->boot->cores / STRONG_HOST_CORES, 1);
-    return (int64_t)(lack * WEAK_HOST_MS) +
-           g_random_int_range(0, CLAIM_SPREAD_MS);
-}
-
 static void
 look(struct duty *duty);
 static void
@@ -172,10 +155,7 @@
     }
     take_items(duty, result);
     if (duty->revision == 0) {
-        /* Processes that saw it become free at once claim one by one. */
-        duty->spread = true;
-        duty->waited = true;
-        look_later(duty, claim_delay_ms(duty));
+        claim_or_watch(duty);
         return;
     }
     /* Reads the record as well: a watch may have missed a change. */
@@ -213,17 +193,21 @@
 static void
 claim_or_watch(struct duty *duty)
 {
-    if (!claimable(duty) || duty->node->leaving) {
+    int64_t delay_ms = 0;
+    switch (claim_turn_next(
+        &duty->turn, claimable(duty) && !duty->node->leaving,
+        duty->node->boot->cores, g_random_double(), &delay_ms)) {
+    case CLAIM_LEAVE:
         watch(duty);
-        return;
-    }
-    if (duty->waited) {
-        duty->waited = false;
+        break;
+    case CLAIM_WAIT:
+        /* An earlier life's duty of this very process has no rival. */
+        look_later(duty, duty->revision == 0 ? delay_ms : 0);
+        break;
+    case CLAIM_NOW:
         claim(duty);
-        return;
+        break;
     }
-    duty->waited = true;
-    look_later(duty, duty->revision == 0 ? claim_delay_ms(duty) : 0);
 }
 
 static void
@@ -393,10 +377,6 @@
     if (duty->state == DUTY_HELD) {
         renew(duty);
     }
-    else if (duty->state == DUTY_LOOKING && duty->spread) {
-        duty->spread = false;
-        claim_or_watch(duty);
-    }
     else if (duty->state == DUTY_LOOKING) {
         look(duty);
     }
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "../suite.h"
+#include "core/jobs/claim_turn.h"
 #include "fleet_fixture.h"
 
 #define JOB_A "00000000000000aa"
@@ -386,6 +387,28 @@
     fixture_clear(&f);
 }
 
+/* Many hosts see a vacancy: a weak one waits longer than any strong one, also
+ * when it had waited for an earlier vacancy that another one took. */
+static void
+test_weak_host_waits_each_time(void)
+{
+    struct claim_turn weak = {0};
+    struct claim_turn strong = {0};
+    for (int vacancy = 0; vacancy < 3; vacancy++) {
+        int64_t weak_ms = 0;
+        int64_t strong_ms = 0;
+        CU_ASSERT_EQUAL(claim_turn_next(&weak, true, 0.12, 0, &weak_ms),
+                        CLAIM_WAIT);
+        CU_ASSERT_EQUAL(claim_turn_next(&strong, true, 0.5, 1, &strong_ms),
+                        CLAIM_WAIT);
+        CU_ASSERT(weak_ms > strong_ms + 200);
+        CU_ASSERT_EQUAL(claim_turn_next(&strong, true, 0.5, 1, &strong_ms),
+                        CLAIM_NOW);
+        CU_ASSERT_EQUAL(claim_turn_next(&weak, false, 0.12, 0, &weak_ms),
+                        CLAIM_LEAVE);
+    }
+}
+
 int
 main(void)
 {
@@ -403,6 +426,7 @@
         {"a gang starts whole", test_gang_starts_whole},
         {"no start without validity", test_no_start_without_validity},
         {"draining and out", test_draining_and_out},
+        {"a weak host waits each time", test_weak_host_waits_each_time},
     };
     return suite_main("jobs scheduler", tests,
                       sizeof(tests) / sizeof(tests[0]));
