Answer everything open before a process ends; wait for uncertain lasting runs

Change: open submissions are answered 504 or 503 0.2 s before the end; a lasting run is stopped only when a list had time to show it. Measured: leaving-answers and 'an uncertain lasting run' fail without the changes (the second by its stop at 100 ms) and pass with them.

--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -299,7 +299,10 @@
         struct run *run = value;
         drop_overdue(run, now_ms);
         if (run->state == RUN_UNCERTAIN) {
-            sched_run_stop(sched, run);
+            if (!run_step(run)->long_running ||
+                now_ms - run->started_ms > LASTING_SHOWS_MS) {
+                sched_run_stop(sched, run);
+            }
         }
         else if (run->state == RUN_STOPPING) {
             if (!run->stop_pending && run->stop_acked_ms == 0 &&
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -19,6 +19,9 @@
     ANSWER_OVERDUE_MS = 5000,
     /* A stop without an answer is sent again after this time. */
     STOP_RETRY_MS = 400,
+    /* A task that lasts and whose start got no answer shows on a list by
+     * then; stopping it sooner could end one that is at work. */
+    LASTING_SHOWS_MS = 2500,
     /* A start that found no room or was refused waits this long. */
     START_RETRY_MS = 120,
     /* A run whose progress stands still this long is moved elsewhere; a
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -275,6 +275,28 @@
     g_free(acceptor);
 }
 
+static void
+answer_open(struct entry *entry)
+{
+    entry_answer(entry, entry->uncertain || entry->exists ? 504 : 503);
+}
+
+void
+acceptor_answer_all(struct acceptor *acceptor)
+{
+    for (guint i = 0; acceptor->batch != NULL && i < acceptor->batch->len;
+         i++) {
+        struct entry *entry = g_ptr_array_index(acceptor->batch, i);
+        /* Its write is on its way. */
+        entry->uncertain = true;
+        answer_open(entry);
+    }
+    for (GList *link = acceptor->waiting.head; link != NULL;
+         link = link->next) {
+        answer_open(link->data);
+    }
+}
+
 void
 acceptor_submit(struct acceptor *acceptor, const struct job_call *call,
                 struct job_reply reply)
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -21,6 +21,8 @@
     LEAVE_POLL_MS = 50,
     /* Part of the grace period kept for the end of the process itself. */
     LEAVE_MARGIN_MS = 700,
+    /* Answers need this long to leave the process. */
+    LEAVE_ANSWER_MS = 200,
     /* Callers already on their way are still served after the health check
      * has failed twice, a second apart. */
     LEAVE_LINGER_MS = 2500,
@@ -75,11 +77,15 @@
     struct node_process *state = ctx;
     struct node *node = &state->node;
     int64_t passed_ms = node_now(node) - state->leave_since_ms;
+    int64_t end_ms = node->boot->grace_ms - LEAVE_MARGIN_MS;
     bool done = passed_ms >= LEAVE_LINGER_MS && front_idle(node->front);
-    if (done || passed_ms >= node->boot->grace_ms - LEAVE_MARGIN_MS) {
+    if (done || passed_ms >= end_ms) {
         event_base_loopbreak(node->base);
         return;
     }
+    if (passed_ms >= end_ms - LEAVE_ANSWER_MS) {
+        acceptor_answer_all(node->acceptor);
+    }
     timer_set(state->leave_timer, LEAVE_POLL_MS);
 }
 
--- a/include/egretjobd/acceptor.h
+++ b/include/egretjobd/acceptor.h
@@ -18,6 +18,11 @@
 acceptor_submit(struct acceptor *acceptor, const struct job_call *call,
                 struct job_reply reply);
 
+/** acceptor_answer_all() - answer everything that is open, truly, before the
+ * process ends. */
+void
+acceptor_answer_all(struct acceptor *acceptor);
+
 /** acceptor_cancel() - leave a note for the scheduler that a job is
  * cancelled; answers like acceptor_submit(). */
 void
--- a/standins/jobs/job_caller.c
+++ b/standins/jobs/job_caller.c
@@ -21,6 +21,7 @@
     uint32_t next_id;
     uint32_t next_front;
     uint32_t run_id;
+    uint32_t answered;
 };
 
 /** struct followed - a job on its way; @cancel_ms 0: not to be cancelled */
@@ -179,6 +180,9 @@
 on_submitted(void *ctx, const struct http_reply *reply)
 {
     struct followed *job = ctx;
+    if (reply->status != 0) {
+        job->caller->answered++;
+    }
     if (reply->status == 200) {
         job->accepted = true;
         job->queue->accepted++;
@@ -243,6 +247,12 @@
     return g_hash_table_size(caller->jobs);
 }
 
+uint32_t
+job_caller_answered(const struct job_caller *caller)
+{
+    return caller->answered;
+}
+
 void
 caller_queue_init(struct caller_queue *queue)
 {
--- a/standins/jobs/job_caller.h
+++ b/standins/jobs/job_caller.h
@@ -55,6 +55,10 @@
 uint32_t
 job_caller_open(const struct job_caller *caller);
 
+/** job_caller_answered() - submissions that got any answer. */
+uint32_t
+job_caller_answered(const struct job_caller *caller);
+
 /** caller_queue_init() - set up the figures of a queue. */
 void
 caller_queue_init(struct caller_queue *queue);
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -590,6 +590,24 @@
     g_free(refused);
 }
 
+/* An entry host that is told to stop while a write has no answer answers the
+ * request before it ends. */
+static void
+test_leaving_answers(void)
+{
+    play(1000, false);
+    ask(fixture.admin, "POST", "/store/silent");
+    job_caller_submit(fixture.caller, &fixture.quick, job_body);
+    play(300, false);
+    for (int i = 0; i < ENTRIES; i++) {
+        kill(fixture.entries[i], SIGTERM);
+    }
+    play(1800, false);
+    /* The caller has an answer and tries again, in vain by now. */
+    CU_ASSERT_EQUAL(fixture.quick.accepted, 0);
+    CU_ASSERT(job_caller_answered(fixture.caller) > 0);
+}
+
 /* One id at several entry hosts at once is one job. */
 static void
 test_same_id(void)
@@ -627,6 +645,7 @@
     {"cancel-at-takeover", test_cancel_at_takeover},
     {"invalid", test_invalid},
     {"same-id", test_same_id},
+    {"leaving-answers", test_leaving_answers},
     {"walks", test_walks},
     {"stored-unknown", test_stored_unknown},
     {"no-false-refusal", test_no_false_refusal},
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -89,6 +89,32 @@
     fixture_clear(&f);
 }
 
+/* A lasting task whose start got no answer is not stopped while a list may
+ * still show it at work. */
+static void
+test_uncertain_lasting_run(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_settle(&f);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":1,\"cpu\":100,\"mem_mb\":10,"
+                "\"long_running\":true,\"may_miss\":1}]");
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, ORDER_START, NULL), 1);
+    scheduler_on_start(f.sched, fixture_last(&f, ORDER_START)->handle,
+                       START_NO_ANSWER, 0);
+    fixture_tick(&f, f.now_ms + 100);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_STOP, NULL), 0);
+    struct listed_run running = {
+        .task = JOB_A ".0.0.0", .number = 1, .saved = "", .percent = 100};
+    fixture_lists(&f, "b1", &running, 1, NULL, 0);
+    fixture_tick(&f, f.now_ms + 2600);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_STOP, NULL), 0);
+    fixture_clear(&f);
+}
+
 /* After a takeover a host whose lists are unread is not taken for empty. */
 static void
 test_unread_host_is_not_empty(void)
@@ -416,6 +442,7 @@
         {"failed ends listed again count", test_failures_listed_again},
         {"a stored failure counts once", test_failure_counts_once},
         {"a stopping run is waited for", test_stopping_run_is_waited_for},
+        {"an uncertain lasting run", test_uncertain_lasting_run},
         {"an unread host is not empty", test_unread_host_is_not_empty},
         {"a wave keeps its limit", test_wave_keeps_its_limit},
         {"spread keeps hosts in the pool", test_spread_keeps_hosts},
