--- /dev/null
+++ b/core/jobs/scheduler_backends.c
@@ -0,0 +1,199 @@
+/* Backend servers as they come, change, and are forgotten. */
+#include "core/jobs/scheduler.h"
+
+#include <string.h>
+
+#include "scheduler_state.h"
+
+struct backend *
+scheduler_find_backend(const struct scheduler *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->backends, id);
+}
+
+GPtrArray *
+scheduler_list_backends(const struct scheduler *sched)
+{
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct backend *backend = value;
+        if (backend->listed) {
+            g_ptr_array_add(ids, g_strdup(backend->entry.id));
+        }
+    }
+    return ids;
+}
+
+/* An entry of another life under the same id: the old life has ended. */
+static void
+renew_life(struct scheduler *sched, struct backend *backend)
+{
+    sched_backend_lost(sched, backend, "restarted");
+    backend->reconciled = false;
+    backend->inherited = false;
+    backend->settle_ms = 0;
+    backend->clock_at_ms = 0;
+    backend->clock_ms = 0;
+    backend->granted_until_ms = 0;
+    backend->lapse_ms = 0;
+    backend->last_end = 0;
+    backend->seen_upto = 0;
+    backend->seen_sent = 0;
+    backend->silent = false;
+}
+
+static struct backend *
+add_backend(struct scheduler *sched, const struct backend_entry *entry)
+{
+    struct backend *backend = backend_create(entry);
+    backend->empty_since_ms = sched_now(sched);
+    g_hash_table_insert(sched->backends, backend->entry.id, backend);
+    return backend;
+}
+
+static void
+update_entry(struct backend *backend, const struct backend_entry *entry)
+{
+    struct backend_entry *copy = backend_entry_copy(entry);
+    char *id = backend->entry.id;
+    g_free(copy->id);
+    copy->id = NULL;
+    backend->entry.id = NULL;
+    backend_entry_clear(&backend->entry);
+    backend->entry = *copy;
+    backend->entry.id = id;
+    g_free(copy);
+}
+
+void
+scheduler_backend_seen(struct scheduler *sched,
+                       const struct backend_entry *entry)
+{
+    struct backend *backend = scheduler_find_backend(sched, entry->id);
+    if (backend == NULL) {
+        backend = add_backend(sched, entry);
+        sched_note(sched, "backend_seen",
+                   "\"backend\":\"%s\",\"pool\":\"%s\",\"host\":\"%s\"",
+                   entry->id, entry->pool,
+                   entry->host == NULL ? "" : entry->host);
+    }
+    else {
+        int64_t born_before_ms = backend->entry.born_ms;
+        if (entry->draining && !backend->entry.draining) {
+            sched_note(sched, "backend_draining", "\"backend\":\"%s\"",
+                       entry->id);
+        }
+        update_entry(backend, entry);
+        if (born_before_ms != 0 && entry->born_ms != 0 &&
+            born_before_ms != entry->born_ms) {
+            renew_life(sched, backend);
+        }
+    }
+    backend->listed = true;
+    sched_host_life(sched, backend);
+}
+
+void
+scheduler_backend_gone(struct scheduler *sched, const char *id)
+{
+    struct backend *backend = scheduler_find_backend(sched, id);
+    if (backend == NULL || !backend->listed) {
+        return;
+    }
+    backend->listed = false;
+    sched_note(sched, "backend_unlisted", "\"backend\":\"%s\",\"runs\":%u", id,
+               backend->runs->len);
+}
+
+void
+scheduler_backend_inherited(struct scheduler *sched,
+                            const struct backend_entry *entry,
+                            int64_t lease_ms)
+{
+    struct backend *backend = scheduler_find_backend(sched, entry->id);
+    if (backend == NULL) {
+        backend = add_backend(sched, entry);
+    }
+    backend->inherited = true;
+    backend->registered = true;
+    sched->inherited_long = sched->inherited_long || lease_ms > LEASE_MS;
+    /* The scheduler before granted its last lease before this one began. */
+    backend->lapse_ms = sched->taken_over_ms + lease_ms * 102 / 100 + 100;
+    sched_host_life(sched, backend);
+}
+
+int64_t
+scheduler_longest_lease_ms(const struct scheduler *sched)
+{
+    int64_t open_ms = sched->timings.lease_max_ms * 102 / 100;
+    int64_t now_ms = sched_now(sched);
+    bool outage_lately =
+        sched->outage ||
+        (sched->outage_ms != 0 && now_ms - sched->outage_ms < open_ms);
+    /* Leases of the holder before may be open just as long. */
+    bool inherited =
+        sched->inherited_long && now_ms - sched->taken_over_ms < open_ms;
+    return outage_lately || inherited ? sched->timings.lease_max_ms
+                                      : (int64_t)LEASE_MS;
+}
+
+bool
+sched_usable(const struct scheduler *sched, const struct backend *backend)
+{
+    return backend->listed && backend->reconciled && backend->registered &&
+           !backend->entry.draining && !backend->silent && !backend->leaving &&
+           !sched_is_out(sched, backend->entry.data_centre);
+}
+
+/* Forgets backend servers that can hold nothing of ours any more. */
+void
+sched_expire_backends(struct scheduler *sched)
+{
+    int64_t now_ms = sched_now(sched);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        bool lapsed = backend_lapsed(backend, now_ms);
+        if (lapsed && backend->silent && backend->runs->len > 0) {
+            sched_backend_lost(sched, backend, "lapsed");
+        }
+        if (lapsed && backend->silent) {
+            backend->inherited = false;
+        }
+        if (backend->listed || !lapsed || backend->runs->len > 0 ||
+            backend->hold_in_flight || backend->registering) {
+            continue;
+        }
+        if (backend->registered) {
+            g_ptr_array_add(sched->to_release, g_strdup(backend->entry.id));
+        }
+        g_hash_table_iter_remove(&iter);
+    }
+}
+
+/* A backend server is stored as holding runs before its first one. */
+void
+sched_register_backends(struct scheduler *sched)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (backend->listed && !backend->registered && !backend->registering &&
+            !backend->entry.draining) {
+            const struct pool_config *pool =
+                fleet_config_pool(sched->config, backend->entry.pool);
+            if (pool == NULL || pool->spare) {
+                continue;
+            }
+            backend->registering = true;
+            g_ptr_array_add(sched->to_register, g_strdup(backend->entry.id));
+        }
+    }
+}
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -160,8 +160,8 @@
 
 /* scheduler.c */
 void
-sched_note(struct scheduler *sched, const char *event, const char *format,
-           ...) __attribute__((format(printf, 3, 4)));
+sched_note(struct scheduler *sched, const char *event, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
 void
 sched_mark_dirty(struct scheduler *sched, struct job *job);
 void
@@ -174,21 +174,27 @@
 struct pool_load *
 sched_pool_load(struct scheduler *sched, const char *pool);
 
+/* scheduler_backends.c */
+void
+sched_expire_backends(struct scheduler *sched);
+void
+sched_register_backends(struct scheduler *sched);
+
 /* scheduler_runs.c */
 struct run *
-sched_run_create(struct scheduler *sched, struct job *job,
-                 uint32_t occurrence, uint32_t step, uint32_t index,
-                 uint32_t number, struct backend *backend);
+sched_run_create(struct scheduler *sched, struct job *job, uint32_t occurrence,
+                 uint32_t step, uint32_t index, uint32_t number,
+                 struct backend *backend);
 void
 sched_run_free(struct scheduler *sched, struct run *run);
 void
 sched_run_stop(struct scheduler *sched, struct run *run);
 void
-sched_run_end(struct scheduler *sched, struct run *run,
-              enum end_reason reason, const char *saved);
+sched_run_end(struct scheduler *sched, struct run *run, enum end_reason reason,
+              const char *saved);
 void
-sched_task_done(struct scheduler *sched, struct job *job,
-                uint32_t occurrence, uint32_t step, uint32_t index);
+sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
+                uint32_t step, uint32_t index);
 /* A failed end of a run that is not tracked any more. */
 void
 sched_late_failure(struct scheduler *sched, struct job *job,
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -7,7 +7,6 @@
 #include "egretjobd/leader.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_path.h"
-#include "platform/decode.h"
 #include "platform/kv.h"
 
 enum {
@@ -45,7 +44,6 @@
 struct acceptor {
     struct node *node;
     struct kv *kv;
-    struct kv *reads;
     struct event *timer;
     GQueue waiting;
     GPtrArray *batch;
@@ -54,15 +52,6 @@
     int64_t retry_ms;
 };
 
-struct question {
-    struct acceptor *acceptor;
-    char *id;
-    char *queue;
-    enum job_state state;
-    bool begun;
-    struct job_reply reply;
-};
-
 static void
 entry_answer(struct entry *entry, int status)
 {
@@ -253,8 +242,6 @@
     acceptor->node = node;
     acceptor->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
                              store_path_any(node->path));
-    acceptor->reads = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
-                                store_path_any(node->path));
     acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
     acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&acceptor->waiting);
@@ -270,7 +257,6 @@
     }
     event_free(acceptor->timer);
     kv_destroy(acceptor->kv);
-    kv_destroy(acceptor->reads);
     g_hash_table_unref(acceptor->by_id);
     g_free(acceptor);
 }
@@ -329,122 +315,3 @@
     g_queue_push_tail(&acceptor->waiting, entry);
     send_batch(acceptor);
 }
-
-static void
-question_finish(struct question *question, int status, const char *body)
-{
-    struct job_answer answer = {.status = status, .body = body};
-    question->reply.call(question->reply.ctx, &answer);
-    g_free(question->id);
-    g_free(question->queue);
-    g_free(question);
-}
-
-static void
-on_job(void *ctx, const struct kv_result *result)
-{
-    struct question *question = ctx;
-    if (result->outcome == KV_NOT_FOUND) {
-        question_finish(question, 410, NULL);
-        return;
-    }
-    if (result->outcome != KV_OK || result->items->len == 0) {
-        question_finish(question, 503, NULL);
-        return;
-    }
-    question_finish(question, 200,
-                    encode_state(question->state, question->begun));
-}
-
-static void
-on_progress(void *ctx, const struct kv_result *result)
-{
-    struct question *question = ctx;
-    if (result->outcome != KV_OK && result->outcome != KV_NOT_FOUND) {
-        question_finish(question, 503, NULL);
-        return;
-    }
-    if (result->outcome == KV_OK && result->items->len > 0) {
-        const struct kv_item *item = g_ptr_array_index(result->items, 0);
-        question->begun = true;
-        record_progress_state(item->value, item->value_bytes,
-                              &question->state);
-    }
-    char *key = g_strconcat(RECORD_JOB_PREFIX, question->id, NULL);
-    kv_get(question->acceptor->reads, key,
-           (struct kv_done){.call = on_job, .ctx = question});
-    g_free(key);
-}
-
-void
-acceptor_state(struct acceptor *acceptor, const char *id, const char *queue,
-               struct job_reply reply)
-{
-    struct question *question = g_new0(struct question, 1);
-    question->acceptor = acceptor;
-    question->id = g_strdup(id);
-    question->queue = g_strdup(queue);
-    question->reply = reply;
-    char *key = g_strconcat(RECORD_PROGRESS_PREFIX, id, NULL);
-    kv_get(acceptor->reads, key,
-           (struct kv_done){.call = on_progress, .ctx = question});
-    g_free(key);
-}
-
-static void
-on_cancel_noted(void *ctx, const struct kv_result *result)
-{
-    struct question *question = ctx;
-    if (result->outcome == KV_OK) {
-        question_finish(question, 200, NULL);
-    }
-    else if (result->outcome == KV_CONFLICT) {
-        question_finish(question, 410, NULL);
-    }
-    else {
-        question_finish(question, result->outcome == KV_UNKNOWN ? 504 : 503,
-                        NULL);
-    }
-}
-
-static void
-on_cancel_job(void *ctx, const struct kv_result *result)
-{
-    struct question *question = ctx;
-    if (result->outcome == KV_NOT_FOUND) {
-        question_finish(question, 410, NULL);
-        return;
-    }
-    if (result->outcome != KV_OK || result->items->len == 0) {
-        question_finish(question, 503, NULL);
-        return;
-    }
-    const struct kv_item *item = g_ptr_array_index(result->items, 0);
-    char *news_key = g_strconcat(RECORD_NEWS_PREFIX, question->id, NULL);
-    struct kv_condition condition = {.key = item->key,
-                                     .revision = item->revision};
-    struct kv_put put = {.key = news_key, .value = NEWS_CANCEL};
-    struct kv_txn txn = {
-        .conditions = &condition,
-        .n_conditions = 1,
-        .puts = &put,
-        .n_puts = 1,
-    };
-    kv_commit(question->acceptor->reads, &txn,
-              (struct kv_done){.call = on_cancel_noted, .ctx = question});
-    g_free(news_key);
-}
-
-void
-acceptor_cancel(struct acceptor *acceptor, const char *id,
-                struct job_reply reply)
-{
-    struct question *question = g_new0(struct question, 1);
-    question->acceptor = acceptor;
-    question->id = g_strdup(id);
-    question->reply = reply;
-    char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
-    kv_get(acceptor->reads, key,
-           (struct kv_done){.call = on_cancel_job, .ctx = question});
-    g_free(key);
-}
--- a/egretjobd/front.c
+++ b/egretjobd/front.c
@@ -10,6 +10,7 @@
 #include "egretjobd/job_call.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/peers.h"
+#include "egretjobd/questions.h"
 #include "net/http_server.h"
 #include "platform/decode.h"
 
@@ -107,18 +108,18 @@
 static void
 ask_store(struct request *request)
 {
-    struct acceptor *acceptor = request->front->node->acceptor;
+    struct node *node = request->front->node;
     struct job_reply reply = {.call = on_store_answer, .ctx = request};
     struct job_answer refused = {.status = 503, .retry_after_ms = 200};
     switch (request->call.kind) {
     case JOB_CALL_SUBMIT:
-        acceptor_submit(acceptor, &request->call, reply);
+        acceptor_submit(node->acceptor, &request->call, reply);
         break;
     case JOB_CALL_STATE:
-        acceptor_state(acceptor, request->id, request->queue, reply);
+        questions_state(node->questions, request->id, reply);
         break;
     case JOB_CALL_CANCEL:
-        acceptor_cancel(acceptor, request->id, reply);
+        questions_cancel(node->questions, request->id, reply);
         break;
     case JOB_CALL_WAITING:
         request_answer(request, &refused);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -6,6 +6,7 @@
 #include "egretjobd/acceptor.h"
 #include "egretjobd/config_feed.h"
 #include "egretjobd/duty.h"
+#include "egretjobd/questions.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_path.h"
 #include "platform/decode.h"
@@ -309,7 +310,7 @@
 {
     const struct job *job = scheduler_find_job(leader->sched, call->id);
     if (job == NULL || strcmp(job->queue, call->queue) != 0) {
-        acceptor_state(leader->node->acceptor, call->id, call->queue, reply);
+        questions_state(leader->node->questions, call->id, reply);
         return;
     }
     /* An end of a job is told only when it is stored. */
@@ -325,7 +326,7 @@
 {
     struct job *job = scheduler_find_job(leader->sched, call->id);
     if (job == NULL) {
-        acceptor_cancel(leader->node->acceptor, call->id, reply);
+        questions_cancel(leader->node->questions, call->id, reply);
         return;
     }
     scheduler_cancel(leader->sched, call->id);
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -13,6 +13,7 @@
 #include "egretjobd/front.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/peers.h"
+#include "egretjobd/questions.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_path.h"
 #include "platform/kv.h"
@@ -153,6 +154,7 @@
         return false;
     }
     node->acceptor = acceptor_create(node);
+    node->questions = questions_create(node);
     node->feed = config_feed_create(node);
     node->duty = duty_create(node);
     return true;
@@ -167,6 +169,7 @@
     duty_destroy(node->duty);
     config_feed_destroy(node->feed);
     acceptor_destroy(node->acceptor);
+    questions_destroy(node->questions);
     front_destroy(node->front);
     peers_destroy(node->peers);
     store_path_destroy(node->path);
--- a/include/egretjobd/acceptor.h
+++ b/include/egretjobd/acceptor.h
@@ -23,15 +23,4 @@
 void
 acceptor_answer_all(struct acceptor *acceptor);
 
-/** acceptor_cancel() - leave a note for the scheduler that a job is
- * cancelled; answers like acceptor_submit(). */
-void
-acceptor_cancel(struct acceptor *acceptor, const char *id,
-                struct job_reply reply);
-
-/** acceptor_state() - answer a question for a job's state from the store. */
-void
-acceptor_state(struct acceptor *acceptor, const char *id, const char *queue,
-               struct job_reply reply);
-
 #endif
--- a/include/egretjobd/node.h
+++ b/include/egretjobd/node.h
@@ -14,6 +14,7 @@
 struct front;
 struct peers;
 struct acceptor;
+struct questions;
 struct store_path;
 
 /**
@@ -32,6 +33,7 @@
     struct duty *duty;
     struct leader *leader;
     struct acceptor *acceptor;
+    struct questions *questions;
     struct peers *peers;
     struct front *front;
     bool leaving;
