Count a host as away while the entry of its last life lingers

Change: a host that is known to be away comes back only with a life that was born later. Ruled out: orders of the holder before that arrive late (all were answered or dropped at its end).

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -124,7 +124,12 @@
     }
     new_life(sched, host, backend->entry.id);
     set_text(&host->pool, backend->entry.pool);
-    host->up = true;
+    /* The entry of a life that has ended lingers while its host is away. */
+    if (host->down_unix_ms == 0 ||
+        backend->entry.born_ms >= host->down_unix_ms) {
+        host->up = true;
+        host->down_unix_ms = 0;
+    }
 }
 
 static void
@@ -153,6 +158,12 @@
         host->ordered = false;
         sched_host_intend(sched, host, HOST_STAYS, NULL);
     }
+    if (!fact->up && host->down_unix_ms == 0) {
+        host->down_unix_ms = ms_clock_now(&sched->unix_clock);
+    }
+    if (fact->up) {
+        host->down_unix_ms = 0;
+    }
     host->up = fact->up;
     set_text(&host->pool, fact->pool);
 }
@@ -177,6 +188,9 @@
 {
     host->ordered = true;
     host->up = false;
+    /* Half of the way: times of day differ a little between hosts. */
+    host->down_unix_ms =
+        ms_clock_now(&sched->unix_clock) + sched->timings.move_ms / 2;
     host->intent_ms = sched_now(sched);
     struct wave *wave = sched_find_wave(sched, number);
     if (wave != NULL) {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -46,6 +46,8 @@
  * @backend_id: backend server that is its present life, or NULL
  * @present: stands in the last list of hosts
  * @up: it runs and is neither moving nor rebooting
+ * @down_unix_ms: Unix time since when it is known to be away; 0: it is up.
+ *                Only a life born later is a new one
  * @intent: what is planned; its backend server takes nothing new meanwhile
  * @intent_ms: when that was decided
  * @target_pool: pool it is to move to, or NULL
@@ -62,6 +64,7 @@
     char *backend_id;
     bool present;
     bool up;
+    int64_t down_unix_ms;
     enum host_intent intent;
     int64_t intent_ms;
     char *target_pool;
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -145,6 +145,39 @@
     fixture_clear(&f);
 }
 
+/* After a takeover the entry of a life that ended lingers while its host is
+ * away for maintenance; the host still counts as away. */
+static void
+test_lingering_entry_is_away(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    struct host_fact facts[] = {
+        {.host = "m1", .pool = "p", .data_centre = "dc", .away = true},
+        {.host = "m2",
+         .pool = "p",
+         .backend_id = "b2",
+         .data_centre = "dc",
+         .up = true},
+    };
+    scheduler_hosts_read(f.sched, facts, 2);
+    fixture_backend(&f, "b1", "p", "m1");
+    fixture_backend(&f, "b2", "p", "m2");
+    fixture_settle(&f);
+    char *hosts[] = {(char *)"m1", (char *)"m2", NULL};
+    struct host_wave wave = {.number = 3,
+                             .hosts = hosts,
+                             .most = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 45; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 0);
+    fixture_clear(&f);
+}
+
 /* A wave never takes more hosts than allowed, and is done at its end. */
 static void
 test_wave_keeps_its_limit(void)
@@ -444,6 +477,7 @@
         {"a stopping run is waited for", test_stopping_run_is_waited_for},
         {"an uncertain lasting run", test_uncertain_lasting_run},
         {"an unread host is not empty", test_unread_host_is_not_empty},
+        {"a lingering entry is away", test_lingering_entry_is_away},
         {"a wave keeps its limit", test_wave_keeps_its_limit},
         {"spread keeps hosts in the pool", test_spread_keeps_hosts},
         {"a turn brings hosts", test_turn_brings_hosts},
