--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -1,7 +1,7 @@
 /*
- * Which host serves which pool. Answers demand that turns from pool to pool
- * within seconds: hosts come from the spare pool or from pools between their
- * turns when a pool's demand passes its room, and idle ones go back.
+ * Which host serves which pool. Answers demand whose peak moves from pool to
+ * pool within seconds: hosts come from the spare pool or from pools between
+ * their peaks when a pool's demand passes its room, and idle ones go back.
  */
 #include "core/jobs/scheduler.h"
 
@@ -39,8 +39,8 @@
 {
     host->ordering = true;
     host->intent_ms = sched_now(sched);
-    g_free(host->last_life);
-    host->last_life = g_strdup(host->backend_id);
+    g_free(host->last_incarnation);
+    host->last_incarnation = g_strdup(host->backend_id);
     if (host->intent == HOST_REBOOTS) {
         sched->ops.reboot(sched->ops.ctx, host->name, host->wave);
     }
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -1,4 +1,4 @@
-/* Hosts: their present life, and the answers to orders about them. */
+/* Hosts: their present incarnation, and the answers to orders about them. */
 #include "core/jobs/scheduler.h"
 
 #include <string.h>
@@ -10,7 +10,7 @@
     /* An accepted order shows in the list after the host is back; a list
      * that was asked for before the order may still show the old state. */
     ORDER_SETTLE_MS = 2000,
-    /* A life this young may have begun after the list was made. */
+    /* An incarnation this young may have begun after the list was made. */
     LIST_AGE_MS = 4000,
 };
 
@@ -52,14 +52,14 @@
     }
 }
 
-/* Nothing runs any more on an earlier life of a host. */
+/* Nothing runs any more on an earlier incarnation of a host. */
 static void
-end_life(struct scheduler *sched, struct backend *backend)
+end_incarnation(struct scheduler *sched, struct backend *backend)
 {
     if (backend == NULL) {
         return;
     }
-    sched_backend_lost(sched, backend, "its host has a new life");
+    sched_backend_lost(sched, backend, "its host has a new incarnation");
     backend->granted_until_ms = 0;
     backend->lapse_ms = 0;
     backend->inherited = false;
@@ -69,9 +69,10 @@
 
 /* The host is back after an order, or has restarted by itself. */
 static void
-new_life(struct scheduler *sched, struct host *host, const char *backend_id)
+new_incarnation(struct scheduler *sched, struct host *host,
+                const char *backend_id)
 {
-    end_life(sched, sched_host_backend(sched, host));
+    end_incarnation(sched, sched_host_backend(sched, host));
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
     if (host->ordered || host->ordering) {
@@ -104,10 +105,10 @@
     return host;
 }
 
-/* Entries of lives that are over may linger; the latest born is the present
- * one, and the others have ended. */
+/* Entries of incarnations that are over may linger; the latest born is the
+ * present one, and the others have ended. */
 void
-sched_host_life(struct scheduler *sched, struct backend *backend)
+sched_host_incarnation(struct scheduler *sched, struct backend *backend)
 {
     if (backend->entry.host == NULL) {
         return;
@@ -117,14 +118,15 @@
         return;
     }
     const struct backend *present = sched_host_backend(sched, host);
-    if (g_strcmp0(host->last_life, backend->entry.id) == 0 ||
+    if (g_strcmp0(host->last_incarnation, backend->entry.id) == 0 ||
         (present != NULL && present->entry.born_ms > backend->entry.born_ms)) {
-        end_life(sched, backend);
+        end_incarnation(sched, backend);
         return;
     }
-    new_life(sched, host, backend->entry.id);
+    new_incarnation(sched, host, backend->entry.id);
     set_text(&host->pool, backend->entry.pool);
-    /* The entry of a life that has ended lingers while its host is away. */
+    /* The entry of an incarnation that has ended lingers while its host is
+     * away. */
     if (host->down_unix_ms == 0 ||
         backend->entry.born_ms >= host->down_unix_ms) {
         host->up = true;
@@ -147,11 +149,11 @@
     if (fact->away && present != NULL &&
         ms_clock_now(&sched->unix_clock) - present->entry.born_ms >
             LIST_AGE_MS) {
-        end_life(sched, present);
+        end_incarnation(sched, present);
     }
     if (fact->up && fact->backend_id != NULL &&
         g_strcmp0(fact->backend_id, host->backend_id) != 0) {
-        new_life(sched, host, fact->backend_id);
+        new_incarnation(sched, host, fact->backend_id);
     }
     else if (fact->up && host->ordered && !host->ordering) {
         /* The order was not carried out after all. */
--- a/core/jobs/order.c
+++ b/core/jobs/order.c
@@ -1,5 +1,5 @@
 /*
- * Order of waiting jobs. Answers the load in which each queue in its turn
+ * Order of waiting jobs. Answers the load in which each queue at its peak
  * asks several times what its pool holds: jobs that can still meet their
  * objective come first, least slack first, so that the pool is not spent on
  * jobs that are late already.
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -1,7 +1,7 @@
 /*
  * Demand on pools. Answers queues that ask several times their mean for some
- * seconds, by turns: demand is taken from work that arrives now and from work
- * that is left, never from long averages.
+ * seconds, one after the other: demand is taken from work that arrives now and
+ * from work that is left, never from long averages.
  */
 #include "core/jobs/scheduler.h"
 
@@ -10,7 +10,7 @@
 #include "scheduler_state.h"
 
 enum {
-    /* Arrivals of the last two seconds count: a turn lasts some seconds. */
+    /* Arrivals of the last two seconds count: a peak lasts some seconds. */
     ARRIVAL_TAU_MS = 2000,
     /* Ready tasks are to be done in this time, or run all at once. */
     READY_HORIZON_MS = 500,
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -48,7 +48,7 @@
     g_free(host->data_centre);
     g_free(host->backend_id);
     g_free(host->target_pool);
-    g_free(host->last_life);
+    g_free(host->last_incarnation);
     g_free(host);
 }
 
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -27,9 +27,10 @@
     return ids;
 }
 
-/* An entry of another life under the same id: the old life has ended. */
+/* An entry of another incarnation under the same id: the old incarnation has
+ * ended. */
 static void
-renew_life(struct scheduler *sched, struct backend *backend)
+renew_incarnation(struct scheduler *sched, struct backend *backend)
 {
     sched_backend_lost(sched, backend, "restarted");
     backend->reconciled = false;
@@ -89,11 +90,11 @@
         update_entry(backend, entry);
         if (born_before_ms != 0 && entry->born_ms != 0 &&
             born_before_ms != entry->born_ms) {
-            renew_life(sched, backend);
+            renew_incarnation(sched, backend);
         }
     }
     backend->listed = true;
-    sched_host_life(sched, backend);
+    sched_host_incarnation(sched, backend);
 }
 
 void
@@ -122,7 +123,7 @@
     sched->inherited_long = sched->inherited_long || lease_ms > LEASE_MS;
     /* The scheduler before granted its last lease before this one began. */
     backend->lapse_ms = sched->taken_over_ms + lease_ms * 102 / 100 + 100;
-    sched_host_life(sched, backend);
+    sched_host_incarnation(sched, backend);
 }
 
 int64_t
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -214,9 +214,9 @@
 }
 
 static void
-other_life(struct scheduler *sched, struct backend *backend)
+other_incarnation(struct scheduler *sched, struct backend *backend)
 {
-    sched_note(sched, "backend_other_life", "\"backend\":\"%s\"",
+    sched_note(sched, "backend_other_incarnation", "\"backend\":\"%s\"",
                backend->entry.id);
     backend->silent = true;
     backend->hold_due_ms = sched_now(sched) + LIST_RETRY_MS;
@@ -257,8 +257,8 @@
         sched->fenced = true;
         return;
     }
-    if (lists->outcome == LIST_OTHER_LIFE) {
-        other_life(sched, backend);
+    if (lists->outcome == LIST_OTHER_INCARNATION) {
+        other_incarnation(sched, backend);
         return;
     }
     if (lists->outcome == LIST_NO_ANSWER) {
@@ -272,7 +272,8 @@
     }
     if (lists->born_ms != 0 && backend->entry.born_ms != 0 &&
         lists->born_ms != backend->entry.born_ms) {
-        /* The answer is of a life that the host list doesn't show yet. */
+        /* The answer is of an incarnation that the host list doesn't show yet.
+         */
         if (lists->born_ms < backend->entry.born_ms) {
             return;
         }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -365,7 +365,7 @@
                run->job->id, run->step, run->index, backend->entry.id, answer);
     run_task(run)->wait_until_ms =
         answer == START_OLD_NUMBER ? 0 : now_ms + START_RETRY_MS;
-    if (answer == START_OTHER_LIFE) {
+    if (answer == START_OTHER_INCARNATION) {
         backend->silent = true;
     }
     if (answer == START_REFUSED || answer == START_NO_ROOM) {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -43,18 +43,18 @@
 
 /**
  * struct host - a host and what was ordered about it
- * @backend_id: backend server that is its present life, or NULL
+ * @backend_id: backend server that is its present incarnation, or NULL
  * @present: stands in the last list of hosts
  * @up: it runs and is neither moving nor rebooting
  * @down_unix_ms: Unix time since when it is known to be away; 0: it is up.
- *                Only a life born later is a new one
+ *                Only an incarnation born later is a new one
  * @intent: what is planned; its backend server takes nothing new meanwhile
  * @intent_ms: when that was decided
  * @target_pool: pool it is to move to, or NULL
  * @wave: maintenance it still owes; 0: none
  * @ordering: an order is in flight
  * @ordered: the order was accepted, or may have been
- * @last_life: backend server at the time of the order
+ * @last_incarnation: backend server at the time of the order
  * @retry_ms: no order before this time
  */
 struct host {
@@ -71,7 +71,7 @@
     int64_t wave;
     bool ordering;
     bool ordered;
-    char *last_life;
+    char *last_incarnation;
     int64_t retry_ms;
 };
 
@@ -221,7 +221,7 @@
 
 /* hosts.c */
 void
-sched_host_life(struct scheduler *sched, struct backend *backend);
+sched_host_incarnation(struct scheduler *sched, struct backend *backend);
 void
 sched_host_intend(struct scheduler *sched, struct host *host,
                   enum host_intent intent, const char *pool);
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -1,6 +1,6 @@
 /*
  * Maintenance waves: every host in its time, never more than allowed at once,
- * and hosts whose pool is between its turns first.
+ * and hosts whose pool is between its peaks first.
  */
 #include "core/jobs/scheduler.h"
 
@@ -81,7 +81,8 @@
     return g_string_free(text, FALSE);
 }
 
-/* Hosts that still owe their turn; one that left the fleet owes nothing. */
+/* Hosts that still owe their maintenance; one that left the fleet owes
+ * nothing. */
 static uint32_t
 hosts_left(const struct scheduler *sched, const struct wave *wave)
 {
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -33,7 +33,7 @@
 struct entry {
     char *id;
     char *key;
-    char *news_key;
+    char *inbox_key;
     char *value;
     int64_t since_ms;
     bool uncertain;
@@ -75,7 +75,7 @@
     g_array_unref(entry->replies);
     g_free(entry->id);
     g_free(entry->key);
-    g_free(entry->news_key);
+    g_free(entry->inbox_key);
     g_free(entry->value);
     g_free(entry);
 }
@@ -150,7 +150,7 @@
     for (guint i = 0; i < batch->len; i++) {
         struct entry *entry = g_ptr_array_index(batch, i);
         bool found = found_in(result, entry->key);
-        if (result->outcome == KV_OK || found_in(result, entry->news_key) ||
+        if (result->outcome == KV_OK || found_in(result, entry->inbox_key) ||
             (found && acceptor->with_duty)) {
             progress = true;
             entry_stored(acceptor, entry);
@@ -213,14 +213,14 @@
         /* A stored job needs nothing but the note for the scheduler. */
         bool note_only = entry->exists && !acceptor->with_duty;
         conditions[txn.n_conditions++] = (struct kv_condition){
-            .key = note_only ? entry->news_key : entry->key};
+            .key = note_only ? entry->inbox_key : entry->key};
         if (!note_only) {
             puts[txn.n_puts++] =
                 (struct kv_put){.key = entry->key, .value = entry->value};
         }
         if (!acceptor->with_duty) {
             puts[txn.n_puts++] =
-                (struct kv_put){.key = entry->news_key, .value = NEWS_JOB};
+                (struct kv_put){.key = entry->inbox_key, .value = INBOX_JOB};
         }
     }
     kv_commit(acceptor->kv, &txn,
@@ -305,7 +305,7 @@
     entry = g_new0(struct entry, 1);
     entry->id = g_strdup(call->id);
     entry->key = g_strconcat(RECORD_JOB_PREFIX, call->id, NULL);
-    entry->news_key = g_strconcat(RECORD_NEWS_PREFIX, call->id, NULL);
+    entry->inbox_key = g_strconcat(RECORD_INBOX_PREFIX, call->id, NULL);
     entry->value = record_job_encode(&envelope);
     entry->since_ms = node_now(acceptor->node);
     entry->uncertain = call->uncertain;
--- a/egretjobd/duty.c
+++ b/egretjobd/duty.c
@@ -92,7 +92,7 @@
     cJSON_Delete(value);
 }
 
-/* The duty is free, or held by an earlier life of this very process. */
+/* The duty is free, or held by an earlier incarnation of this very process. */
 static bool
 claimable(const struct duty *duty)
 {
@@ -201,7 +201,7 @@
         watch(duty);
         break;
     case CLAIM_WAIT:
-        /* An earlier life's duty of this very process has no rival. */
+        /* An earlier incarnation's duty of this very process has no rival. */
         look_later(duty, duty->revision == 0 ? delay_ms : 0);
         break;
     case CLAIM_NOW:
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -71,11 +71,11 @@
 }
 
 static void
-on_news_timer(evutil_socket_t fd, short events, void *ctx)
+on_inbox_timer(evutil_socket_t fd, short events, void *ctx)
 {
     (void)fd;
     (void)events;
-    leader_read_news(ctx);
+    leader_read_inbox(ctx);
 }
 
 static void
@@ -137,8 +137,8 @@
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
                   store_path_any(node->path));
-    leader->news = kv_create(node->base, store, READ_TIMEOUT_MS,
-                             store_path_any(node->path));
+    leader->inbox = kv_create(node->base, store, READ_TIMEOUT_MS,
+                              store_path_any(node->path));
     struct hosts_events events = {
         .on_list = on_hosts,
         .on_order = on_host_order,
@@ -148,7 +148,7 @@
                                      node->boot->node, &events);
     leader->tick = evtimer_new(node->base, on_tick, leader);
     leader->watch_timer = evtimer_new(node->base, on_watch_timer, leader);
-    leader->news_timer = evtimer_new(node->base, on_news_timer, leader);
+    leader->inbox_timer = evtimer_new(node->base, on_inbox_timer, leader);
     leader->hosts_timer = evtimer_new(node->base, on_hosts_timer, leader);
     leader->flush_timer = evtimer_new(node->base, on_flush_timer, leader);
     leader->links =
@@ -189,7 +189,7 @@
         return;
     }
     struct event *timers[] = {
-        leader->tick,        leader->watch_timer, leader->news_timer,
+        leader->tick,        leader->watch_timer, leader->inbox_timer,
         leader->hosts_timer, leader->flush_timer,
     };
     for (size_t i = 0; i < G_N_ELEMENTS(timers); i++) {
@@ -199,7 +199,7 @@
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
     kv_destroy(leader->backend_watch);
-    kv_destroy(leader->news);
+    kv_destroy(leader->inbox);
     leader_load_clear(leader);
     hosts_api_destroy(leader->hosts);
     g_hash_table_unref(leader->links);
--- a/egretjobd/leader_news.c
+++ b/egretjobd/leader_inbox.c
@@ -1,7 +1,7 @@
 /*
- * News for the scheduler: jobs and cancels that another process stored while
- * it could not reach this one. The whole list is read again and again, since
- * a watch may miss a change; what is dealt with and stored is deleted.
+ * Messages for the scheduler: jobs and cancels that another process stored
+ * while it could not reach this one. The whole list is read again and again,
+ * since a watch may miss a change; what is dealt with and stored is deleted.
  */
 #include "leader_state.h"
 
@@ -10,7 +10,7 @@
 #include "egretjobd/records.h"
 
 enum {
-    NEWS_PERIOD_MS = 500,
+    INBOX_PERIOD_MS = 500,
     /* A condition and a deletion each, and the duty: one transaction. */
     DELETES_MAX = 10,
 };
@@ -19,37 +19,38 @@
 on_job(void *ctx, const struct kv_result *result)
 {
     struct leader *leader = ctx;
-    leader->news_fetching = false;
+    leader->inbox_fetching = false;
     if (result->outcome == KV_OK && result->items->len > 0) {
         const struct kv_item *item = g_ptr_array_index(result->items, 0);
         leader_take_job(leader, item->key + strlen(RECORD_JOB_PREFIX), item);
-        timer_set(leader->news_timer, 0);
+        timer_set(leader->inbox_timer, 0);
     }
 }
 
 static void
 fetch_job(struct leader *leader, const char *id)
 {
-    if (leader->news_fetching) {
+    if (leader->inbox_fetching) {
         return;
     }
-    leader->news_fetching = true;
+    leader->inbox_fetching = true;
     char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
     kv_get(leader->reads, key,
            (struct kv_done){.call = on_job, .ctx = leader});
     g_free(key);
 }
 
-/* Whether nothing is left to do about one piece of news. */
+/* Whether nothing is left to do about one piece of messages. */
 static bool
-news_settled(struct leader *leader, const char *id, const struct kv_item *item)
+message_settled(struct leader *leader, const char *id,
+                const struct kv_item *item)
 {
     const struct job *job = scheduler_find_job(leader->sched, id);
     if (job == NULL) {
         fetch_job(leader, id);
         return false;
     }
-    if (strcmp(item->value, NEWS_CANCEL) == 0) {
+    if (strcmp(item->value, INBOX_CANCEL) == 0) {
         scheduler_cancel(leader->sched, id);
     }
     return job->stored_version == job->version;
@@ -64,8 +65,8 @@
 }
 
 static void
-delete_news(struct leader *leader, const struct kv_condition *conditions,
-            size_t n_conditions, const char *const *keys, size_t n_keys)
+delete_messages(struct leader *leader, const struct kv_condition *conditions,
+                size_t n_conditions, const char *const *keys, size_t n_keys)
 {
     struct kv_txn txn = {
         .conditions = conditions,
@@ -73,15 +74,15 @@
         .deletes = keys,
         .n_deletes = n_keys,
     };
-    kv_commit(leader->news, &txn,
+    kv_commit(leader->inbox, &txn,
               (struct kv_done){.call = on_deleted, .ctx = leader});
 }
 
 static void
-on_news(void *ctx, const struct kv_result *result)
+on_inbox(void *ctx, const struct kv_result *result)
 {
     struct leader *leader = ctx;
-    timer_set(leader->news_timer, NEWS_PERIOD_MS);
+    timer_set(leader->inbox_timer, INBOX_PERIOD_MS);
     if (result->outcome != KV_OK) {
         return;
     }
@@ -93,8 +94,8 @@
                                           .revision = leader->token};
     for (guint i = 0; i < result->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(result->items, i);
-        const char *id = item->key + strlen(RECORD_NEWS_PREFIX);
-        if (item->value == NULL || !news_settled(leader, id, item) ||
+        const char *id = item->key + strlen(RECORD_INBOX_PREFIX);
+        if (item->value == NULL || !message_settled(leader, id, item) ||
             n_keys == DELETES_MAX) {
             continue;
         }
@@ -103,7 +104,7 @@
         keys[n_keys++] = item->key;
     }
     if (n_keys > 0) {
-        delete_news(leader, conditions, n_keys + 1, keys, n_keys);
+        delete_messages(leader, conditions, n_keys + 1, keys, n_keys);
     }
     if (result->items->len > 0) {
         leader_tick_soon(leader);
@@ -111,8 +112,8 @@
 }
 
 void
-leader_read_news(struct leader *leader)
+leader_read_inbox(struct leader *leader)
 {
-    kv_range(leader->news, RECORD_NEWS_PREFIX, NULL,
-             (struct kv_done){.call = on_news, .ctx = leader});
+    kv_range(leader->inbox, RECORD_INBOX_PREFIX, NULL,
+             (struct kv_done){.call = on_inbox, .ctx = leader});
 }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -154,7 +154,7 @@
     leader_orders_changed(leader);
     leader_take_early(leader);
     leader_watch_backends(leader);
-    leader_read_news(leader);
+    leader_read_inbox(leader);
     leader_tick_soon(leader);
 }
 
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -46,11 +46,11 @@
     struct kv *reads;
     struct kv *writes;
     struct kv *backend_watch;
-    struct kv *news;
+    struct kv *inbox;
     struct hosts_api *hosts;
     struct event *tick;
     struct event *watch_timer;
-    struct event *news_timer;
+    struct event *inbox_timer;
     struct event *hosts_timer;
     struct event *flush_timer;
     bool tick_soon;
@@ -59,7 +59,7 @@
     GPtrArray *early;
     GHashTable *listed_now;
     int64_t backends_as_of;
-    bool news_fetching;
+    bool inbox_fetching;
     struct leader_range ranges[STAGE_READY];
     struct store_batch *batch;
     GPtrArray *cancels;
@@ -88,9 +88,9 @@
 leader_take_job(struct leader *leader, const char *id,
                 const struct kv_item *item);
 
-/* leader_news.c */
+/* leader_inbox.c */
 void
-leader_read_news(struct leader *leader);
+leader_read_inbox(struct leader *leader);
 
 /* leader_store.c */
 void
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -217,7 +217,7 @@
     leader->wave_status_sent = NULL;
 }
 
-/* What was last written of each wave: its hosts that had their turn and
+/* What was last written of each wave: its hosts that were maintained and
  * whether it is complete. */
 static void
 report_wave(struct leader *leader, const struct host_wave *wave)
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -113,7 +113,7 @@
     (void)fd;
     (void)events;
     (void)ctx;
-    /* Addresses and limits hold for a process's life; the rest of what
+    /* Addresses and limits hold for the lifetime of a process; the rest of what
      * changes comes from the store. */
     event_log("reload", "\"signal\":\"HUP\"");
 }
--- a/egretjobd/questions.c
+++ b/egretjobd/questions.c
@@ -129,10 +129,10 @@
         return;
     }
     const struct kv_item *item = g_ptr_array_index(result->items, 0);
-    char *news_key = g_strconcat(RECORD_NEWS_PREFIX, question->id, NULL);
+    char *inbox_key = g_strconcat(RECORD_INBOX_PREFIX, question->id, NULL);
     struct kv_condition condition = {.key = item->key,
                                      .revision = item->revision};
-    struct kv_put put = {.key = news_key, .value = NEWS_CANCEL};
+    struct kv_put put = {.key = inbox_key, .value = INBOX_CANCEL};
     struct kv_txn txn = {
         .conditions = &condition,
         .n_conditions = 1,
@@ -141,7 +141,7 @@
     };
     kv_commit(question->questions->kv, &txn,
               (struct kv_done){.call = on_cancel_noted, .ctx = question});
-    g_free(news_key);
+    g_free(inbox_key);
 }
 
 void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -10,12 +10,12 @@
 
 /**
  * struct backend_entry - what the host list says of a backend server
- * @id: its id, which names the life of a host
- * @born_ms: Unix time of its start; tells lives under one id apart
+ * @id: its id, which names the incarnation of a host
+ * @born_ms: Unix time of its start; tells incarnations under one id apart
  * @pool: pool that it serves
  * @address: "ip:port" of its interface
  * @data_centre: where it stands
- * @host: the host whose life it is, or NULL if not told
+ * @host: the host whose incarnation it is, or NULL if not told
  * @labels: kind and rack, NULL-terminated; the rack comes last
  * @room: its whole capacity
  * @draining: leaves soon and takes nothing new
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -94,7 +94,8 @@
  * @START_NO_ROOM: refused for want of room
  * @START_OLD_NUMBER: refused, a run with this or a higher number ended here
  * @START_FENCED: a newer scheduler gives orders here
- * @START_OTHER_LIFE: the addressed life of the backend server is over
+ * @START_OTHER_INCARNATION: the addressed incarnation of the backend server is
+ * over
  */
 enum start_answer {
     START_DONE,
@@ -103,7 +104,7 @@
     START_NO_ROOM,
     START_OLD_NUMBER,
     START_FENCED,
-    START_OTHER_LIFE,
+    START_OTHER_INCARNATION,
 };
 
 /** enum end_reason - how a run ended */
@@ -153,12 +154,12 @@
     LIST_READ,
     LIST_NO_ANSWER,
     LIST_FENCED,
-    LIST_OTHER_LIFE,
+    LIST_OTHER_INCARNATION,
 };
 
 /**
  * struct backend_lists - lists of a backend server
- * @born_ms: start of the life that answered; 0: not told
+ * @born_ms: start of the incarnation that answered; 0: not told
  * @clock_ms: its clock
  */
 struct backend_lists {
@@ -335,9 +336,9 @@
  * struct host_fact - a host as the platform lists it
  * @host: its name
  * @pool: its pool
- * @backend_id: the backend server that is its present life, may be NULL
+ * @backend_id: the backend server that is its present incarnation, may be NULL
  * @up: it runs and is neither moving nor rebooting
- * @away: it is moving or rebooting, so that its last life has ended
+ * @away: it is moving or rebooting, so that its last incarnation has ended
  */
 struct host_fact {
     const char *host;
@@ -368,7 +369,7 @@
 char *
 scheduler_wave_begun_list(const struct scheduler *sched, int64_t number);
 
-/** scheduler_wave_done() - whether every host of the wave had its turn. */
+/** scheduler_wave_done() - whether every host of the wave was maintained. */
 bool
 scheduler_wave_done(const struct scheduler *sched, int64_t number);
 
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -11,7 +11,7 @@
 #define RECORD_JOB_PREFIX "eg/job/"
 #define RECORD_PROGRESS_PREFIX "eg/progress/"
 #define RECORD_BACKEND_PREFIX "eg/backend/"
-#define RECORD_NEWS_PREFIX "eg/news/"
+#define RECORD_INBOX_PREFIX "eg/inbox/"
 #define RECORD_PEER_PREFIX "eg/peer/"
 #define RECORD_WAVE_PREFIX "eg/wave/"
 #define RECORD_DUTY_KEY "eg/duty/scheduler"
@@ -20,9 +20,9 @@
 #define RECORD_HANDOVER_KEY "eg/duty/handover"
 #define RECORD_TERM_KEY "eg/duty/term"
 
-/* Values under RECORD_NEWS_PREFIX: what the scheduler has to look at. */
-#define NEWS_JOB "job"
-#define NEWS_CANCEL "cancel"
+/* Values under RECORD_INBOX_PREFIX: what the scheduler has to look at. */
+#define INBOX_JOB "job"
+#define INBOX_CANCEL "cancel"
 
 /**
  * struct job_envelope - a job as it was accepted
--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -16,7 +16,7 @@
 /**
  * struct emulated_host - a host and its present backend server
  * @away_until_ms: it moves or reboots until then; 0: it is up
- * @life: counts its backend servers
+ * @incarnation: counts its backend servers
  */
 struct emulated_host {
     struct emulator *emulator;
@@ -29,7 +29,7 @@
     int64_t next_heartbeat_ms;
     int64_t born_ms;
     int64_t seq;
-    uint32_t life;
+    uint32_t incarnation;
     bool dark;
     struct model_backend backend;
     struct http_server *server;
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -54,16 +54,16 @@
     g_free(key);
 }
 
-/* A new life of the host: a new backend server that runs nothing. */
+/* A new incarnation of the host: a new backend server that runs nothing. */
 static void
-new_life(struct emulated_host *host)
+new_incarnation(struct emulated_host *host)
 {
     drop_entry(host);
     model_backend_clear(&host->backend);
     model_backend_init(&host->backend, host->index, 100,
                        1000 + 100 * host->index);
     g_snprintf(host->backend.id, sizeof(host->backend.id), "i-%d-%u",
-               host->index, ++host->life);
+               host->index, ++host->incarnation);
     host->born_ms = g_get_real_time() / 1000;
     host->seq = 0;
 }
@@ -71,7 +71,7 @@
 void
 emulator_host_crash(struct emulated_host *host)
 {
-    new_life(host);
+    new_incarnation(host);
     host->away_until_ms = emulator_now_ms() + AWAY_MS;
 }
 
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -305,7 +305,7 @@
     play(2000, true);
     play_to_end();
     check_promises();
-    /* Its own earlier life's duty is taken back without waiting. */
+    /* Its own earlier incarnation's duty is taken back without waiting. */
     CU_ASSERT(caller_queue_quantile_ms(&fixture.quick, 0.99) < 4000);
 }
 
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -145,8 +145,8 @@
     fixture_clear(&f);
 }
 
-/* After a takeover the entry of a life that ended lingers while its host is
- * away for maintenance; the host still counts as away. */
+/* After a takeover the entry of an incarnation that ended lingers while its
+ * host is away for maintenance; the host still counts as away. */
 static void
 test_lingering_entry_is_away(void)
 {
@@ -256,10 +256,10 @@
     fixture_clear(&f);
 }
 
-/* A turn: a pool that is asked for far more than it holds gets hosts from
+/* A peak: a pool that is asked for far more than it holds gets hosts from
  * the spare pool and from an idle one, at once. */
 static void
-test_turn_brings_hosts(void)
+test_peak_brings_hosts(void)
 {
     struct fleet_fixture f;
     fixture_init(&f, 0);
@@ -280,7 +280,7 @@
     scheduler_hosts_read(f.sched, facts, 8);
     fixture_settle(&f);
     fixture_tick(&f, f.now_ms + 3400);
-    int64_t turn_ms = f.now_ms;
+    int64_t peak_ms = f.now_ms;
     for (int i = 0; i < 12; i++) {
         char id[JOB_ID_CHARS + 1];
         snprintf(id, sizeof(id), "%016x", i);
@@ -294,7 +294,7 @@
         const struct order *order = g_ptr_array_index(f.orders, i);
         if (order->kind == ORDER_MOVE && strcmp(order->task, "p") == 0) {
             to_p++;
-            CU_ASSERT(order->at_ms - turn_ms <= 150);
+            CU_ASSERT(order->at_ms - peak_ms <= 150);
         }
     }
     /* Both spare hosts and those that the idle pool does not keep. */
@@ -480,7 +480,7 @@
         {"a lingering entry is away", test_lingering_entry_is_away},
         {"a wave keeps its limit", test_wave_keeps_its_limit},
         {"spread keeps hosts in the pool", test_spread_keeps_hosts},
-        {"a turn brings hosts", test_turn_brings_hosts},
+        {"a peak brings hosts", test_peak_brings_hosts},
         {"single jobs move nothing", test_single_jobs_move_nothing},
         {"order under overload", test_order_under_overload},
         {"a team's limit holds over pools", test_team_limit_over_pools},
