--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -40,7 +40,7 @@
     g_free(key);
 }
 
-/* Whether nothing is left to do about one piece of messages. */
+/* Whether nothing is left to do about one message. */
 static bool
 message_settled(struct leader *leader, const char *id,
                 const struct kv_item *item)
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -113,8 +113,8 @@
     (void)fd;
     (void)events;
     (void)ctx;
-    /* Addresses and limits hold for the lifetime of a process; the rest of what
-     * changes comes from the store. */
+    /* Addresses and limits hold for the lifetime of a process; the rest of
+     * what changes comes from the store. */
     event_log("reload", "\"signal\":\"HUP\"");
 }
 
