--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -20,6 +20,7 @@
     READ_TIMEOUT_MS = 900,
     /* Without an answer for this long the peers are asked. */
     ASK_PEERS_AFTER_MS = 700,
+    ASK_PEERS_MS = 200,
     PEERS_PERIOD_MS = 5000,
 };
 
@@ -27,6 +28,7 @@
     struct node *node;
     struct kv *kv;
     struct event *timer;
+    struct event *peer_timer;
     struct fleet_config *config;
     GPtrArray *items;
     GPtrArray *next_items;
@@ -314,10 +316,6 @@
     (void)events;
     struct config_feed *feed = ctx;
     int64_t now_ms = node_now(feed->node);
-    if (feed->confirmed_ms != 0 &&
-        now_ms - feed->confirmed_ms > ASK_PEERS_AFTER_MS) {
-        ask_peer(feed);
-    }
     read_peers(feed, now_ms);
     feed->sent_ms = now_ms;
     if (feed->watch_after == 0) {
@@ -329,6 +327,20 @@
              (struct kv_done){.call = on_watch, .ctx = feed});
 }
 
+/* Apart from the store's calls: those may each wait for their timeout. */
+static void
+on_peer_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct config_feed *feed = ctx;
+    if (feed->confirmed_ms != 0 &&
+        node_now(feed->node) - feed->confirmed_ms > ASK_PEERS_AFTER_MS) {
+        ask_peer(feed);
+    }
+    timer_set(feed->peer_timer, ASK_PEERS_MS);
+}
+
 struct config_feed *
 config_feed_create(struct node *node)
 {
@@ -343,7 +355,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     feed->out = g_new0(char *, 1);
     feed->timer = evtimer_new(node->base, on_timer, feed);
+    feed->peer_timer = evtimer_new(node->base, on_peer_timer, feed);
     timer_set(feed->timer, 0);
+    timer_set(feed->peer_timer, ASK_PEERS_MS);
     return feed;
 }
 
@@ -354,6 +368,7 @@
         return;
     }
     event_free(feed->timer);
+    event_free(feed->peer_timer);
     kv_destroy(feed->kv);
     fleet_config_destroy(feed->config);
     g_ptr_array_unref(feed->items);
