--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -117,6 +117,9 @@
     g_hash_table_unref(sched->hosts);
     g_hash_table_unref(sched->pools);
     g_ptr_array_unref(sched->waves);
+    for (guint i = 0; i < sched->dirty->len; i++) {
+        job_unref(g_ptr_array_index(sched->dirty, i));
+    }
     g_ptr_array_unref(sched->dirty);
     g_ptr_array_unref(sched->to_register);
     g_ptr_array_unref(sched->to_release);
--- a/tests/jobs/kv_test.c
+++ b/tests/jobs/kv_test.c
@@ -19,11 +19,11 @@
     int reports;
 };
 
+/* Keeps the request without an answer until the end of the test. */
 static void
 never_answer(void *ctx, struct http_exchange *exchange)
 {
-    (void)ctx;
-    (void)exchange;
+    *(struct http_exchange **)ctx = exchange;
 }
 
 static void
@@ -59,8 +59,9 @@
 test_switch_completes_calls(void)
 {
     struct event_base *base = event_base_new();
+    struct http_exchange *kept = NULL;
     struct http_server *silent =
-        http_server_create(base, SILENT_ADDRESS, never_answer, NULL);
+        http_server_create(base, SILENT_ADDRESS, never_answer, &kept);
     struct http_server *serving =
         http_server_create(base, SERVING_ADDRESS, answer_missing, NULL);
     CU_ASSERT_PTR_NOT_NULL_FATAL(silent);
@@ -84,6 +85,9 @@
     CU_ASSERT_EQUAL(second, KV_NOT_FOUND);
     CU_ASSERT_EQUAL(way.reports, 2);
     kv_destroy(kv);
+    if (kept != NULL) {
+        http_exchange_reply(kept, 503, NULL);
+    }
     event_base_loop(base, EVLOOP_NONBLOCK);
     http_server_destroy(serving);
     http_server_destroy(silent);
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -215,7 +215,9 @@
     fixture_tick(&f, f.now_ms + 200);
     CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 2);
     char *begun = scheduler_wave_begun_list(f.sched, 7);
-    CU_ASSERT_EQUAL(g_strv_length(g_strsplit(begun, " ", 0)), 2);
+    char **begun_hosts = g_strsplit(begun, " ", 0);
+    CU_ASSERT_EQUAL(g_strv_length(begun_hosts), 2);
+    g_strfreev(begun_hosts);
     g_free(begun);
     fixture_clear(&f);
 }
