Call a wave complete only after the list of hosts was read

Change: a wave is complete only once the list was read. Measured: 'a wave needs the host list' fails before and passes after.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -174,6 +174,7 @@
 scheduler_hosts_read(struct scheduler *sched, const struct host_fact *hosts,
                      size_t n_hosts)
 {
+    sched->hosts_read = sched->hosts_read || n_hosts > 0;
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->hosts);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -151,6 +151,7 @@
     GPtrArray *to_register;
     GPtrArray *to_release;
     GQueue finished;
+    bool hosts_read;
     int64_t plan_due_ms;
     struct sched_figures figures;
 };
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -102,8 +102,8 @@
 scheduler_wave_done(const struct scheduler *sched, int64_t number)
 {
     const struct wave *wave = sched_find_wave(sched, number);
-    return wave != NULL && g_hash_table_size(sched->hosts) > 0 &&
-           hosts_left(sched, wave) == 0;
+    /* Before the list of hosts is read none of them counts as present. */
+    return wave != NULL && sched->hosts_read && hosts_left(sched, wave) == 0;
 }
 
 /* Whether so few others of its step are away that this run may be stopped. */
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -178,6 +178,34 @@
     fixture_clear(&f);
 }
 
+/* After a takeover a wave is not said to be complete before the list of hosts
+ * was read, though backend servers name some. */
+static void
+test_wave_needs_the_host_list(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    fixture_backend(&f, "b1", "p", "m1");
+    char *hosts[] = {(char *)"m1", NULL};
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .most = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    struct host_fact facts[] = {{.host = "m1",
+                                 .pool = "p",
+                                 .backend_id = "b1",
+                                 .data_centre = "dc",
+                                 .up = true}};
+    scheduler_hosts_read(f.sched, facts, 1);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_wave_begun(f.sched, 4, "m1");
+    CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
+    fixture_clear(&f);
+}
+
 /* A wave never takes more hosts than allowed, and is done at its end. */
 static void
 test_wave_keeps_its_limit(void)
@@ -480,6 +508,7 @@
         {"an uncertain lasting run", test_uncertain_lasting_run},
         {"an unread host is not empty", test_unread_host_is_not_empty},
         {"a lingering entry is away", test_lingering_entry_is_away},
+        {"a wave needs the host list", test_wave_needs_the_host_list},
         {"a wave keeps its limit", test_wave_keeps_its_limit},
         {"spread keeps hosts in the pool", test_spread_keeps_hosts},
         {"a peak brings hosts", test_peak_brings_hosts},
