--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -90,7 +90,6 @@
         run->percent = listed->percent;
         run->percent_at_ms = now_ms;
     }
-    run->tail_ms = listed->figure;
     if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN) {
         run->state = RUN_WORKING;
     }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -54,7 +54,6 @@
     run->started_ms = sched_now(sched);
     run->percent_at_ms = run->started_ms;
     run->percent = -1;
-    run->pace = 100;
     g_hash_table_insert(sched->runs, &run->handle, run);
     g_ptr_array_add(backend->runs, run);
     struct job_task *task = run_task(run);
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -119,18 +119,6 @@
                       seen_upto, wait_ms);
 }
 
-static void
-op_pace(void *ctx, const struct run *run, int32_t percent)
-{
-    struct leader *leader = ctx;
-    char task[TASK_NAME_BYTES];
-    snprintf(task, sizeof(task), "%s.%u.%u.%u", run->job->id, run->occurrence,
-             run->step, run->index);
-    event_log("task_pace", "\"task\":\"%s\",\"percent\":%d", task, percent);
-    backend_link_pace(link_of(leader, run->backend), task, run->number,
-                      percent, leader->token);
-}
-
 static void
 op_store(void *ctx)
 {
@@ -168,7 +156,6 @@
         .start = op_start,
         .stop = op_stop,
         .list = op_list,
-        .pace = op_pace,
         .store = op_store,
         .move = op_move,
         .reboot = op_reboot,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -70,9 +70,6 @@
  * @stop_pending: a stop order is in flight
  * @percent: progress as listed, 100 for lasting tasks at work
  * @percent_at_ms: when @percent last changed
- * @tail_ms: rough tail of a serving task's response time
- * @pace: share at which a filling task may work, in percent
- * @counted: its room is counted at the backend and the team
  */
 struct run {
     uint64_t handle;
@@ -90,9 +87,6 @@
     bool stop_pending;
     int32_t percent;
     int64_t percent_at_ms;
-    int64_t tail_ms;
-    int32_t pace;
-    bool counted;
 };
 
 /** run_step() - the step that @run belongs to. */
@@ -144,7 +138,6 @@
  * @failures: runs that failed in a row, over different jobs
  * @suspect_until_ms: takes at most one run at a time until then
  * @empty_since_ms: when its last run ended
- * @idle_since_ms: same, but not reset by runs that could move
  */
 struct backend {
     struct backend_entry entry;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -20,7 +20,6 @@
  * @stop_ms: longest time that a stop takes
  * @move_ms: time that a host is away while it moves
  * @reboot_ms: time that a host is away for maintenance
- * @restore_ms: time that a restart from a checkpoint takes
  * @order_gap_ms: wait after a takeover before orders about hosts
  * @keep_ms: how long a finished job stays readable
  */
@@ -29,7 +28,6 @@
     int64_t stop_ms;
     int64_t move_ms;
     int64_t reboot_ms;
-    int64_t restore_ms;
     int64_t order_gap_ms;
     int64_t keep_ms;
 };
@@ -68,7 +66,6 @@
  * @stop: stop a run; answer through scheduler_on_stop()
  * @list: read the lists of a backend server; @until_ms 0 renews nothing;
  *        answer through scheduler_on_list()
- * @pace: let a filling task work at @percent
  * @store: there is something to store, see scheduler_store.h
  * @move: move a host to a pool; answer through scheduler_on_host_order()
  * @reboot: start a host's maintenance; answer likewise
@@ -79,7 +76,6 @@
     void (*stop)(void *ctx, const struct stop_order *order);
     void (*list)(void *ctx, struct backend *backend, int64_t until_ms,
                  int64_t seen_upto, int64_t wait_ms);
-    void (*pace)(void *ctx, const struct run *run, int32_t percent);
     void (*store)(void *ctx);
     void (*move)(void *ctx, const char *host, const char *pool);
     void (*reboot)(void *ctx, const char *host, int64_t wave);
--- a/include/platform/backend_calls.h
+++ b/include/platform/backend_calls.h
@@ -61,8 +61,5 @@
 void
 backend_link_list(struct backend_link *link, int64_t until_ms, int64_t token,
                   int64_t seen_upto, int64_t wait_ms);
-void
-backend_link_pace(struct backend_link *link, const char *task, uint32_t number,
-                  int32_t percent, int64_t token);
 
 #endif
