--- a/tests/jobs/kv_test.c
+++ b/tests/jobs/kv_test.c
@@ -11,8 +11,8 @@
     TURN_US = 2500,
 };
 
-#define SILENT_ADDRESS "127.0.0.1:21911"
-#define SERVING_ADDRESS "127.0.0.1:21912"
+#define SILENT_ADDRESS "127.0.0.1:20911"
+#define SERVING_ADDRESS "127.0.0.1:20912"
 
 struct way {
     const char *relay;
