--- a/core/jobs/backend.c
+++ b/core/jobs/backend.c
@@ -140,7 +140,7 @@
             (end->job != NULL && end->job->stored_version < end->version)) {
             return;
         }
-        backend->seen_upto = end->number;
+        backend->acked_end = end->number;
         end_free(g_queue_pop_head(&backend->ends));
     }
 }
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -41,8 +41,8 @@
     backend->granted_until_ms = 0;
     backend->lapse_ms = 0;
     backend->last_end = 0;
-    backend->seen_upto = 0;
-    backend->seen_sent = 0;
+    backend->acked_end = 0;
+    backend->acked_sent = 0;
     backend->silent = false;
 }
 
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -309,7 +309,7 @@
         return true;
     }
     if (!g_queue_is_empty((GQueue *)&backend->ends) ||
-        backend->seen_sent < backend->seen_upto) {
+        backend->acked_sent < backend->acked_end) {
         return true;
     }
     const struct pool_config *pool =
@@ -343,8 +343,8 @@
     }
     backend->hold_in_flight = true;
     backend->hold_sent_ms = now_ms;
-    backend->seen_sent = backend->seen_upto;
-    sched->ops.list(sched->ops.ctx, backend, until_ms, backend->seen_upto,
+    backend->acked_sent = backend->acked_end;
+    sched->ops.list(sched->ops.ctx, backend, until_ms, backend->acked_end,
                     wait_ms);
 }
 
--- a/egretjobd/front.c
+++ b/egretjobd/front.c
@@ -13,15 +13,13 @@
 #include "egretjobd/questions.h"
 #include "net/http_server.h"
 #include "platform/decode.h"
+#include "platform/ingress.h"
 
 enum {
     PATH_BYTES_MAX = 1024,
     METRICS_BYTES = 2048,
 };
 
-#define READY_PATH "/v1/readiness"
-#define KEY_HEADER "X-Credential"
-
 struct front_figures {
     uint64_t requests;
     uint64_t accepted;
@@ -232,7 +230,7 @@
     g_free(body);
 }
 
-/* A submission that no backend server could ever run is told so. */
+/* Rejects a malformed job with the place of the error. */
 static bool
 check_body(struct front *front, struct http_exchange *exchange)
 {
@@ -297,7 +295,7 @@
         http_exchange_reply(exchange, 404, NULL);
         return;
     }
-    const char *key = http_exchange_header(exchange, KEY_HEADER);
+    const char *key = http_exchange_header(exchange, PLATFORM_KEY_HEADER);
     const struct team_config *team =
         key == NULL ? NULL : fleet_config_key_owner(config, key);
     if (!queue->open && team == NULL) {
@@ -323,8 +321,9 @@
 on_health(void *ctx, struct http_exchange *exchange)
 {
     struct front *front = ctx;
-    bool ready = strcmp(http_exchange_path(exchange), READY_PATH) == 0 &&
-                 !front->node->leaving && config_feed_fresh(front->node->feed);
+    bool ready =
+        strcmp(http_exchange_path(exchange), PLATFORM_READY_PATH) == 0 &&
+        !front->node->leaving && config_feed_fresh(front->node->feed);
     http_exchange_reply(exchange, ready ? 200 : 503, NULL);
 }
 
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -250,7 +250,7 @@
                   size_t bytes)
 {
     if (leader->stage < STAGE_READY) {
-        /* It may be a repeated submission of a job with a stored progress. */
+        /* It may be a job sent again that has a stored progress. */
         struct kv_item early = {
             .key = (char *)id, .value = (char *)value, .value_bytes = bytes};
         g_ptr_array_add(leader->early, kv_item_copy(&early));
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -112,11 +112,11 @@
 
 static void
 op_list(void *ctx, struct backend *backend, int64_t until_ms,
-        int64_t seen_upto, int64_t wait_ms)
+        int64_t acked_end, int64_t wait_ms)
 {
     struct leader *leader = ctx;
     backend_link_list(link_of(leader, backend), until_ms, leader->token,
-                      seen_upto, wait_ms);
+                      acked_end, wait_ms);
 }
 
 static void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -130,8 +130,8 @@
  * @lapse_ms: without a clock sample: when all leases are over
  * @ends: struct pending_end, oldest first
  * @last_end: highest end processed
- * @seen_upto: highest end whose effect is stored
- * @seen_sent: highest end acknowledged to the backend server
+ * @acked_end: highest end whose effect is stored, to be acknowledged
+ * @acked_sent: highest end acknowledged to the backend server
  * @hold_in_flight: a list call is under way
  * @hold_sent_ms: when it was sent
  * @hold_due_ms: earliest time of the next
@@ -157,8 +157,8 @@
     int64_t lapse_ms;
     GQueue ends;
     int64_t last_end;
-    int64_t seen_upto;
-    int64_t seen_sent;
+    int64_t acked_end;
+    int64_t acked_sent;
     bool hold_in_flight;
     int64_t hold_sent_ms;
     int64_t hold_due_ms;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -143,7 +143,7 @@
 };
 
 /**
- * struct job - a submission and its progress
+ * struct job - steps of tasks and their progress
  * @id: sixteen hexadecimal digits chosen by the caller
  * @queue: name of the queue
  * @pool: pool of the queue when the job was accepted
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -75,7 +75,7 @@
     void (*start)(void *ctx, const struct start_order *order);
     void (*stop)(void *ctx, const struct stop_order *order);
     void (*list)(void *ctx, struct backend *backend, int64_t until_ms,
-                 int64_t seen_upto, int64_t wait_ms);
+                 int64_t acked_end, int64_t wait_ms);
     void (*store)(void *ctx);
     void (*move)(void *ctx, const char *host, const char *pool);
     void (*reboot)(void *ctx, const char *host, int64_t wave);
--- a/include/egretjobd/job_call.h
+++ b/include/egretjobd/job_call.h
@@ -21,7 +21,7 @@
  * @pool: pool of the queue
  * @team: client account, empty on an open queue
  * @attempts: attempts of the queue
- * @body: submission as sent
+ * @body: job as sent
  * @uncertain: another process may be storing it already
  */
 struct job_call {
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -26,7 +26,7 @@
 
 /**
  * struct job_envelope - a job as it was accepted
- * @body: the submission as the caller sent it
+ * @body: the job as the caller sent it
  */
 struct job_envelope {
     const char *queue;
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -38,7 +38,7 @@
 encode_wave_status(bool completed);
 
 /**
- * decode_job() - a submission
+ * decode_job() - a job as a caller sends it
  * @error: receives a description with its place, to be freed, if NULL is
  *         returned
  */
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -52,10 +52,10 @@
 
 static void
 op_list(void *ctx, struct backend *backend, int64_t until_ms,
-        int64_t seen_upto, int64_t wait_ms)
+        int64_t acked_end, int64_t wait_ms)
 {
     (void)until_ms;
-    (void)seen_upto;
+    (void)acked_end;
     (void)wait_ms;
     record(ctx, ORDER_LIST, backend->entry.id);
 }
