Move lasting tasks off servers that drain; bound the wait for silent ones

Cause (LOST on mix): a server drained for six seconds with two lasting tasks on it and left; 1.9 s later its holder was killed. The next holder has no proof that the silent server runs nothing and waits for the longest lease, 10 s and 2 %, which ends 0.3 s after the users' bound.

Ruled out: the host list, which the new holder had read; room in the pool, which was there; the store, which answered all the while.

Changed: tasks that last are stopped one after the other on a server that drains, if another one of the pool has room for them; the longest lease asked for is 8.5 s.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -140,6 +140,30 @@
     return best;
 }
 
+bool
+sched_room_elsewhere(struct scheduler *sched, const struct run *run)
+{
+    struct placer placer = {.sched = sched, .now_ms = sched_now(sched)};
+    struct place_want want = {
+        .job = run->job,
+        .step = run_step(run),
+        .occurrence = run->occurrence,
+        .step_index = run->step,
+    };
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct backend *backend = value;
+        if (backend != run->backend && sched_usable(sched, backend) &&
+            strcmp(backend->entry.pool, run->backend->entry.pool) == 0 &&
+            place_allowed(&placer, backend, &want)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 team_allows(struct scheduler *sched, const struct job *job,
             const struct job_room *need)
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -76,6 +76,8 @@
 {
     struct scheduler *sched = g_new0(struct scheduler, 1);
     sched->timings = *timings;
+    sched->timings.lease_max_ms =
+        MIN(timings->lease_max_ms, (int64_t)LEASE_LONGEST_MS);
     sched->ops = *ops;
     sched->term = term;
     sched->clock = clock;
@@ -315,6 +317,7 @@
     sched_register_backends(sched);
     if (sched->valid && !sched->fenced) {
         sched_watch_runs(sched);
+        sched_empty_draining(sched);
         sched_place(sched);
         sched_plan_hosts(sched);
     }
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -122,7 +122,8 @@
     backend->registered = true;
     sched->inherited_long = sched->inherited_long || lease_ms > LEASE_MS;
     /* The scheduler before granted its last lease before this one began. */
-    backend->lapse_ms = sched->taken_over_ms + lease_ms * 102 / 100 + 100;
+    int64_t open_ms = MIN(lease_ms, sched->timings.lease_max_ms);
+    backend->lapse_ms = sched->taken_over_ms + open_ms * 102 / 100 + 100;
     sched_host_incarnation(sched, backend);
 }
 
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -8,6 +8,10 @@
     /* Bounds how long a crash delays the restart of its tasks; three lists
      * may fail before a lease lapses. */
     LEASE_MS = 3000,
+    /* Longest lease asked for, in an outage of the store. A holder after us
+     * waits it out for a silent backend server; the users' pages bound that
+     * wait by about 10 s after the fault. */
+    LEASE_LONGEST_MS = 8500,
     /* Part of a lease after which it is renewed at the latest. */
     LIST_WAIT_MS = 800,
     /* Smallest time between two lists of one backend server: ends that come
@@ -219,6 +223,13 @@
 /* place.c */
 void
 sched_place(struct scheduler *sched);
+/* Whether another backend server of its pool could take over @run. */
+bool
+sched_room_elsewhere(struct scheduler *sched, const struct run *run);
+
+/* drain.c */
+void
+sched_empty_draining(struct scheduler *sched);
 
 /* hosts.c */
 void
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -120,7 +120,7 @@
     team->name = g_strdup("t");
     g_ptr_array_add(fixture->config->teams, team);
     struct sched_timings timings = {
-        .lease_max_ms = 6000,
+        .lease_max_ms = 10000,
         .stop_ms = STOP_MS,
         .move_ms = 1500,
         .reboot_ms = 2000,
@@ -150,9 +150,9 @@
     g_ptr_array_unref(fixture->orders);
 }
 
-void
-fixture_backend(struct fleet_fixture *fixture, const char *id,
-                const char *pool, const char *host)
+static void
+see_backend(struct fleet_fixture *fixture, const char *id, const char *pool,
+            const char *host, bool draining)
 {
     static char *labels[] = {(char *)"a", (char *)"r1", NULL};
     struct backend_entry entry = {
@@ -164,10 +164,25 @@
         .host = (char *)host,
         .labels = labels,
         .room = {.cpu_milli = 16000, .mem_mb = 64000},
+        .draining = draining,
     };
     scheduler_backend_seen(fixture->sched, &entry);
 }
 
+void
+fixture_backend(struct fleet_fixture *fixture, const char *id,
+                const char *pool, const char *host)
+{
+    see_backend(fixture, id, pool, host, false);
+}
+
+void
+fixture_backend_drains(struct fleet_fixture *fixture, const char *id,
+                       const char *pool, const char *host)
+{
+    see_backend(fixture, id, pool, host, true);
+}
+
 static void
 store_all(struct fleet_fixture *fixture)
 {
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -49,6 +49,11 @@
 fixture_backend(struct fleet_fixture *fixture, const char *id,
                 const char *pool, const char *host);
 
+/** fixture_backend_drains() - it says that it leaves soon. */
+void
+fixture_backend_drains(struct fleet_fixture *fixture, const char *id,
+                       const char *pool, const char *host);
+
 /** fixture_settle() - register backend servers and answer first lists. */
 void
 fixture_settle(struct fleet_fixture *fixture);
