Answer callers soon while the store is away; learn of lost answers sooner

A write without an answer was kept for 2.4 s, requests behind it were sent into the same silence, and calls whose connection never came about counted as possibly carried out. A lost answer of the store cost a whole timeout of 1 s, for the acceptor and for the progress of all jobs.

Ruled out: the holder (it refuses nothing by itself), the order of waiting.

Changed: a call that was never sent is a refusal, also through a peer; an uncertain write is told as unknown after 1 s; what was not sent is refused then, and from two commits in vain on at once, while one write goes on asking; a transaction without an answer in 150 ms is sent again on a second connection, which its conditions make safe.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "egretjobd/committer.h"
 #include "egretjobd/duty.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/records.h"
@@ -17,8 +18,14 @@
     RETRY_MAX_MS = 640,
     /* A write that was refused is tried this long before the caller is. */
     REFUSED_AFTER_MS = 250,
-    /* A write without an answer is resolved within a caller's usual time. */
-    UNKNOWN_AFTER_MS = 2400,
+    /* A caller whose write has no answer by then is told so: it has time left
+     * to ask another entry host. */
+    UNKNOWN_AFTER_MS = 1000,
+    /* Commits in a row that came to nothing before callers are refused at
+     * once; a single one may be a lost answer. */
+    STALLED_COMMITS = 2,
+    /* Callers count in whole seconds; the store is tried more often. */
+    STALLED_RETRY_AFTER_MS = 1000,
     /* The store may carry a write out some seconds late; until then the
      * scheduler could miss the job. */
     GIVE_UP_MS = 12000,
@@ -43,13 +50,14 @@
 
 struct acceptor {
     struct node *node;
-    struct kv *kv;
+    struct committer *committer;
     struct event *timer;
     GQueue waiting;
     GPtrArray *batch;
     GHashTable *by_id;
     bool with_duty;
     int64_t retry_ms;
+    uint32_t failed_commits;
 };
 
 static void
@@ -116,6 +124,24 @@
     g_queue_push_tail(&acceptor->waiting, entry);
 }
 
+/* Jobs of which nothing was sent yet. */
+static void
+refuse_unsent(struct acceptor *acceptor)
+{
+    int64_t now_ms = node_now(acceptor->node);
+    GList *link = acceptor->waiting.head;
+    while (link != NULL) {
+        GList *next = link->next;
+        struct entry *entry = link->data;
+        if (!entry->uncertain && !entry->exists &&
+            now_ms - entry->since_ms > REFUSED_AFTER_MS) {
+            g_queue_delete_link(&acceptor->waiting, link);
+            entry_finish(acceptor, entry, 503);
+        }
+        link = next;
+    }
+}
+
 static bool
 found_in(const struct kv_result *result, const char *key)
 {
@@ -170,6 +196,10 @@
         duty_moved(acceptor, result)) {
         duty_lose(acceptor->node->duty, "another holder was found");
     }
+    acceptor->failed_commits = progress ? 0 : acceptor->failed_commits + 1;
+    if (!progress) {
+        refuse_unsent(acceptor);
+    }
     if (g_queue_is_empty(&acceptor->waiting)) {
         return;
     }
@@ -223,8 +253,8 @@
                 (struct kv_put){.key = entry->inbox_key, .value = INBOX_JOB};
         }
     }
-    kv_commit(acceptor->kv, &txn,
-              (struct kv_done){.call = on_commit, .ctx = acceptor});
+    committer_commit(acceptor->committer, &txn,
+                     (struct kv_done){.call = on_commit, .ctx = acceptor});
 }
 
 static void
@@ -240,8 +270,9 @@
 {
     struct acceptor *acceptor = g_new0(struct acceptor, 1);
     acceptor->node = node;
-    acceptor->kv = kv_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
-                             store_path_any(node->path));
+    acceptor->committer =
+        committer_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
+                         store_path_any(node->path));
     acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
     acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&acceptor->waiting);
@@ -256,7 +287,7 @@
         return;
     }
     event_free(acceptor->timer);
-    kv_destroy(acceptor->kv);
+    committer_destroy(acceptor->committer);
     g_hash_table_unref(acceptor->by_id);
     g_free(acceptor);
 }
@@ -283,6 +314,15 @@
     }
 }
 
+/* Whether the store answers nobody and a write that will show its return is
+ * under way. */
+static bool
+stalled(const struct acceptor *acceptor)
+{
+    return acceptor->failed_commits >= STALLED_COMMITS &&
+           (acceptor->batch != NULL || evtimer_pending(acceptor->timer, NULL));
+}
+
 void
 acceptor_submit(struct acceptor *acceptor, const struct job_call *call,
                 struct job_reply reply)
@@ -293,6 +333,14 @@
         g_array_append_val(entry->replies, reply);
         return;
     }
+    if (stalled(acceptor)) {
+        struct job_answer answer = {
+            .status = call->uncertain ? 504 : 503,
+            .retry_after_ms = STALLED_RETRY_AFTER_MS,
+        };
+        reply.call(reply.ctx, &answer);
+        return;
+    }
     struct job_envelope envelope = {
         .queue = call->queue,
         .pool = call->pool,
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -134,6 +134,8 @@
                               store_path_any(node->path));
     leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS,
                                store_path_any(node->path));
+    leader->progress_writes = committer_create(
+        node->base, store, WRITE_TIMEOUT_MS, store_path_any(node->path));
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
                   store_path_any(node->path));
@@ -198,6 +200,7 @@
     answer_open_cancels(leader);
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
+    committer_destroy(leader->progress_writes);
     kv_destroy(leader->backend_watch);
     kv_destroy(leader->inbox);
     leader_load_clear(leader);
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -2,6 +2,7 @@
 #ifndef EGRETJOBD_LEADER_STATE_H
 #define EGRETJOBD_LEADER_STATE_H
 
+#include "egretjobd/committer.h"
 #include "egretjobd/leader.h"
 #include "platform/backend_calls.h"
 #include "platform/hosts_api.h"
@@ -45,6 +46,7 @@
     enum leader_stage stage;
     struct kv *reads;
     struct kv *writes;
+    struct committer *progress_writes;
     struct kv *backend_watch;
     struct kv *inbox;
     struct hosts_api *hosts;
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -199,8 +199,8 @@
     add_jobs(&text, leader->batch);
     add_registrations(leader, &text, leader->batch);
     struct kv_txn txn = txn_of(&text);
-    kv_commit(leader->writes, &txn,
-              (struct kv_done){.call = on_flushed, .ctx = leader});
+    committer_commit(leader->progress_writes, &txn,
+                     (struct kv_done){.call = on_flushed, .ctx = leader});
     txn_text_clear(&text);
 }
 
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -15,6 +15,7 @@
     /* Longer than the longest wait that is relayed. */
     RELAY_TIMEOUT_MS = 2500,
     RELAY_NO_ANSWER = 504,
+    RELAY_NOT_SENT = 503,
 };
 
 #define PATH_SUBMIT "/submit"
@@ -101,9 +102,11 @@
                      ? NULL
                      : g_strndup(reply->body, reply->body_bytes);
     /* A peer that gets no answer tells so by giving none that counts. */
-    http_exchange_reply(relayed->exchange,
-                        reply->status == 0 ? RELAY_NO_ANSWER : reply->status,
-                        body);
+    int status = reply->status;
+    if (status == 0) {
+        status = reply->never_sent ? RELAY_NOT_SENT : RELAY_NO_ANSWER;
+    }
+    http_exchange_reply(relayed->exchange, status, body);
     g_free(body);
     http_client_destroy(relayed->client);
     g_free(relayed);
@@ -204,14 +207,7 @@
         }
         g_hash_table_insert(peers->by_address, g_strdup(address), peer);
     }
-    struct http_client *best = peer->clients[0];
-    for (size_t i = 1; i < CONNECTIONS; i++) {
-        if (http_client_pending(peer->clients[i]) <
-            http_client_pending(best)) {
-            best = peer->clients[i];
-        }
-    }
-    return best;
+    return http_client_least_busy(peer->clients, CONNECTIONS);
 }
 
 static void
@@ -221,10 +217,11 @@
     char *body = reply->body_bytes == 0
                      ? NULL
                      : g_strndup(reply->body, reply->body_bytes);
-    struct job_answer answer = {
-        .status = reply->status == 0 ? JOB_ANSWER_NONE : reply->status,
-        .body = body,
-    };
+    struct job_answer answer = {.status = reply->status, .body = body};
+    if (reply->status == 0) {
+        answer.status =
+            reply->never_sent ? JOB_ANSWER_ASK_STORE : JOB_ANSWER_NONE;
+    }
     forwarded->reply.call(forwarded->reply.ctx, &answer);
     g_free(body);
     g_free(forwarded);
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -3,16 +3,20 @@
 #define NET_HTTP_CLIENT_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 /**
  * struct http_reply - answer to a call
  * @status: HTTP status; 0: no answer, so the call may have been carried out
+ *          unless @never_sent
+ * @never_sent: no connection came about, so that no byte has left
  * @body: its body, not terminated
  */
 struct http_reply {
     int status;
+    bool never_sent;
     const char *body;
     size_t body_bytes;
 };
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -145,6 +145,14 @@
 void
 kv_commit(struct kv *kv, const struct kv_txn *txn, struct kv_done done);
 
+/** kv_txn_encode() - @txn as it is sent; g_free(). */
+char *
+kv_txn_encode(const struct kv_txn *txn);
+
+/** kv_commit_encoded() - kv_commit() of what kv_txn_encode() gave. */
+void
+kv_commit_encoded(struct kv *kv, const char *body, struct kv_done done);
+
 void
 kv_lease(struct kv *kv, int64_t ttl_ms, struct kv_done done);
 void
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -89,6 +89,9 @@
     struct http_reply reply = {0};
     if (request != NULL) {
         reply.status = evhttp_request_get_response_code(request);
+        /* libevent hands back the request itself only if it has an answer or
+         * if the connection that it waited for failed. */
+        reply.never_sent = reply.status == 0;
         struct evbuffer *input = evhttp_request_get_input_buffer(request);
         reply.body_bytes = evbuffer_get_length(input);
         reply.body = (const char *)evbuffer_pullup(input, -1);
@@ -101,7 +104,7 @@
 {
     (void)fd;
     (void)events;
-    struct http_reply reply = {0};
+    struct http_reply reply = {.never_sent = true};
     finish(ctx, &reply);
 }
 
--- /dev/null
+++ b/tests/jobs/committer_test.c
@@ -0,0 +1,139 @@
+/* Transactions when answers of the store are lost. */
+#include <signal.h>
+
+#include "../suite.h"
+#include "egretjobd/committer.h"
+#include "net/http_server.h"
+
+enum {
+    TIMEOUT_MS = 1000,
+    /* Well before the timeout, after the second sending. */
+    SOON_MS = 400,
+    TURN_US = 2500,
+    KEPT_MAX = 8,
+};
+
+#define STORE_ADDRESS "127.0.0.1:20921"
+
+/**
+ * struct lossy_store - answers no request but each @answers_every th
+ * @refuses: what it answers is that it did nothing
+ */
+struct lossy_store {
+    int answers_every;
+    bool refuses;
+    int requests;
+    struct http_exchange *kept[KEPT_MAX];
+    int n_kept;
+};
+
+struct outcome_seen {
+    int outcome;
+    int count;
+};
+
+static void
+on_request(void *ctx, struct http_exchange *exchange)
+{
+    struct lossy_store *store = ctx;
+    store->requests++;
+    if (store->requests % store->answers_every != 0) {
+        store->kept[store->n_kept++] = exchange;
+        return;
+    }
+    if (store->refuses) {
+        http_exchange_reply(exchange, 503, NULL);
+        return;
+    }
+    http_exchange_reply(exchange, 412,
+                        "{\"items\":[{\"key\":\"a\",\"revision\":7}]}");
+}
+
+static void
+keep_outcome(void *ctx, const struct kv_result *result)
+{
+    struct outcome_seen *seen = ctx;
+    seen->outcome = (int)result->outcome;
+    seen->count++;
+}
+
+/* Commits once against @store; returns what came within @within_ms. */
+static struct outcome_seen
+commit_once(struct lossy_store *store, int within_ms)
+{
+    struct event_base *base = event_base_new();
+    struct http_server *server =
+        http_server_create(base, STORE_ADDRESS, on_request, store);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    struct committer *committer = committer_create(
+        base, STORE_ADDRESS, TIMEOUT_MS, (struct kv_path){0});
+    struct kv_condition condition = {.key = "a"};
+    struct kv_put put = {.key = "a", .value = "x"};
+    struct kv_txn txn = {
+        .conditions = &condition,
+        .n_conditions = 1,
+        .puts = &put,
+        .n_puts = 1,
+    };
+    struct outcome_seen seen = {.outcome = -1};
+    committer_commit(committer, &txn,
+                     (struct kv_done){.call = keep_outcome, .ctx = &seen});
+    for (int i = 0; i < within_ms * 1000 / TURN_US && seen.count == 0; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(TURN_US);
+    }
+    committer_destroy(committer);
+    for (int i = 0; i < store->n_kept; i++) {
+        http_exchange_reply(store->kept[i], 503, NULL);
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    http_server_destroy(server);
+    event_base_free(base);
+    return seen;
+}
+
+/* The answer to the first sending is lost; the second one tells what became
+ * of the transaction, long before the timeout. */
+static void
+test_lost_answer_is_learnt_soon(void)
+{
+    struct lossy_store store = {.answers_every = 2};
+    struct outcome_seen seen = commit_once(&store, SOON_MS);
+    CU_ASSERT_EQUAL(seen.count, 1);
+    CU_ASSERT_EQUAL(seen.outcome, KV_CONFLICT);
+    CU_ASSERT_EQUAL(store.requests, 2);
+}
+
+/* One sending got no answer, the other was refused: the first may have been
+ * carried out, so nobody may be told that it was not. */
+static void
+test_refusal_after_silence_is_unknown(void)
+{
+    struct lossy_store store = {.answers_every = 2, .refuses = true};
+    struct outcome_seen seen = commit_once(&store, 2 * TIMEOUT_MS);
+    CU_ASSERT_EQUAL(seen.count, 1);
+    CU_ASSERT_EQUAL(seen.outcome, KV_UNKNOWN);
+}
+
+/* A refusal of the only sending is one, and comes at once. */
+static void
+test_refusal_is_one(void)
+{
+    struct lossy_store store = {.answers_every = 1, .refuses = true};
+    struct outcome_seen seen = commit_once(&store, SOON_MS);
+    CU_ASSERT_EQUAL(seen.outcome, KV_REFUSED);
+    CU_ASSERT_EQUAL(store.requests, 1);
+}
+
+int
+main(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    static const struct suite_test tests[] = {
+        {"a lost answer is learnt soon", test_lost_answer_is_learnt_soon},
+        {"a refusal after silence is unknown",
+         test_refusal_after_silence_is_unknown},
+        {"a refusal is one", test_refusal_is_one},
+    };
+    return suite_main("committer", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/jobs/kv_test.c
+++ b/tests/jobs/kv_test.c
@@ -94,12 +94,47 @@
     event_base_free(base);
 }
 
+/* Nothing listens: the call was certainly not carried out, and its caller may
+ * be told so. One that was read and got no answer may have been. */
+static void
+test_unsent_call_is_refused(void)
+{
+    struct event_base *base = event_base_new();
+    struct http_exchange *kept = NULL;
+    struct http_server *silent =
+        http_server_create(base, SILENT_ADDRESS, never_answer, &kept);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(silent);
+    struct kv_path path = {0};
+    struct kv *unsent = kv_create(base, SERVING_ADDRESS, TIMEOUT_MS, path);
+    struct kv *unanswered = kv_create(base, SILENT_ADDRESS, TIMEOUT_MS, path);
+    int first = -1;
+    int second = -1;
+    kv_get(unsent, "a", (struct kv_done){.call = keep_outcome, .ctx = &first});
+    kv_get(unanswered, "a",
+           (struct kv_done){.call = keep_outcome, .ctx = &second});
+    for (int i = 0; i < TURNS_MAX && (first < 0 || second < 0); i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(TURN_US);
+    }
+    CU_ASSERT_EQUAL(first, KV_REFUSED);
+    CU_ASSERT_EQUAL(second, KV_UNKNOWN);
+    kv_destroy(unsent);
+    kv_destroy(unanswered);
+    if (kept != NULL) {
+        http_exchange_reply(kept, 503, NULL);
+    }
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    http_server_destroy(silent);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
     signal(SIGPIPE, SIG_IGN);
     static const struct suite_test tests[] = {
         {"a change of the way completes calls", test_switch_completes_calls},
+        {"an unsent call is refused", test_unsent_call_is_refused},
     };
     return suite_main("store client", tests, sizeof(tests) / sizeof(tests[0]));
 }
--- /dev/null
+++ b/tests/jobs/process_fixture.c
@@ -0,0 +1,286 @@
+#include "process_fixture.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "platform/json_text.h"
+
+enum {
+    READY_TRIES = 100,
+    STEP_US = 2000,
+    JOB_EVERY_MS = 150,
+    END_MS = 20000,
+};
+
+const char job_body[] =
+    "{\"spec\":\"ms=300\",\"steps\":[{\"count\":4,\"cpu\":900,\"mem_mb\":900,"
+    "\"estimate_ms\":300},{\"count\":2,\"cpu\":900,\"mem_mb\":900,"
+    "\"estimate_ms\":300,\"after\":[0]}]}";
+const char lasting_body[] =
+    "{\"spec\":\"forever\",\"steps\":[{\"count\":3,\"cpu\":900,"
+    "\"mem_mb\":900,\"long_running\":true,\"may_miss\":1,"
+    "\"anti_affinity\":1}]}";
+
+struct fixture fixture;
+const char *build_root;
+
+static pid_t
+spawn(const char *log, char *const *argv)
+{
+    pid_t pid = fork();
+    if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (freopen(log, "a", stdout) == NULL ||
+            dup2(STDOUT_FILENO, STDERR_FILENO) < 0) {
+            _exit(EXIT_FAILURE);
+        }
+        execv(argv[0], argv);
+        _exit(EXIT_FAILURE);
+    }
+    return pid;
+}
+
+void
+end_process(pid_t *pid, int signal_number)
+{
+    if (*pid > 0) {
+        kill(*pid, signal_number);
+        waitpid(*pid, NULL, 0);
+        *pid = 0;
+    }
+}
+
+static int
+entry_port(int entry)
+{
+    return fixture.first_port + 30 + 10 * entry;
+}
+
+void
+start_entry(int entry)
+{
+    int port = entry_port(entry);
+    char *settings = g_strdup_printf(
+        "{\"node_name\":\"entry-%d\",\"zone\":\"dc-a\",\"ip\":\"127.0.0.1\","
+        "\"internal_ports\":[%d,%d],\"listen\":{\"front\":\"127.0.0.1:%d\","
+        "\"ready\":\"127.0.0.1:%d\"},\"platform\":{\"address\":"
+        "\"127.0.0.1:%d\"},\"cloud\":{\"address\":\"127.0.0.1:%d\"},"
+        "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
+        "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
+        "\"config_ms\":2000,\"lease_ms\":3000}}",
+        entry, port + 2, port + 5, port, port + 1, fixture.first_port,
+        fixture.first_port + 1);
+    char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
+    char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
+    char *program =
+        g_build_filename(build_root, "egretjobd", "egretjobd", NULL);
+    g_file_set_contents(file, settings, -1, NULL);
+    char *const argv[] = {program, file, NULL};
+    fixture.entries[entry] = spawn(log, argv);
+    g_free(settings);
+    g_free(file);
+    g_free(log);
+    g_free(program);
+}
+
+int
+ask(const char *address, const char *method, const char *path)
+{
+    return http_ask(fixture.base, address, method, path, NULL, NULL, NULL);
+}
+
+void
+wait_ready(int entry)
+{
+    char *address = g_strdup_printf("127.0.0.1:%d", entry_port(entry) + 1);
+    int tries = READY_TRIES;
+    while (ask(address, "GET", "/v1/readiness") != 200 && --tries > 0) {
+        g_usleep(50000);
+    }
+    CU_ASSERT(tries > 0);
+    g_free(address);
+}
+
+static void
+set_up(int first_port)
+{
+    fixture = (struct fixture){.first_port = first_port};
+    fixture.base = event_base_new();
+    fixture.directory = g_dir_make_tmp("jobs-test-XXXXXX", NULL);
+    char *program = g_build_filename(build_root, "standins", "jobs",
+                                     "jobs-emulator", NULL);
+    char *port = g_strdup_printf("%d", first_port);
+    char *config =
+        g_build_filename(build_root, "..", "examples", "jobs.json", NULL);
+    char *log = g_strdup_printf("%s/emulator.log", fixture.directory);
+    char *const argv[] = {program, (char *)"--port", port, config, NULL};
+    fixture.emulator = spawn(log, argv);
+    g_free(program);
+    g_free(port);
+    g_free(config);
+    g_free(log);
+    fixture.admin = g_strdup_printf("127.0.0.1:%d", first_port + 2);
+    for (int i = 0; i < ENTRIES; i++) {
+        fixture.fronts[i] = g_strdup_printf("127.0.0.1:%d", entry_port(i));
+        start_entry(i);
+    }
+    for (int i = 0; i < ENTRIES; i++) {
+        wait_ready(i);
+    }
+    fixture.caller =
+        job_caller_create(fixture.base, (const char *const *)fixture.fronts);
+    fixture.quick = (struct caller_queue){
+        .name = "quick",
+        .host = "jobs.example",
+        .prefix = "/draft/",
+        .key = "key-skela",
+        .objective_ms = 2000,
+    };
+    fixture.lasting = (struct caller_queue){
+        .name = "lasting",
+        .host = "jobs.example",
+        .prefix = "/archive/",
+        .objective_ms = 2000,
+    };
+    caller_queue_init(&fixture.quick);
+    caller_queue_init(&fixture.lasting);
+}
+
+int64_t
+figure(const char *name)
+{
+    char *body = NULL;
+    http_ask(fixture.base, fixture.admin, "GET", "/figures", NULL, NULL,
+             &body);
+    cJSON *figures = cJSON_Parse(body);
+    int64_t value = json_int_get(figures, name, -1);
+    cJSON_Delete(figures);
+    g_free(body);
+    return value;
+}
+
+static void
+tear_down(void)
+{
+    job_caller_destroy(fixture.caller);
+    for (int i = 0; i < ENTRIES; i++) {
+        end_process(&fixture.entries[i], SIGTERM);
+        g_free(fixture.fronts[i]);
+    }
+    end_process(&fixture.emulator, SIGTERM);
+    caller_queue_clear(&fixture.quick);
+    caller_queue_clear(&fixture.lasting);
+    g_free(fixture.admin);
+    g_free(fixture.directory);
+    event_base_free(fixture.base);
+}
+
+void
+play(int64_t duration_ms, bool submit)
+{
+    int64_t start_ms = g_get_monotonic_time() / 1000;
+    int64_t next_ms = start_ms;
+    int64_t now_ms = start_ms;
+    while (now_ms < start_ms + duration_ms) {
+        if (submit && now_ms >= next_ms) {
+            next_ms = now_ms + JOB_EVERY_MS;
+            job_caller_submit(fixture.caller, &fixture.quick, job_body);
+        }
+        event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+        g_usleep(STEP_US);
+        now_ms = g_get_monotonic_time() / 1000;
+    }
+}
+
+void
+play_to_end(void)
+{
+    for (int64_t passed_ms = 0;
+         passed_ms < END_MS && job_caller_open(fixture.caller) > 0;
+         passed_ms += 100) {
+        play(100, false);
+    }
+}
+
+void
+check_promises(void)
+{
+    const struct caller_queue *quick = &fixture.quick;
+    printf("%u jobs, %u accepted, %u completed, %u failed, p50 %ld ms, "
+           "p99 %ld ms, logs in %s\n",
+           quick->submitted, quick->accepted, quick->completed, quick->failed,
+           (long)caller_queue_quantile_ms(quick, 0.5),
+           (long)caller_queue_quantile_ms(quick, 0.99), fixture.directory);
+    CU_ASSERT_EQUAL(figure("violations"), 0);
+    CU_ASSERT(figure("checks") > 0);
+    CU_ASSERT_EQUAL(job_caller_open(fixture.caller), 0);
+    CU_ASSERT_EQUAL(quick->failed, 0);
+    CU_ASSERT_EQUAL(quick->refused, 0);
+    CU_ASSERT_EQUAL(quick->accepted, quick->submitted);
+}
+
+int
+holder(void)
+{
+    for (int i = 0; i < ENTRIES; i++) {
+        char *address = g_strdup_printf("127.0.0.1:%d", entry_port(i) + 3);
+        char *body = NULL;
+        int status = fixture.entries[i] == 0
+                         ? 0
+                         : http_ask(fixture.base, address, "GET", "/metrics",
+                                    NULL, NULL, &body);
+        bool holds = status == 200 && body != NULL &&
+                     strstr(body, "scheduler_held 1") != NULL;
+        g_free(body);
+        g_free(address);
+        if (holds) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+int
+post(const char *path, const char *key, const char *text, char **body)
+{
+    return http_ask(fixture.base, fixture.fronts[0], "POST", path, key, text,
+                    body);
+}
+
+static int first_port;
+static void (*chosen)(void);
+
+static void
+run_chosen(void)
+{
+    set_up(first_port);
+    chosen();
+    tear_down();
+}
+
+int
+scenario_main(int argc, char **argv, const struct scenario *scenarios,
+              size_t n_scenarios)
+{
+    if (argc < 4) {
+        fprintf(stderr, "usage: %s BUILD PORT SCENARIO\n", argv[0]);
+        return EXIT_FAILURE;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    build_root = argv[1];
+    for (size_t i = 0; i < n_scenarios; i++) {
+        if (strcmp(scenarios[i].name, argv[3]) == 0) {
+            first_port = atoi(argv[2]);
+            chosen = scenarios[i].run;
+            const struct suite_test test = {argv[3], run_chosen};
+            return suite_main("jobs processes", &test, 1);
+        }
+    }
+    fprintf(stderr, "no scenario %s\n", argv[3]);
+    return EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/jobs/process_fixture.h
@@ -0,0 +1,95 @@
+/*
+ * Entry hosts as real processes against the emulator of the platform, for
+ * scenarios in which something goes wrong while jobs are submitted.
+ */
+#ifndef TESTS_JOBS_PROCESS_FIXTURE_H
+#define TESTS_JOBS_PROCESS_FIXTURE_H
+
+#include <sys/types.h>
+
+#include <glib.h>
+
+#include "../suite.h"
+#include "job_caller.h"
+
+enum {
+    ENTRIES = 3,
+};
+
+/** job_body - two steps of short tasks */
+extern const char job_body[];
+/** lasting_body - three tasks that last, of which one may be away */
+extern const char lasting_body[];
+
+/**
+ * struct fixture - the emulator, the entry hosts and a caller
+ * @fronts: addresses of the entry hosts for callers, NULL-terminated
+ * @admin: address at which the emulator takes faults
+ */
+struct fixture {
+    struct event_base *base;
+    int first_port;
+    char *directory;
+    pid_t emulator;
+    pid_t entries[ENTRIES];
+    char *fronts[ENTRIES + 1];
+    char *admin;
+    struct job_caller *caller;
+    struct caller_queue quick;
+    struct caller_queue lasting;
+};
+
+extern struct fixture fixture;
+extern const char *build_root;
+
+/** struct scenario - a test by the name that the command line gives */
+struct scenario {
+    const char *name;
+    void (*run)(void);
+};
+
+/** scenario_main() - run the one of @n_scenarios that is named. */
+int
+scenario_main(int argc, char **argv, const struct scenario *scenarios,
+              size_t n_scenarios);
+
+/** end_process() - signal a process and wait for its end. */
+void
+end_process(pid_t *pid, int signal_number);
+
+void
+start_entry(int entry);
+
+/** wait_ready() - until the entry host takes callers. */
+void
+wait_ready(int entry);
+
+/** ask() - a call without a body; its HTTP status. */
+int
+ask(const char *address, const char *method, const char *path);
+
+/** post() - a submission to the first entry host; its HTTP status. */
+int
+post(const char *path, const char *key, const char *text, char **body);
+
+/** figure() - a figure of the emulator, -1 if there is none. */
+int64_t
+figure(const char *name);
+
+/** play() - lets callers and answers go on for @duration_ms. */
+void
+play(int64_t duration_ms, bool submit);
+
+/** play_to_end() - until every job has its end. */
+void
+play_to_end(void);
+
+/** check_promises() - what most scenarios end with. */
+void
+check_promises(void);
+
+/** holder() - entry that holds the duty, or -1. */
+int
+holder(void);
+
+#endif
