--- a/egretjobd/committer.c
+++ b/egretjobd/committer.c
@@ -60,8 +60,7 @@
         finish(committer, result);
         return;
     }
-    committer->unknown =
-        committer->unknown || result->outcome == KV_UNKNOWN;
+    committer->unknown = committer->unknown || result->outcome == KV_UNKNOWN;
     if (committer->open > 0) {
         return;
     }
--- a/tests/jobs/store_process_test.c
+++ b/tests/jobs/store_process_test.c
@@ -117,9 +117,8 @@
     for (int i = 0; i < 9; i++) {
         char *path = g_strdup_printf("/draft/00000000000000c%d", i);
         int64_t asked_ms = g_get_monotonic_time() / 1000;
-        int status =
-            http_ask(fixture.base, fixture.fronts[i % ENTRIES], "POST", path,
-                     "key-skela", job_body, NULL);
+        int status = http_ask(fixture.base, fixture.fronts[i % ENTRIES],
+                              "POST", path, "key-skela", job_body, NULL);
         int64_t took_ms = g_get_monotonic_time() / 1000 - asked_ms;
         printf("%d after %ld ms\n", status, (long)took_ms);
         CU_ASSERT(status == 503 || status == 504);
