Record which hosts were ordered about, so that others move after a takeover

Cause: after a takeover no host may be ordered about for 3.3 s, since the holder before may have given an order about it just then. Spare hosts, which have no backend server whose start would prove the opposite, waited whole; a peak that began just then was served without them.

Changed: the holder records the hosts before their orders leave; the next one waits only with these, and counts those that are on their way.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -64,6 +64,15 @@
     }
 }
 
+/* Whether an order of the holder before may be this recent. */
+static bool
+in_order_gap(const struct scheduler *sched)
+{
+    return sched_now(sched) < sched->taken_over_ms +
+                                  sched->timings.order_gap_ms +
+                                  TAKEOVER_MARGIN_MS;
+}
+
 /* Whether an earlier holder's last order for this host is long enough ago:
  * its backend server was started by that order, or after it. */
 static bool
@@ -71,7 +80,7 @@
 {
     int64_t gap_ms = sched->timings.order_gap_ms + TAKEOVER_MARGIN_MS;
     int64_t now_ms = sched_now(sched);
-    if (now_ms >= sched->taken_over_ms + gap_ms) {
+    if (!host->ordered_before || !in_order_gap(sched)) {
         return true;
     }
     const struct backend *backend = sched_host_backend(sched, host);
@@ -117,6 +126,11 @@
         else if (host->intent == HOST_REBOOTS && host->ordered) {
             sched_pool_load(sched, host->pool)->coming++;
         }
+        else if (host->present && !host->up && host->ordered_before &&
+                 in_order_gap(sched)) {
+            /* On its way by an order of the holder before. */
+            sched_pool_load(sched, host->pool)->coming++;
+        }
     }
 }
 
@@ -193,7 +207,9 @@
 shrink_pool(struct scheduler *sched, struct pool_load *load, int64_t now_ms)
 {
     const struct pool_config *spare = fleet_config_spare(sched->config);
-    if (spare == NULL || surplus_hosts(load, now_ms) <= 0) {
+    /* A new holder does not know yet what arrives. */
+    bool settling = now_ms < sched->taken_over_ms + TAKEOVER_SETTLE_MS;
+    if (spare == NULL || settling || surplus_hosts(load, now_ms) <= 0) {
         load->surplus_since_ms = 0;
         return;
     }
@@ -256,15 +272,16 @@
 sched_plan_hosts(struct scheduler *sched)
 {
     int64_t now_ms = sched_now(sched);
-    if (now_ms < sched->plan_due_ms ||
-        now_ms < sched->taken_over_ms + TAKEOVER_SETTLE_MS) {
+    if (now_ms < sched->plan_due_ms) {
         return;
     }
     sched->plan_due_ms = now_ms + PLAN_PERIOD_MS;
     order_budget_refill(&sched->order_budget, sched->timings.host_orders_per_s,
                         now_ms);
     sched_measure_pools(sched);
-    sched_plan_waves(sched);
+    if (now_ms >= sched->taken_over_ms + TAKEOVER_SETTLE_MS) {
+        sched_plan_waves(sched);
+    }
     pursue_all(sched);
     plan_pools(sched);
 }
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -93,8 +93,8 @@
     }
 }
 
-static struct host *
-find_or_add(struct scheduler *sched, const char *name)
+struct host *
+sched_host_find_or_add(struct scheduler *sched, const char *name)
 {
     struct host *host = g_hash_table_lookup(sched->hosts, name);
     if (host == NULL) {
@@ -105,6 +105,12 @@
     return host;
 }
 
+void
+scheduler_host_ordered_before(struct scheduler *sched, const char *name)
+{
+    sched_host_find_or_add(sched, name)->ordered_before = true;
+}
+
 /* Entries of incarnations that are over may linger; the latest born is the
  * present one, and the others have ended. */
 void
@@ -113,7 +119,7 @@
     if (backend->entry.host == NULL) {
         return;
     }
-    struct host *host = find_or_add(sched, backend->entry.host);
+    struct host *host = sched_host_find_or_add(sched, backend->entry.host);
     if (g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
     }
@@ -137,7 +143,7 @@
 static void
 host_read(struct scheduler *sched, const struct host_fact *fact)
 {
-    struct host *host = find_or_add(sched, fact->host);
+    struct host *host = sched_host_find_or_add(sched, fact->host);
     int64_t now_ms = sched_now(sched);
     host->present = true;
     set_text(&host->data_centre, fact->data_centre);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -60,6 +60,7 @@
  * @ordered: the order was accepted, or may have been
  * @last_incarnation: backend server at the time of the order
  * @retry_ms: no order before this time
+ * @ordered_before: the holder before may have given an order lately
  */
 struct host {
     char *name;
@@ -77,6 +78,7 @@
     bool ordered;
     char *last_incarnation;
     int64_t retry_ms;
+    bool ordered_before;
 };
 
 /**
@@ -243,6 +245,8 @@
 sched_empty_draining(struct scheduler *sched);
 
 /* hosts.c */
+struct host *
+sched_host_find_or_add(struct scheduler *sched, const char *name);
 void
 sched_host_incarnation(struct scheduler *sched, struct backend *backend);
 void
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -56,6 +56,7 @@
         return;
     }
     leader_flush(leader);
+    host_orders_flush(leader->host_orders);
     leader_report_waves(leader);
     if (!leader->tick_soon) {
         timer_set(leader->tick, MAX(next_ms - node_now(leader->node), 1));
@@ -166,6 +167,7 @@
     struct sched_ops ops = leader_ops(leader);
     leader->sched = scheduler_create(&node->boot->timings, &ops, term,
                                      node->clock, node->unix_clock);
+    leader->host_orders = host_orders_create(leader);
     leader_load(leader);
     timer_set(leader->hosts_timer, 0);
     return leader;
@@ -205,6 +207,7 @@
     kv_destroy(leader->inbox);
     leader_load_clear(leader);
     hosts_api_destroy(leader->hosts);
+    host_orders_destroy(leader->host_orders);
     g_hash_table_unref(leader->links);
     g_hash_table_unref(leader->progress);
     g_ptr_array_unref(leader->early);
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -130,7 +130,7 @@
 {
     struct leader *leader = ctx;
     event_log("host_move", "\"host\":\"%s\",\"pool\":\"%s\"", host, pool);
-    hosts_api_move(leader->hosts, host, pool, leader->token);
+    host_orders_add(leader->host_orders, host, pool, 0);
 }
 
 static void
@@ -139,7 +139,7 @@
     struct leader *leader = ctx;
     event_log("host_reboot", "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT,
               host, wave);
-    hosts_api_reboot(leader->hosts, host, wave, leader->token);
+    host_orders_add(leader->host_orders, host, NULL, wave);
 }
 
 static void
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -23,6 +23,7 @@
     [STAGE_JOBS] = RECORD_JOB_PREFIX,
     [STAGE_REGISTERED] = RECORD_BACKEND_PREFIX,
     [STAGE_WAVES] = RECORD_WAVE_PREFIX,
+    [STAGE_HOST_ORDERS] = RECORD_HOSTS_PREFIX,
     [STAGE_BACKENDS] = PLATFORM_BACKEND_PREFIX,
 };
 
@@ -122,6 +123,9 @@
     case STAGE_WAVES:
         take_wave(leader, id, item);
         break;
+    case STAGE_HOST_ORDERS:
+        host_orders_load(leader->host_orders, item);
+        break;
     case STAGE_BACKENDS:
         take_entry(leader, id, item);
         break;
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -4,6 +4,7 @@
 
 #include "egretjobd/committer.h"
 #include "egretjobd/leader.h"
+#include "egretjobd/store_path.h"
 #include "platform/backend_calls.h"
 #include "platform/hosts_api.h"
 #include "platform/kv.h"
@@ -13,6 +14,7 @@
     STAGE_JOBS,
     STAGE_REGISTERED,
     STAGE_WAVES,
+    STAGE_HOST_ORDERS,
     STAGE_BACKENDS,
     STAGE_READY,
 };
@@ -50,6 +52,7 @@
     struct kv *backend_watch;
     struct kv *inbox;
     struct hosts_api *hosts;
+    struct host_orders *host_orders;
     struct event *tick;
     struct event *watch_timer;
     struct event *inbox_timer;
@@ -100,6 +103,22 @@
 void
 leader_report_waves(struct leader *leader);
 
+/* leader_hosts.c */
+struct host_orders *
+host_orders_create(struct leader *leader);
+void
+host_orders_destroy(struct host_orders *orders);
+/* Takes the record of the holder before. */
+void
+host_orders_load(struct host_orders *orders, const struct kv_item *item);
+/* Queues a move, or with @pool NULL a reboot. */
+void
+host_orders_add(struct host_orders *orders, const char *host, const char *pool,
+                int64_t wave);
+/* Records the hosts of what is queued; the orders go out afterwards. */
+void
+host_orders_flush(struct host_orders *orders);
+
 /* leader_links.c */
 struct sched_ops
 leader_ops(struct leader *leader);
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -352,6 +352,11 @@
 scheduler_hosts_read(struct scheduler *sched, const struct host_fact *hosts,
                      size_t n_hosts);
 
+/** scheduler_host_ordered_before() - the holder before may have given an
+ * order about this host shortly before the takeover. */
+void
+scheduler_host_ordered_before(struct scheduler *sched, const char *host);
+
 /** scheduler_wave_set() - a wave was ordered or changed; idempotent. */
 void
 scheduler_wave_set(struct scheduler *sched, const struct host_wave *wave);
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -14,6 +14,9 @@
 #define RECORD_INBOX_PREFIX "eg/inbox/"
 #define RECORD_PEER_PREFIX "eg/peer/"
 #define RECORD_WAVE_PREFIX "eg/wave/"
+#define RECORD_HOSTS_PREFIX "eg/hosts/"
+/* Hosts that the holder gave orders about lately, separated by spaces. */
+#define RECORD_HOST_ORDERS_KEY "eg/hosts/ordered"
 #define RECORD_DUTY_KEY "eg/duty/scheduler"
 #define RECORD_DUTY_PREFIX "eg/duty/"
 /* Longest lease that the last holder left open when it handed over. */
