Ask for advice where a queue's policy names its backend servers

Cause: a queue with `advice` could start nothing: each start was refused for want of a ticket, for good.

Ruled out: asking through several entry hosts, since each is answered one call at a time and the holder alone knows the room; asking before a step is ready, since tickets hold for some seconds only.

The emulator checks tickets.

Before: no start on such a queue.

--- /dev/null
+++ b/core/jobs/advice.c
@@ -0,0 +1,274 @@
+/*
+ * Asking which backend servers may run a step. Answers queues whose policy
+ * allows only some of them: one call at a time is answered to a host, in a
+ * time that grows with the backend servers it names, so each call names as
+ * few as the step is likely to need, and steps are asked for in the order in
+ * which their jobs are placed.
+ */
+#include "core/jobs/scheduler.h"
+
+#include <string.h>
+
+#include "scheduler_state.h"
+
+enum {
+    /* The users' pages: at most 100 fit one call; a latency objective counts
+     * on 30. */
+    ASK_MOST = 30,
+    ASK_RETRY_MS = 150,
+    /* A start is on its way while its ticket ends. */
+    TICKET_MARGIN_MS = 150,
+};
+
+/* Share of backend servers that are taken to be allowed before any answer. */
+static const double FIRST_SHARE = 0.5;
+/* Weight of the last answer in the share. */
+static const double SHARE_WEIGHT = 0.2;
+/* Some more than needed: others may be full by the time of the answer. */
+static const double ASK_SURPLUS = 1.25;
+
+struct asking {
+    struct scheduler *sched;
+    struct job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    int64_t now_ms;
+};
+
+static int64_t
+tasks_that_fit(const struct backend *backend, const struct job_step *step)
+{
+    int64_t fit = INT32_MAX;
+    const struct job_room *need = &step->need;
+    if (need->cpu_milli > 0 && !step->fills) {
+        fit = (backend->entry.room.cpu_milli - backend->used.cpu_milli) /
+              need->cpu_milli;
+    }
+    if (need->mem_mb > 0) {
+        fit =
+            MIN(fit, (backend->entry.room.mem_mb - backend->used.mem_mb) /
+                         need->mem_mb);
+    }
+    if (step->max_per_backend > 0) {
+        fit = MIN(fit, (int64_t)step->max_per_backend);
+    }
+    return MAX(fit, 1);
+}
+
+static int64_t
+tasks_waiting(const struct asking *asking)
+{
+    const struct job_part *part =
+        job_part(asking->job, asking->occurrence, asking->step);
+    int64_t waiting = 0;
+    for (uint32_t t = 0; t < asking->job->steps[asking->step].task_count;
+         t++) {
+        const struct job_task *task = &part->tasks[t];
+        waiting += task->run == NULL && !task->done &&
+                   task->wait_until_ms <= asking->now_ms;
+    }
+    return waiting;
+}
+
+static int
+compare_ids(const void *a, const void *b)
+{
+    const struct backend *x = *(const struct backend *const *)a;
+    const struct backend *y = *(const struct backend *const *)b;
+    return strcmp(x->entry.id, y->entry.id);
+}
+
+/* Backend servers to name: those that were allowed before come first, since
+ * only their tickets have ended. */
+static GPtrArray *
+choose_asked(const struct asking *asking, const char *pool)
+{
+    struct scheduler *sched = asking->sched;
+    const struct job_step *step = &asking->job->steps[asking->step];
+    const struct step_advice *advice =
+        job_part(asking->job, asking->occurrence, asking->step)->advice;
+    GPtrArray *expired = g_ptr_array_new();
+    GPtrArray *unasked = g_ptr_array_new();
+    double left = (double)tasks_waiting(asking) * ASK_SURPLUS;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (strcmp(backend->entry.pool, pool) != 0 ||
+            !sched_could_run(sched, backend, asking->job, asking->occurrence,
+                             asking->step)) {
+            continue;
+        }
+        enum advice_known known =
+            step_advice_known(advice, backend->entry.id,
+                              backend->entry.born_ms, asking->now_ms);
+        if (known == ADVICE_GRANTED) {
+            left -= (double)tasks_that_fit(backend, step);
+        }
+        else if (known != ADVICE_REFUSED) {
+            g_ptr_array_add(known == ADVICE_EXPIRED ? expired : unasked,
+                            backend);
+        }
+    }
+    /* Names in order, so that the same load gives the same calls. */
+    g_ptr_array_sort(expired, compare_ids);
+    g_ptr_array_sort(unasked, compare_ids);
+    GPtrArray *asked = g_ptr_array_new();
+    for (guint i = 0; left > 0 && asked->len < ASK_MOST &&
+                      i < expired->len + unasked->len;
+         i++) {
+        bool again = i < expired->len;
+        struct backend *backend =
+            again ? g_ptr_array_index(expired, i)
+                  : g_ptr_array_index(unasked, i - expired->len);
+        left -= (double)tasks_that_fit(backend, step) *
+                (again ? 1 : sched->advice.share);
+        g_ptr_array_add(asked, backend);
+    }
+    g_ptr_array_unref(expired);
+    g_ptr_array_unref(unasked);
+    return asked;
+}
+
+static void
+ask(const struct asking *asking, GPtrArray *backends)
+{
+    struct scheduler *sched = asking->sched;
+    struct open_advice *open = &sched->advice;
+    open->job = job_ref(asking->job);
+    open->occurrence = asking->occurrence;
+    open->step = asking->step;
+    open->sent_ms = asking->now_ms;
+    open->asked = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < backends->len; i++) {
+        const struct backend *backend = g_ptr_array_index(backends, i);
+        g_ptr_array_add(open->asked, g_strdup(backend->entry.id));
+    }
+    char step[JOB_ID_CHARS + 32];
+    g_snprintf(step, sizeof(step), "%s.%u.%u", asking->job->id,
+               asking->occurrence, asking->step);
+    sched_note(sched, "advice_asked", "\"step\":\"%s\",\"backends\":%u", step,
+               backends->len);
+    g_ptr_array_add(open->asked, NULL);
+    sched->ops.advise(sched->ops.ctx, step,
+                      (const char *const *)open->asked->pdata);
+}
+
+static bool
+ask_for_job(struct scheduler *sched, struct job *job, const char *pool)
+{
+    int64_t unix_ms = ms_clock_now(&sched->unix_clock);
+    struct asking asking = {
+        .sched = sched, .job = job, .now_ms = sched_now(sched)};
+    for (uint32_t k = 0; k < job->n_occurrences; k++) {
+        if (job_due_ms(job, k) > unix_ms) {
+            return false;
+        }
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            asking.occurrence = k;
+            asking.step = s;
+            if (!job_step_ready(job, k, s) || tasks_waiting(&asking) == 0) {
+                continue;
+            }
+            GPtrArray *backends = choose_asked(&asking, pool);
+            bool any = backends->len > 0;
+            if (any) {
+                ask(&asking, backends);
+            }
+            g_ptr_array_unref(backends);
+            if (any) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void
+sched_ask_advice(struct scheduler *sched)
+{
+    if (sched->ops.advise == NULL || sched->advice.job != NULL ||
+        sched_now(sched) < sched->advice.retry_ms) {
+        return;
+    }
+    for (guint i = 0; i < sched->active->len; i++) {
+        struct job *job = g_ptr_array_index(sched->active, i);
+        const struct queue_config *queue =
+            fleet_config_queue(sched->config, job->queue);
+        if (queue != NULL && queue->advised &&
+            ask_for_job(sched, job, queue->pool)) {
+            return;
+        }
+    }
+}
+
+static void
+close_call(struct scheduler *sched)
+{
+    g_ptr_array_unref(sched->advice.asked);
+    job_unref(sched->advice.job);
+    sched->advice.asked = NULL;
+    sched->advice.job = NULL;
+}
+
+static const struct advice_row *
+find_row(const struct advice_answer *answer, const char *id)
+{
+    for (size_t i = 0; i < answer->n_rows; i++) {
+        if (strcmp(answer->rows[i].backend_id, id) == 0) {
+            return &answer->rows[i];
+        }
+    }
+    return NULL;
+}
+
+void
+scheduler_on_advice(struct scheduler *sched,
+                    const struct advice_answer *answer)
+{
+    struct open_advice *open = &sched->advice;
+    if (open->job == NULL) {
+        return;
+    }
+    if (!answer->given) {
+        open->retry_ms = sched_now(sched) + ASK_RETRY_MS;
+        sched_note(sched, "advice_missing", "\"job\":\"%s\"", open->job->id);
+        close_call(sched);
+        return;
+    }
+    struct job_part *part = job_part(open->job, open->occurrence, open->step);
+    if (part->advice == NULL) {
+        part->advice = step_advice_create();
+    }
+    for (guint i = 0; i + 1 < open->asked->len; i++) {
+        const char *id = g_ptr_array_index(open->asked, i);
+        const struct backend *backend = scheduler_find_backend(sched, id);
+        const struct advice_row *row = find_row(answer, id);
+        int64_t born_ms = backend == NULL ? 0 : backend->entry.born_ms;
+        if (row == NULL) {
+            step_advice_refuse(part->advice, id, born_ms);
+        }
+        else {
+            step_advice_grant(part->advice, id, born_ms, row->ticket,
+                              open->sent_ms + answer->valid_ms -
+                                  TICKET_MARGIN_MS);
+        }
+        open->share += SHARE_WEIGHT * ((row == NULL ? 0 : 1) - open->share);
+    }
+    close_call(sched);
+}
+
+void
+sched_advice_init(struct scheduler *sched)
+{
+    sched->advice.share = FIRST_SHARE;
+}
+
+void
+sched_advice_clear(struct scheduler *sched)
+{
+    if (sched->advice.job != NULL) {
+        close_call(sched);
+    }
+}
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -57,6 +57,7 @@
             g_free(job->parts[i].tasks[t].avoid);
         }
         g_free(job->parts[i].tasks);
+        step_advice_destroy(job->parts[i].advice);
     }
     g_free(job->parts);
 }
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -28,6 +28,8 @@
     uint32_t step_index;
     const char *avoid;
     const char *rack;
+    bool advised;
+    const struct step_advice *advice;
 };
 
 static uint32_t
@@ -91,7 +93,10 @@
         count_of_step(backend, want) >= step->max_per_backend) {
         return false;
     }
-    return true;
+    return !want->advised ||
+           step_advice_known(want->advice, backend->entry.id,
+                             backend->entry.born_ms,
+                             placer->now_ms) == ADVICE_GRANTED;
 }
 
 static double
@@ -141,23 +146,32 @@
 }
 
 bool
-sched_room_elsewhere(struct scheduler *sched, const struct run *run)
+sched_could_run(struct scheduler *sched, const struct backend *backend,
+                const struct job *job, uint32_t occurrence, uint32_t step)
 {
     struct placer placer = {.sched = sched, .now_ms = sched_now(sched)};
     struct place_want want = {
-        .job = run->job,
-        .step = run_step(run),
-        .occurrence = run->occurrence,
-        .step_index = run->step,
+        .job = job,
+        .step = &job->steps[step],
+        .occurrence = occurrence,
+        .step_index = step,
     };
+    return sched_usable(sched, backend) &&
+           place_allowed(&placer, backend, &want);
+}
+
+bool
+sched_room_elsewhere(struct scheduler *sched, const struct run *run)
+{
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->backends);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct backend *backend = value;
-        if (backend != run->backend && sched_usable(sched, backend) &&
+        if (backend != run->backend &&
             strcmp(backend->entry.pool, run->backend->entry.pool) == 0 &&
-            place_allowed(&placer, backend, &want)) {
+            sched_could_run(sched, backend, run->job, run->occurrence,
+                            run->step)) {
             return true;
         }
     }
@@ -194,6 +208,9 @@
         .handle = run->handle,
         .run = run,
         .until_ms = backend_grant(backend, lease_ms, run->started_ms),
+        .ticket = step_advice_ticket(
+            job_part(run->job, run->occurrence, run->step)->advice,
+            backend->entry.id, run->started_ms),
     };
     sched->ops.start(sched->ops.ctx, &order);
 }
@@ -293,16 +310,21 @@
 }
 
 static void
-place_step(struct placer *placer, struct job *job, const char *pool,
-           uint32_t occurrence, uint32_t step_index)
+place_step(struct placer *placer, struct job *job,
+           const struct queue_config *queue, uint32_t occurrence,
+           uint32_t step_index)
 {
+    /* A job outlives the queue it came through. */
+    const char *pool = queue == NULL ? job->pool : queue->pool;
+    struct job_part *part = job_part(job, occurrence, step_index);
     struct place_want want = {
         .job = job,
         .step = &job->steps[step_index],
         .occurrence = occurrence,
         .step_index = step_index,
+        .advised = queue != NULL && queue->advised,
+        .advice = part->advice,
     };
-    struct job_part *part = job_part(job, occurrence, step_index);
     if (part->done >= want.step->task_count) {
         return;
     }
@@ -340,7 +362,7 @@
         }
         for (uint32_t s = 0; s < job->n_steps; s++) {
             if (job->state == JOB_ACTIVE && job_step_ready(job, k, s)) {
-                place_step(placer, job, pool, k, s);
+                place_step(placer, job, queue, k, s);
             }
         }
     }
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -18,6 +18,8 @@
 
 /* Part of a host that tasks of uneven sizes fill. */
 static const double FILL = 0.85;
+/* A policy that allows fewer backend servers than this takes no more hosts. */
+static const double ADVISED_SHARE_LEAST = 0.2;
 
 static double
 decayed(const struct pool_load *load, int64_t now_ms)
@@ -39,9 +41,10 @@
     load->arrival_at_ms = now_ms;
 }
 
+/* @share: part of the backend servers that may run the step. */
 static void
 measure_part(struct pool_load *load, const struct job *job,
-             uint32_t occurrence, uint32_t index)
+             uint32_t occurrence, uint32_t index, double share)
 {
     const struct job_step *step = &job->steps[index];
     const struct job_part *part = job_part(job, occurrence, index);
@@ -56,8 +59,10 @@
     if (step->max_per_backend > 0) {
         int64_t hosts =
             (left + step->max_per_backend - 1) / step->max_per_backend;
-        load->spread_hosts = MAX(load->spread_hosts, hosts);
+        load->spread_hosts =
+            MAX(load->spread_hosts, (int64_t)((double)hosts / share));
     }
+    left = (int64_t)((double)left / share);
     if (step->long_running) {
         room_add(&load->lasting, &need, left);
         return;
@@ -72,12 +77,17 @@
 measure_job(struct scheduler *sched, const struct job *job, int64_t unix_ms)
 {
     struct pool_load *load = sched_pool_load(sched, job->pool);
+    const struct queue_config *queue =
+        fleet_config_queue(sched->config, job->queue);
+    double share = queue != NULL && queue->advised
+                       ? MAX(sched->advice.share, ADVISED_SHARE_LEAST)
+                       : 1;
     for (uint32_t k = 0; k < job->n_occurrences; k++) {
         if (job_due_ms(job, k) > unix_ms) {
             return;
         }
         for (uint32_t s = 0; s < job->n_steps; s++) {
-            measure_part(load, job, k, s);
+            measure_part(load, job, k, s, share);
         }
     }
 }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -102,6 +102,7 @@
     sched->to_register = g_ptr_array_new_with_free_func(g_free);
     sched->to_release = g_ptr_array_new_with_free_func(g_free);
     g_queue_init(&sched->finished);
+    sched_advice_init(sched);
     return sched;
 }
 
@@ -111,6 +112,7 @@
     if (sched == NULL) {
         return;
     }
+    sched_advice_clear(sched);
     g_hash_table_unref(sched->runs);
     g_hash_table_unref(sched->backends);
     g_ptr_array_unref(sched->active);
@@ -319,6 +321,7 @@
         sched_watch_runs(sched);
         sched_empty_draining(sched);
         sched_place(sched);
+        sched_ask_advice(sched);
         sched_plan_hosts(sched);
     }
     sched_lists_due(sched);
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -367,6 +367,13 @@
     if (answer == START_OTHER_INCARNATION) {
         backend->silent = true;
     }
+    if (answer == START_NO_TICKET) {
+        struct step_advice *advice =
+            job_part(run->job, run->occurrence, run->step)->advice;
+        if (advice != NULL) {
+            step_advice_forget(advice, backend->entry.id);
+        }
+    }
     if (answer == START_REFUSED || answer == START_NO_ROOM) {
         g_free(run_task(run)->avoid);
         run_task(run)->avoid = g_strdup(backend->entry.id);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -140,6 +140,23 @@
     int64_t filled_ms;
 };
 
+/**
+ * struct open_advice - the call about advice that is under way
+ * @job: whose step is asked about, referenced; NULL: none is
+ * @asked: ids of the backend servers named, NULL-terminated
+ * @retry_ms: no call before this time
+ * @share: share of backend servers that turn out to be allowed
+ */
+struct open_advice {
+    struct job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    GPtrArray *asked;
+    int64_t sent_ms;
+    int64_t retry_ms;
+    double share;
+};
+
 struct scheduler {
     struct sched_timings timings;
     struct sched_ops ops;
@@ -170,6 +187,7 @@
     bool hosts_read;
     int64_t plan_due_ms;
     struct order_budget order_budget;
+    struct open_advice advice;
     struct sched_figures figures;
 };
 
@@ -240,6 +258,19 @@
 bool
 sched_room_elsewhere(struct scheduler *sched, const struct run *run);
 
+/* Whether @backend has room for a task and may hold it, ticket or not. */
+bool
+sched_could_run(struct scheduler *sched, const struct backend *backend,
+                const struct job *job, uint32_t occurrence, uint32_t step);
+
+/* advice.c */
+void
+sched_advice_init(struct scheduler *sched);
+void
+sched_advice_clear(struct scheduler *sched);
+void
+sched_ask_advice(struct scheduler *sched);
+
 /* drain.c */
 void
 sched_empty_draining(struct scheduler *sched);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -118,6 +118,15 @@
     leader_tick_soon(leader);
 }
 
+static void
+on_advice(void *ctx, const struct advice_answer *answer)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_advice(leader->sched, answer);
+    leader_tick_soon(leader);
+}
+
 static void
 link_destroy(void *data)
 {
@@ -149,6 +158,11 @@
     };
     leader->hosts = hosts_api_create(node->base, node->boot->hosts,
                                      node->boot->node, &events);
+    if (node->boot->advice != NULL) {
+        leader->advice = advice_api_create(
+            node->base, node->boot->advice,
+            (struct advice_done){.call = on_advice, .ctx = leader});
+    }
     leader->tick = evtimer_new(node->base, on_tick, leader);
     leader->watch_timer = evtimer_new(node->base, on_watch_timer, leader);
     leader->inbox_timer = evtimer_new(node->base, on_inbox_timer, leader);
@@ -207,6 +221,7 @@
     kv_destroy(leader->inbox);
     leader_load_clear(leader);
     hosts_api_destroy(leader->hosts);
+    advice_api_destroy(leader->advice);
     host_orders_destroy(leader->host_orders);
     g_hash_table_unref(leader->links);
     g_hash_table_unref(leader->progress);
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -96,6 +96,7 @@
         .until_ms = order->until_ms,
         .token = leader->token,
         .saved = run_task(run)->saved,
+        .ticket = order->ticket,
     };
     backend_link_start(link_of(leader, order->backend), &call);
 }
@@ -142,6 +143,13 @@
     host_orders_add(leader->host_orders, host, NULL, wave);
 }
 
+static void
+op_advise(void *ctx, const char *step, const char *const *backend_ids)
+{
+    struct leader *leader = ctx;
+    advice_api_ask(leader->advice, step, backend_ids);
+}
+
 static void
 op_note(void *ctx, const char *event, const char *fields)
 {
@@ -159,6 +167,7 @@
         .store = op_store,
         .move = op_move,
         .reboot = op_reboot,
+        .advise = leader->advice == NULL ? NULL : op_advise,
         .note = op_note,
         .ctx = leader,
     };
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -5,6 +5,7 @@
 #include "egretjobd/committer.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/store_path.h"
+#include "platform/advice_api.h"
 #include "platform/backend_calls.h"
 #include "platform/hosts_api.h"
 #include "platform/kv.h"
@@ -52,6 +53,7 @@
     struct kv *backend_watch;
     struct kv *inbox;
     struct hosts_api *hosts;
+    struct advice_api *advice;
     struct host_orders *host_orders;
     struct event *tick;
     struct event *watch_timer;
--- a/include/core/jobs/fleet_config.h
+++ b/include/core/jobs/fleet_config.h
@@ -33,6 +33,7 @@
  * @objective_ms: added to @stretch times the chain
  * @timeout_ms: bound of one request on it
  * @open: needs no key
+ * @advised: a policy of its own names the backend servers of each step
  */
 struct queue_config {
     char *name;
@@ -45,6 +46,7 @@
     int64_t objective_ms;
     int64_t timeout_ms;
     bool open;
+    bool advised;
 };
 
 /**
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -7,6 +7,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/jobs/step_advice.h"
+
 struct run;
 
 enum {
@@ -107,10 +109,12 @@
  * struct job_part - one step of one occurrence
  * @tasks: its tasks
  * @done: tasks that are done
+ * @advice: which backend servers may run it; NULL: nothing was asked
  */
 struct job_part {
     struct job_task *tasks;
     uint32_t done;
+    struct step_advice *advice;
 };
 
 /**
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -40,12 +40,14 @@
  * @handle: handle of the run, to be given back with the answer
  * @run: the run
  * @until_ms: end of its lease on the backend server's clock
+ * @ticket: proof that the queue's policy allows it, or NULL
  */
 struct start_order {
     struct backend *backend;
     uint64_t handle;
     const struct run *run;
     int64_t until_ms;
+    const char *ticket;
 };
 
 /**
@@ -71,6 +73,9 @@
  * @store: there is something to store, see scheduler_store.h
  * @move: move a host to a pool; answer through scheduler_on_host_order()
  * @reboot: start a host's maintenance; answer likewise
+ * @advise: ask which of @backend_ids, NULL-terminated, may run @step, named
+ *          JOB.OCCURRENCE.STEP; answer through scheduler_on_advice(). NULL:
+ *          nobody can be asked
  * @note: one decision for the log; @fields is the inside of a JSON object
  */
 struct sched_ops {
@@ -81,6 +86,8 @@
     void (*store)(void *ctx);
     void (*move)(void *ctx, const char *host, const char *pool);
     void (*reboot)(void *ctx, const char *host, int64_t wave);
+    void (*advise)(void *ctx, const char *step,
+                   const char *const *backend_ids);
     void (*note)(void *ctx, const char *event, const char *fields);
     void *ctx;
 };
@@ -90,6 +97,7 @@
  * @START_NO_ANSWER: it may be carried out, also later
  * @START_REFUSED: certainly not carried out
  * @START_NO_ROOM: refused for want of room
+ * @START_NO_TICKET: refused for want of a valid ticket
  * @START_OLD_NUMBER: refused, a run with this or a higher number ended here
  * @START_FENCED: a newer scheduler gives orders here
  * @START_OTHER_INCARNATION: the addressed incarnation of the backend server is
@@ -100,6 +108,7 @@
     START_NO_ANSWER,
     START_REFUSED,
     START_NO_ROOM,
+    START_NO_TICKET,
     START_OLD_NUMBER,
     START_FENCED,
     START_OTHER_INCARNATION,
@@ -254,6 +263,28 @@
 scheduler_on_list(struct scheduler *sched, const char *backend_id,
                   const struct backend_lists *lists);
 
+/** struct advice_row - a backend server that may run the step */
+struct advice_row {
+    const char *backend_id;
+    const char *ticket;
+};
+
+/**
+ * struct advice_answer - answer to a call about advice
+ * @given: there is one; otherwise the call is made again
+ * @valid_ms: how long the tickets hold
+ */
+struct advice_answer {
+    bool given;
+    int64_t valid_ms;
+    const struct advice_row *rows;
+    size_t n_rows;
+};
+
+void
+scheduler_on_advice(struct scheduler *sched,
+                    const struct advice_answer *answer);
+
 /** scheduler_tick() - decide; returns the time of the next tick. */
 int64_t
 scheduler_tick(struct scheduler *sched);
--- a/include/platform/backend_calls.h
+++ b/include/platform/backend_calls.h
@@ -40,6 +40,7 @@
  * @spec: opaque text of the job
  * @saved: checkpoint to go on from, or NULL
  * @token: fencing token
+ * @ticket: proof that the queue's policy allows the start, or NULL
  */
 struct start_call {
     uint64_t handle;
@@ -49,6 +50,7 @@
     int64_t until_ms;
     int64_t token;
     const char *saved;
+    const char *ticket;
 };
 
 void
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -18,6 +18,7 @@
  * @metrics: address of the metrics
  * @store: address of the key-value service
  * @hosts: address of the calls about hosts
+ * @advice: address of the service that advises on backend servers, or NULL
  * @cores: processor of this host, in cores
  * @grace_ms: time between SIGTERM and SIGKILL
  * @config_ms: time within which a configuration is in force
@@ -32,6 +33,7 @@
     char *metrics;
     char *store;
     char *hosts;
+    char *advice;
     double cores;
     int64_t grace_ms;
     int64_t config_ms;
--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -42,6 +42,7 @@
  * @store_silent: the store does not answer
  * @done_noted: tasks whose end as done was acknowledged
  * @checks: starts that were checked
+ * @tickets_missing: starts refused for want of a ticket
  * @violations: promises that were broken
  */
 struct emulator {
@@ -59,6 +60,7 @@
     GPtrArray *silenced;
     GHashTable *done_noted;
     uint64_t checks;
+    uint64_t tickets_missing;
     uint64_t violations;
     uint64_t moves;
 };
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -119,6 +119,62 @@
     g_free(key);
 }
 
+/* Whether the policy allows this backend server; half of them are. */
+static bool
+advised(const char *step, const char *id)
+{
+    return (g_str_hash(step) + g_str_hash(id)) % 2 == 0;
+}
+
+/* A ticket holds for one step on one incarnation. */
+static char *
+make_ticket(const char *step, const char *id)
+{
+    return g_strdup_printf("%s@%s", step, id);
+}
+
+/* Starts of jobs whose text says "advised" need a ticket. */
+static bool
+ticket_missing(const struct emulated_host *host, const cJSON *body)
+{
+    if (strstr(json_text_get(body, "spec"), "advised") == NULL) {
+        return false;
+    }
+    char *step = g_strdup(json_text_get(body, "task"));
+    *strrchr(step, '.') = '\0';
+    char *ticket = make_ticket(step, host->backend.id);
+    bool missing = !advised(step, host->backend.id) ||
+                   g_strcmp0(json_text_get(body, "ticket"), ticket) != 0;
+    g_free(ticket);
+    g_free(step);
+    return missing;
+}
+
+static void
+serve_advice(struct http_exchange *exchange, const cJSON *body)
+{
+    const char *step = json_text_get(body, "step");
+    GString *out = g_string_new("{\"good\":[");
+    const cJSON *worker;
+    bool first = true;
+    cJSON_ArrayForEach(worker,
+                       cJSON_GetObjectItemCaseSensitive(body, "workers"))
+    {
+        const char *id = cJSON_GetStringValue(worker);
+        if (!advised(step, id)) {
+            continue;
+        }
+        char *ticket = make_ticket(step, id);
+        g_string_append_printf(out, "%s[\"%s\",\"%s\"]", first ? "" : ",", id,
+                               ticket);
+        g_free(ticket);
+        first = false;
+    }
+    g_string_append(out, "],\"valid_ms\":3000}");
+    http_exchange_reply(exchange, 200, out->str);
+    g_string_free(out, TRUE);
+}
+
 static void
 serve_start(struct emulated_host *host, struct http_exchange *exchange,
             const cJSON *body, int64_t now_ms)
@@ -130,6 +186,11 @@
     };
     const char *task = json_text_get(body, "task");
     bool began = false;
+    if (ticket_missing(host, body)) {
+        host->emulator->tickets_missing++;
+        http_exchange_reply(exchange, 409, "{\"reason\":\"ticket\"}");
+        return;
+    }
     enum start_answer answer = model_backend_start(
         &host->backend, task, (uint32_t)json_int_get(body, "run", 0),
         json_int_get(body, "until_ms", 0),
@@ -327,6 +388,11 @@
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
     cJSON *body = cJSON_ParseWithLength(text, bytes);
+    if (strcmp(path, "/v1/advise") == 0) {
+        serve_advice(exchange, body);
+        cJSON_Delete(body);
+        return;
+    }
     struct emulated_host *host =
         find_host(emulator, json_text_get(body, "machine"));
     const char *pool = json_text_get(body, "pool");
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -65,9 +65,11 @@
     char text[160];
     snprintf(text, sizeof(text),
              "{\"checks\":%" G_GUINT64_FORMAT
+             ",\"tickets_missing\":%" G_GUINT64_FORMAT
              ",\"violations\":%" G_GUINT64_FORMAT
              ",\"moves\":%" G_GUINT64_FORMAT "}",
-             emulator->checks, emulator->violations, emulator->moves);
+             emulator->checks, emulator->tickets_missing, emulator->violations,
+             emulator->moves);
     http_exchange_reply(exchange, 200, text);
 }
 
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -16,6 +16,7 @@
     struct order *order = data;
     g_free(order->target);
     g_free(order->task);
+    g_free(order->ticket);
     g_free(order);
 }
 
@@ -36,6 +37,7 @@
     struct order *order = record(ctx, ORDER_START, given->backend->entry.id);
     order->handle = given->handle;
     order->number = given->run->number;
+    order->ticket = g_strdup(given->ticket);
     order->task = g_strdup_printf("%s.%u.%u.%u", given->run->job->id,
                                   given->run->occurrence, given->run->step,
                                   given->run->index);
@@ -73,6 +75,14 @@
     record(ctx, ORDER_REBOOT, host)->number = (uint32_t)wave;
 }
 
+static void
+op_advise(void *ctx, const char *step, const char *const *backend_ids)
+{
+    char *ids = g_strjoinv(" ", (char **)backend_ids);
+    record(ctx, ORDER_ADVISE, ids)->task = g_strdup(step);
+    g_free(ids);
+}
+
 static int64_t
 now(void *ctx)
 {
@@ -134,6 +144,7 @@
         .list = op_list,
         .move = op_move,
         .reboot = op_reboot,
+        .advise = op_advise,
         .ctx = fixture,
     };
     fixture->sched = scheduler_create(
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -13,14 +13,22 @@
     ORDER_LIST,
     ORDER_MOVE,
     ORDER_REBOOT,
+    ORDER_ADVISE,
 };
 
-/** struct order - an order that the scheduler gave; texts are owned */
+/**
+ * struct order - an order that the scheduler gave; texts are owned
+ * @target: backend server or host; for a question about advice the ids of
+ *          the backend servers, separated by spaces
+ * @task: task, pool, or the step that advice is asked for
+ * @ticket: ticket of a start, or NULL
+ */
 struct order {
     enum order_kind kind;
     uint64_t handle;
     char *target;
     char *task;
+    char *ticket;
     uint32_t number;
     int64_t at_ms;
 };
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -262,6 +262,41 @@
     CU_ASSERT_EQUAL(figure("violations"), 0);
 }
 
+/* A queue with a policy: its tasks start where they are allowed, through a
+ * change of the holder as well. */
+static void
+test_advice(void)
+{
+    static const char body[] =
+        "{\"spec\":\"advised ms=200\",\"steps\":[{\"count\":4,\"cpu\":4000,"
+        "\"mem_mb\":900,\"estimate_ms\":200},{\"count\":2,\"cpu\":4000,"
+        "\"mem_mb\":900,\"estimate_ms\":200,\"after\":[0]}]}";
+    struct caller_queue approved = {
+        .name = "approved",
+        .host = "jobs.example",
+        .prefix = "/approved/",
+        .key = "key-skela",
+        .objective_ms = 2000,
+    };
+    caller_queue_init(&approved);
+    for (int i = 0; i < 20; i++) {
+        job_caller_submit(fixture.caller, &approved, body);
+        play(150, true);
+        if (i == 10) {
+            int left = holder();
+            CU_ASSERT_FATAL(left >= 0);
+            end_process(&fixture.entries[left], SIGTERM);
+        }
+    }
+    play_to_end();
+    check_promises();
+    printf("approved p50 %ld ms\n",
+           (long)caller_queue_quantile_ms(&approved, 0.5));
+    CU_ASSERT_EQUAL(approved.completed, 20);
+    CU_ASSERT_EQUAL(figure("tickets_missing"), 0);
+    caller_queue_clear(&approved);
+}
+
 static const struct scenario scenarios[] = {
     {"calm", test_calm},
     {"holder-killed", test_holder_killed},
@@ -272,6 +307,7 @@
     {"hosts-crash", test_hosts_crash},
     {"wave", test_wave},
     {"cancel-at-takeover", test_cancel_at_takeover},
+    {"advice", test_advice},
     {"invalid", test_invalid},
     {"same-id", test_same_id},
     {"walks", test_walks},
--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -70,11 +70,12 @@
         "\"internal_ports\":[%d,%d],\"listen\":{\"front\":\"127.0.0.1:%d\","
         "\"ready\":\"127.0.0.1:%d\"},\"platform\":{\"address\":"
         "\"127.0.0.1:%d\"},\"cloud\":{\"address\":\"127.0.0.1:%d\"},"
+        "\"advice\":\"127.0.0.1:%d\","
         "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
         "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
         "\"config_ms\":2000,\"lease_ms\":3000}}",
         entry, port + 2, port + 5, port, port + 1, fixture.first_port,
-        fixture.first_port + 1);
+        fixture.first_port + 1, fixture.first_port + 1);
     char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
     char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
     char *program =
