Slow filling tasks down before they harm what serves beside them

Cause: tasks that fill ran at full speed beside serving tasks whenever the room was short; a tail over its bound for long breaks a promise to their users.

--- a/core/jobs/advice.c
+++ b/core/jobs/advice.c
@@ -45,9 +45,8 @@
               need->cpu_milli;
     }
     if (need->mem_mb > 0) {
-        fit =
-            MIN(fit, (backend->entry.room.mem_mb - backend->used.mem_mb) /
-                         need->mem_mb);
+        fit = MIN(fit, (backend->entry.room.mem_mb - backend->used.mem_mb) /
+                           need->mem_mb);
     }
     if (step->max_per_backend > 0) {
         fit = MIN(fit, (int64_t)step->max_per_backend);
@@ -100,9 +99,8 @@
                              asking->step)) {
             continue;
         }
-        enum advice_known known =
-            step_advice_known(advice, backend->entry.id,
-                              backend->entry.born_ms, asking->now_ms);
+        enum advice_known known = step_advice_known(
+            advice, backend->entry.id, backend->entry.born_ms, asking->now_ms);
         if (known == ADVICE_GRANTED) {
             left -= (double)tasks_that_fit(backend, step);
         }
@@ -115,8 +113,8 @@
     g_ptr_array_sort(expired, compare_ids);
     g_ptr_array_sort(unasked, compare_ids);
     GPtrArray *asked = g_ptr_array_new();
-    for (guint i = 0; left > 0 && asked->len < ASK_MOST &&
-                      i < expired->len + unasked->len;
+    for (guint i = 0;
+         left > 0 && asked->len < ASK_MOST && i < expired->len + unasked->len;
          i++) {
         bool again = i < expired->len;
         struct backend *backend =
--- /dev/null
+++ b/core/jobs/pace_runs.c
@@ -0,0 +1,122 @@
+/* Carries the pace to the filling tasks that run beside serving ones. */
+#include "core/jobs/scheduler.h"
+
+#include <stdio.h>
+
+#include "scheduler_state.h"
+
+enum {
+    PACE_RETRY_MS = 300,
+};
+
+static bool
+run_serves(const struct run *run)
+{
+    return run_step(run)->tail_target_ms > 0;
+}
+
+bool
+sched_backend_mixed(const struct backend *backend)
+{
+    bool serves = false;
+    bool fills = false;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        serves = serves || run_serves(run);
+        fills = fills || run_step(run)->fills;
+    }
+    return serves && fills;
+}
+
+static double
+worst_tail(const struct backend *backend)
+{
+    double worst = 0;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run_serves(run) && run->state == RUN_WORKING) {
+            double share =
+                (double)run->figure / (double)run_step(run)->tail_target_ms;
+            worst = MAX(worst, share);
+        }
+    }
+    return worst;
+}
+
+static void
+send_pace(struct scheduler *sched, struct run *run, int32_t percent)
+{
+    char name[JOB_ID_CHARS + 48];
+    snprintf(name, sizeof(name), "%s.%u.%u.%u", run->job->id, run->occurrence,
+             run->step, run->index);
+    run->pace_sent_ms = sched_now(sched);
+    run->pace_pending = true;
+    struct pace_order order = {
+        .backend = run->backend,
+        .handle = run->handle,
+        .task = name,
+        .number = run->number,
+        .percent = percent,
+    };
+    sched_note(sched, "task_paced",
+               "\"task\":\"%s\",\"backend\":\"%s\",\"percent\":%d", name,
+               run->backend->entry.id, percent);
+    sched->ops.pace(sched->ops.ctx, &order);
+}
+
+static void
+pace_backend(struct scheduler *sched, struct backend *backend)
+{
+    int32_t level = 100;
+    if (sched_backend_mixed(backend)) {
+        level = backend->pace.level;
+        /* Each list is one sample of the tails. */
+        if (backend->pace.changed_ms == 0 ||
+            backend->listed_ms > backend->pace_sample_ms) {
+            level = pace_step(&backend->pace, worst_tail(backend),
+                              sched_now(sched));
+            backend->pace_sample_ms = backend->listed_ms;
+        }
+    }
+    for (guint i = 0; i < backend->runs->len; i++) {
+        struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run_step(run)->fills && run->state == RUN_WORKING &&
+            run->paced != level && !run->pace_pending &&
+            sched_now(sched) - run->pace_sent_ms >= PACE_RETRY_MS) {
+            send_pace(sched, run, level);
+        }
+    }
+}
+
+void
+sched_pace(struct scheduler *sched)
+{
+    if (sched->ops.pace == NULL) {
+        return;
+    }
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, sched->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct backend *backend = value;
+        if (backend->runs->len > 0 && !backend->silent) {
+            pace_backend(sched, backend);
+        }
+    }
+}
+
+void
+scheduler_on_pace(struct scheduler *sched, uint64_t handle, int32_t percent,
+                  bool acked)
+{
+    struct run *run = g_hash_table_lookup(sched->runs, &handle);
+    if (run == NULL) {
+        return;
+    }
+    run->pace_pending = false;
+    if (acked) {
+        run->paced = percent;
+        /* Its progress stands or moves anew from here. */
+        run->percent_at_ms = sched_now(sched);
+    }
+}
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -320,6 +320,7 @@
     if (sched->valid && !sched->fenced) {
         sched_watch_runs(sched);
         sched_empty_draining(sched);
+        sched_pace(sched);
         sched_place(sched);
         sched_ask_advice(sched);
         sched_plan_hosts(sched);
--- a/core/jobs/scheduler_lists.c
+++ b/core/jobs/scheduler_lists.c
@@ -86,6 +86,7 @@
     int64_t now_ms = sched_now(sched);
     run->known_ms = now_ms;
     run->job->begun = true;
+    run->figure = listed->figure;
     if (run->percent != listed->percent) {
         run->percent = listed->percent;
         run->percent_at_ms = now_ms;
@@ -126,6 +127,8 @@
     struct run *run = sched_run_create(sched, job, name.occurrence, name.step,
                                        name.index, listed->number, backend);
     run->state = RUN_WORKING;
+    /* The holder before may have slowed it down. */
+    run->paced = -1;
     update_run(sched, run, listed);
     sched_note(sched, "run_adopted", "\"task\":\"%s\",\"backend\":\"%s\"",
                listed->task, backend->entry.id);
@@ -298,6 +301,7 @@
         take_running(sched, backend, &lists->running[i]);
     }
     drop_absent(sched, backend, lists);
+    backend->listed_ms = now_ms;
     backend->reconciled = true;
     settle(sched, backend);
 }
@@ -332,6 +336,9 @@
     }
     bool wait = !first && !sched->outage && backend->runs->len > 0;
     int64_t wait_ms = wait ? LIST_WAIT_MS : 0;
+    if (wait && sched_backend_mixed(backend)) {
+        wait_ms = LIST_MIXED_WAIT_MS;
+    }
     for (guint i = 0; wait && i < backend->runs->len; i++) {
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (run->state == RUN_STOPPING) {
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -54,6 +54,7 @@
     run->started_ms = sched_now(sched);
     run->percent_at_ms = run->started_ms;
     run->percent = -1;
+    run->paced = 100;
     g_hash_table_insert(sched->runs, &run->handle, run);
     g_ptr_array_add(backend->runs, run);
     struct job_task *task = run_task(run);
@@ -273,6 +274,16 @@
     }
 }
 
+/* Whether its progress stands still for a reason of its backend server; what
+ * is slowed down stands still by our order. */
+static bool
+run_stalled(const struct run *run, int64_t now_ms)
+{
+    return run->state == RUN_WORKING && run->percent >= 0 &&
+           run->percent < 100 && run->paced == 100 && !run->backend->silent &&
+           now_ms - run->percent_at_ms > STALL_MS;
+}
+
 /* An order whose answer never came is one without an answer. */
 static void
 drop_overdue(struct run *run, int64_t now_ms)
@@ -284,6 +295,9 @@
     if (run->stop_pending && now_ms - run->stop_sent_ms > ANSWER_OVERDUE_MS) {
         run->stop_pending = false;
     }
+    if (run->pace_pending && now_ms - run->pace_sent_ms > ANSWER_OVERDUE_MS) {
+        run->pace_pending = false;
+    }
 }
 
 /* Sends stops again, and settles orders that got no answer. */
@@ -309,9 +323,7 @@
                 send_stop(sched, run);
             }
         }
-        else if (run->state == RUN_WORKING && run->percent >= 0 &&
-                 run->percent < 100 && !run->backend->silent &&
-                 now_ms - run->percent_at_ms > STALL_MS) {
+        else if (run_stalled(run, now_ms)) {
             sched_note(sched, "run_stalled",
                        "\"job\":\"%s\",\"step\":%u,\"task\":%u,"
                        "\"backend\":\"%s\",\"percent\":%d",
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -18,6 +18,8 @@
      * together are read together. */
     LIST_GAP_MS = 15,
     LIST_RETRY_MS = 250,
+    /* Tails beside filling tasks are looked at this often. */
+    LIST_MIXED_WAIT_MS = 300,
     /* Calls end by their own timeouts well before; an answer that is overdue
      * by then never comes. */
     ANSWER_OVERDUE_MS = 5000,
@@ -263,6 +265,13 @@
 sched_could_run(struct scheduler *sched, const struct backend *backend,
                 const struct job *job, uint32_t occurrence, uint32_t step);
 
+/* pace_runs.c */
+void
+sched_pace(struct scheduler *sched);
+/* Whether filling tasks run beside serving ones. */
+bool
+sched_backend_mixed(const struct backend *backend);
+
 /* advice.c */
 void
 sched_advice_init(struct scheduler *sched);
--- a/core/jobs/step_advice.c
+++ b/core/jobs/step_advice.c
@@ -29,8 +29,8 @@
 step_advice_create(void)
 {
     struct step_advice *advice = g_new0(struct step_advice, 1);
-    advice->by_backend = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                               verdict_free);
+    advice->by_backend =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, verdict_free);
     return advice;
 }
 
--- a/egretjobd/leader_links.c
+++ b/egretjobd/leader_links.c
@@ -32,6 +32,14 @@
     leader_tick_soon(leader);
 }
 
+static void
+on_pace(void *ctx, uint64_t handle, int32_t percent, bool acked)
+{
+    struct leader *leader = ctx;
+    leader_enter(leader);
+    scheduler_on_pace(leader->sched, handle, percent, acked);
+}
+
 static void
 on_lists(void *ctx, const char *backend_id, const struct backend_lists *lists)
 {
@@ -53,6 +61,7 @@
     struct backend_events events = {
         .on_start = on_start,
         .on_stop = on_stop,
+        .on_pace = on_pace,
         .on_lists = on_lists,
         .ctx = leader,
     };
@@ -111,6 +120,13 @@
                       order->task, order->number, leader->token);
 }
 
+static void
+op_pace(void *ctx, const struct pace_order *order)
+{
+    struct leader *leader = ctx;
+    backend_link_pace(link_of(leader, order->backend), order, leader->token);
+}
+
 static void
 op_list(void *ctx, struct backend *backend, int64_t until_ms,
         int64_t acked_end, int64_t wait_ms)
@@ -163,6 +179,7 @@
     return (struct sched_ops){
         .start = op_start,
         .stop = op_stop,
+        .pace = op_pace,
         .list = op_list,
         .store = op_store,
         .move = op_move,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "core/jobs/job.h"
+#include "core/jobs/pace.h"
 
 /**
  * struct backend_entry - what the host list says of a backend server
@@ -70,6 +71,10 @@
  * @stop_pending: a stop order is in flight
  * @percent: progress as listed, 100 for lasting tasks at work
  * @percent_at_ms: when @percent last changed
+ * @figure: as listed, see struct listed_run
+ * @paced: share of its speed that it may use, in percent; -1: not known
+ * @pace_sent_ms: when that was last ordered; 0: never
+ * @pace_pending: such an order is in flight
  */
 struct run {
     uint64_t handle;
@@ -87,6 +92,10 @@
     bool stop_pending;
     int32_t percent;
     int64_t percent_at_ms;
+    int64_t figure;
+    int32_t paced;
+    int64_t pace_sent_ms;
+    bool pace_pending;
 };
 
 /** run_step() - the step that @run belongs to. */
@@ -135,6 +144,9 @@
  * @hold_in_flight: a list call is under way
  * @hold_sent_ms: when it was sent
  * @hold_due_ms: earliest time of the next
+ * @listed_ms: when its lists were last read
+ * @pace: pace of the filling tasks on it
+ * @pace_sample_ms: the lists that the pace has taken into account
  * @failures: runs that failed in a row, over different jobs
  * @suspect_until_ms: takes at most one run at a time until then
  * @empty_since_ms: when its last run ended
@@ -162,6 +174,9 @@
     bool hold_in_flight;
     int64_t hold_sent_ms;
     int64_t hold_due_ms;
+    int64_t listed_ms;
+    struct pace pace;
+    int64_t pace_sample_ms;
     uint32_t failures;
     int64_t suspect_until_ms;
     int64_t empty_since_ms;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -64,10 +64,23 @@
     uint32_t number;
 };
 
+/**
+ * struct pace_order - how much of its speed a run may use
+ * @percent: 0 to 100
+ */
+struct pace_order {
+    struct backend *backend;
+    uint64_t handle;
+    const char *task;
+    uint32_t number;
+    int32_t percent;
+};
+
 /**
  * struct sched_ops - how the scheduler's orders leave; all share @ctx
  * @start: start a task; answer through scheduler_on_start()
  * @stop: stop a run; answer through scheduler_on_stop()
+ * @pace: slow a run down or let it go; answer through scheduler_on_pace()
  * @list: read the lists of a backend server; @until_ms 0 renews nothing;
  *        answer through scheduler_on_list()
  * @store: there is something to store, see scheduler_store.h
@@ -81,6 +94,7 @@
 struct sched_ops {
     void (*start)(void *ctx, const struct start_order *order);
     void (*stop)(void *ctx, const struct stop_order *order);
+    void (*pace)(void *ctx, const struct pace_order *order);
     void (*list)(void *ctx, struct backend *backend, int64_t until_ms,
                  int64_t acked_end, int64_t wait_ms);
     void (*store)(void *ctx);
@@ -260,6 +274,9 @@
 void
 scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked);
 void
+scheduler_on_pace(struct scheduler *sched, uint64_t handle, int32_t percent,
+                  bool acked);
+void
 scheduler_on_list(struct scheduler *sched, const char *backend_id,
                   const struct backend_lists *lists);
 
--- a/include/platform/backend_calls.h
+++ b/include/platform/backend_calls.h
@@ -13,12 +13,14 @@
  * struct backend_events - where answers of all links go; share @ctx
  * @on_start: answer to a start; @clock_ms 0: not told
  * @on_stop: answer to a stop
+ * @on_pace: answer to a change of pace
  * @on_lists: lists, or why there are none
  */
 struct backend_events {
     void (*on_start)(void *ctx, uint64_t handle, enum start_answer answer,
                      int64_t clock_ms);
     void (*on_stop)(void *ctx, uint64_t handle, bool acked);
+    void (*on_pace)(void *ctx, uint64_t handle, int32_t percent, bool acked);
     void (*on_lists)(void *ctx, const char *backend_id,
                      const struct backend_lists *lists);
     void *ctx;
@@ -59,6 +61,10 @@
 backend_link_stop(struct backend_link *link, uint64_t handle, const char *task,
                   uint32_t number, int64_t token);
 
+void
+backend_link_pace(struct backend_link *link, const struct pace_order *order,
+                  int64_t token);
+
 /** backend_link_list() - read both lists; @until_ms 0 renews no lease. */
 void
 backend_link_list(struct backend_link *link, int64_t until_ms, int64_t token,
--- a/tests/jobs/advice_test.c
+++ b/tests/jobs/advice_test.c
@@ -76,8 +76,8 @@
     struct fleet_fixture f;
     start_advised(&f, BACKENDS);
     fixture_job(&f, JOB_A, "p", four_tasks);
-    GHashTable *asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                              NULL);
+    GHashTable *asked =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     uint32_t questions = 0;
     fixture_tick(&f, f.now_ms + 10);
     while (fixture_count(&f, ORDER_ADVISE, NULL) > questions) {
@@ -111,10 +111,8 @@
     fixture_tick(&f, f.now_ms + 10);
     answer(&f, "b01");
     CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, "b01"), 1);
-    struct listed_end end = {.number = 1,
-                             .task = JOB_A ".0.0.0",
-                             .run = 1,
-                             .reason = END_STOPPED};
+    struct listed_end end = {
+        .number = 1, .task = JOB_A ".0.0.0", .run = 1, .reason = END_STOPPED};
     f.now_ms += VALID_MS;
     fixture_lists(&f, "b01", NULL, 0, &end, 1);
     fixture_tick(&f, f.now_ms + 10);
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -75,6 +75,15 @@
     record(ctx, ORDER_REBOOT, host)->number = (uint32_t)wave;
 }
 
+static void
+op_pace(void *ctx, const struct pace_order *given)
+{
+    struct order *order = record(ctx, ORDER_PACE, given->backend->entry.id);
+    order->handle = given->handle;
+    order->number = (uint32_t)given->percent;
+    order->task = g_strdup(given->task);
+}
+
 static void
 op_advise(void *ctx, const char *step, const char *const *backend_ids)
 {
@@ -141,6 +150,7 @@
     struct sched_ops ops = {
         .start = op_start,
         .stop = op_stop,
+        .pace = op_pace,
         .list = op_list,
         .move = op_move,
         .reboot = op_reboot,
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -14,6 +14,7 @@
     ORDER_MOVE,
     ORDER_REBOOT,
     ORDER_ADVISE,
+    ORDER_PACE,
 };
 
 /**
@@ -22,6 +23,7 @@
  *          the backend servers, separated by spaces
  * @task: task, pool, or the step that advice is asked for
  * @ticket: ticket of a start, or NULL
+ * @number: number of the run, wave of a reboot, or percent of a pace
  */
 struct order {
     enum order_kind kind;
