Ask for hosts ahead of a rise of arrivals that is beyond chance

Lines about waiting tasks (a trial, taken out again) show none held by its account's maximum and no shortage of orders about hosts: the pool asks for too few. Its demand is a mean of two seconds, which lags by that much behind a rise, and hosts take work 1.5 s after they are asked for.

Ruled out: the rate of orders about hosts (42 to 54 left of 54), accounts' maxima, the roll of entry hosts, which begins later.

Changed: a second mean over 0.6 s; where it exceeds the first by more than chance explains (one over the root of the jobs in it), the rise is carried on to the time at which hosts take work.

--- a/core/jobs/pace.c
+++ b/core/jobs/pace.c
@@ -16,7 +16,8 @@
     /* A change takes some 100 ms, and a tail is that of the last 500 ms. */
     EFFECT_MS = 650,
     CALM_MS = 300,
-    /* Tails change within seconds, so what was too much is soon tried again. */
+    /* Tails change within seconds, so what was too much is soon tried again.
+     */
     CEILING_MS = 3000,
 };
 
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -12,6 +12,9 @@
 enum {
     /* Arrivals of the last two seconds count: a peak lasts some seconds. */
     ARRIVAL_TAU_MS = 2000,
+    RECENT_TAU_MS = 600,
+    /* A host that is asked for now takes work about this much later. */
+    LOOK_AHEAD_MS = 1500,
     /* Ready tasks are to be done in this time, or run all at once. */
     READY_HORIZON_MS = 500,
 };
@@ -22,10 +25,31 @@
 static const double ADVISED_SHARE_LEAST = 0.2;
 
 static double
-decayed(const struct pool_load *load, int64_t now_ms)
+decayed(const struct pool_load *load, double value, double tau_ms,
+        int64_t now_ms)
 {
-    double passed_ms = (double)(now_ms - load->arrival_at_ms);
-    return load->arrival_milli * exp(-passed_ms / ARRIVAL_TAU_MS);
+    return value * exp(-(double)(now_ms - load->arrival_at_ms) / tau_ms);
+}
+
+/*
+ * Cores that arriving work will ask for when a host that is asked for now
+ * takes work: the recent rate, and its rise carried on as far as it is beyond
+ * chance. Rates lag behind a steady rise by their time constants.
+ */
+static double
+expected_milli(const struct pool_load *load, int64_t now_ms)
+{
+    double slow = decayed(load, load->arrival_milli, ARRIVAL_TAU_MS, now_ms);
+    double recent = decayed(load, load->recent_milli, RECENT_TAU_MS, now_ms);
+    double jobs = decayed(load, load->recent_jobs, RECENT_TAU_MS, now_ms);
+    double chance = jobs > 0 ? recent / sqrt(jobs) : recent;
+    double rise = recent - slow - chance;
+    if (rise <= 0) {
+        return slow;
+    }
+    return slow + rise +
+           rise * (RECENT_TAU_MS + LOOK_AHEAD_MS) /
+               (ARRIVAL_TAU_MS - RECENT_TAU_MS);
 }
 
 void
@@ -36,8 +60,15 @@
     }
     struct pool_load *load = sched_pool_load(sched, job->pool);
     int64_t now_ms = sched_now(sched);
+    double core_ms = (double)job_core_ms(job);
     load->arrival_milli =
-        decayed(load, now_ms) + (double)job_core_ms(job) / ARRIVAL_TAU_MS;
+        decayed(load, load->arrival_milli, ARRIVAL_TAU_MS, now_ms) +
+        core_ms / ARRIVAL_TAU_MS;
+    load->recent_milli =
+        decayed(load, load->recent_milli, RECENT_TAU_MS, now_ms) +
+        core_ms / RECENT_TAU_MS;
+    load->recent_jobs =
+        decayed(load, load->recent_jobs, RECENT_TAU_MS, now_ms) + 1;
     load->arrival_at_ms = now_ms;
 }
 
@@ -145,7 +176,8 @@
 int64_t
 pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms)
 {
-    double cores = MAX(decayed(load, now_ms), (double)load->ready_milli);
+    double cores =
+        MAX(expected_milli(load, now_ms), (double)load->ready_milli);
     double by_cpu = hosts_for((double)load->lasting.cpu_milli + cores,
                               load->host.cpu_milli);
     double by_memory =
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -106,7 +106,9 @@
 /**
  * struct pool_load - demand on one pool and what it has
  * @arrival_milli: cores that newly arriving work asks for, decaying
- * @arrival_at_ms: when that was last brought up to date
+ * @recent_milli: the same over a shorter time
+ * @recent_jobs: jobs that arrived in that time, decaying
+ * @arrival_at_ms: when these were last brought up to date
  * @lasting: room of tasks that last, running or waiting
  * @ready: room of short tasks that run or could run now
  * @ready_milli: cores that would finish these in time
@@ -120,6 +122,8 @@
 struct pool_load {
     char *pool;
     double arrival_milli;
+    double recent_milli;
+    double recent_jobs;
     int64_t arrival_at_ms;
     struct job_room lasting;
     struct job_room ready;
--- a/tests/jobs/pace_test.c
+++ b/tests/jobs/pace_test.c
@@ -68,10 +68,9 @@
             series.added_ms = g_rand_double_range(chance, 0, 300);
         }
         double noise = g_rand_double_range(chance, 0.92, 1.08);
-        double tail_ms =
-            (series.alone_ms +
-             series.added_ms * level_at(levels, now_ms) / 100) *
-            noise;
+        double tail_ms = (series.alone_ms +
+                          series.added_ms * level_at(levels, now_ms) / 100) *
+                         noise;
         if (now_ms % SAMPLE_MS == 0) {
             level = pace_step(&pace, tail_ms / TARGET_MS, now_ms + 1000);
         }
@@ -88,8 +87,7 @@
         double room_ms = TARGET_MS - series.alone_ms;
         replay.mean_level += level;
         replay.mean_ideal +=
-            series.added_ms <= room_ms ? 100
-                                       : 100 * room_ms / series.added_ms;
+            series.added_ms <= room_ms ? 100 : 100 * room_ms / series.added_ms;
         samples++;
     }
     replay.mean_level /= samples;
@@ -105,10 +103,11 @@
 test_changing_tails(void)
 {
     for (uint32_t seed = 1; seed <= 50; seed++) {
-        struct replay replay = play_series(
-            (struct series){.alone_ms = 40, .added_ms = 100,
-                            .changes_ms = 3000 + 500 * (seed % 7)},
-            seed);
+        struct replay replay =
+            play_series((struct series){.alone_ms = 40,
+                                        .added_ms = 100,
+                                        .changes_ms = 3000 + 500 * (seed % 7)},
+                        seed);
         CU_ASSERT(replay.over_ms < OVER_MOST_MS);
         CU_ASSERT(replay.mean_level > 0.3 * replay.mean_ideal);
     }
