--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -21,6 +21,9 @@
 
 /* Part of a host that tasks of uneven sizes fill. */
 static const double FILL = 0.85;
+/* Part of the deviation by chance that a rise has to exceed: a host too many
+ * costs less than callers that wait. */
+static const double CHANCE = 0.5;
 /* A policy that allows fewer backend servers than this takes no more hosts. */
 static const double ADVISED_SHARE_LEAST = 0.2;
 
@@ -42,7 +45,7 @@
     double slow = decayed(load, load->arrival_milli, ARRIVAL_TAU_MS, now_ms);
     double recent = decayed(load, load->recent_milli, RECENT_TAU_MS, now_ms);
     double jobs = decayed(load, load->recent_jobs, RECENT_TAU_MS, now_ms);
-    double chance = jobs > 0 ? recent / sqrt(jobs) : recent;
+    double chance = jobs > 0 ? CHANCE * recent / sqrt(jobs) : recent;
     double rise = recent - slow - chance;
     if (rise <= 0) {
         return slow;
