--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -23,7 +23,7 @@
 static const double FILL = 0.85;
 /* Part of the deviation by chance that a rise has to exceed: a host too many
  * costs less than callers that wait. */
-static const double CHANCE = 0.5;
+static const double CHANCE = 0.65;
 /* A policy that allows fewer backend servers than this takes no more hosts. */
 static const double ADVISED_SHARE_LEAST = 0.2;
 
