Add the fault soak; bound the log as a whole

Missing: a soak with real processes and faults from outside that overlap, and a figure for the log under the worst load.

The soak plays three entry hosts, the emulator and a proxy before the store; its seed draws five to nine of twelve faults (kills, pauses, leaving, store down or silent, links refused, silent, one way, slow or reset, backend servers dark, hosts that crash). It checks one run at a time, none after an end that was noted, none that is not stored, every accepted job at its end, and that what was refused is nowhere.

The log takes 200 lines of a kind a second as before, and 400 of all kinds beyond the first 20 of each. A full pipe drops whole lines and counts them.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 BUILD ?= build
 HOLD ?= 0
 SCHEDULES ?= 10000
+SEEDS ?= 50
 
-.PHONY: all deps build test demo demo-jobs model bench format check-format lint clean
+.PHONY: all deps build test demo demo-jobs model soak bench format check-format lint clean
 
 all: build
 
@@ -28,6 +29,9 @@
 model: build
 	$(BUILD)/tests/jobs/jobs_model_test $(SCHEDULES)
 
+soak: build
+	sh scripts/soak.sh $(BUILD) $(SEEDS)
+
 bench: deps build
 	sh scripts/bench.sh $(BUILD)
 
--- a/common/event_log.c
+++ b/common/event_log.c
@@ -13,6 +13,10 @@
 enum {
     /* Keeps the cost of writing under a tenth of a quarter core. */
     LINES_PER_SECOND = 200,
+    /* Of all kinds together, beyond the first few of each kind: those tell
+     * what is rare. */
+    LINES_ALL_PER_SECOND = 400,
+    LINES_FIRST = 20,
     LINE_BYTES = 1000,
 };
 
@@ -23,12 +27,14 @@
 
 static char node_name[64];
 static GHashTable *budgets;
+static struct budget budget_all;
 static uint64_t dropped;
 
 void
 event_log_open(const char *node)
 {
     g_strlcpy(node_name, node, sizeof(node_name));
+    g_clear_pointer(&budgets, g_hash_table_unref);
     budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0) {
@@ -47,7 +53,15 @@
     if (budget->second != second) {
         *budget = (struct budget){.second = second};
     }
-    return budget->lines++ < LINES_PER_SECOND;
+    if (budget_all.second != second) {
+        budget_all = (struct budget){.second = second};
+    }
+    if (budget->lines >= LINES_PER_SECOND) {
+        return false;
+    }
+    budget->lines++;
+    return budget->lines <= LINES_FIRST ||
+           budget_all.lines++ < LINES_ALL_PER_SECOND;
 }
 
 static bool
--- a/include/common/event_log.h
+++ b/include/common/event_log.h
@@ -13,7 +13,8 @@
  * @event: kind of line; each kind has a budget of lines a second
  * @fields: printf format of further members, '"name":value' pairs, or ""
  *
- * What passes the budget or finds the pipe full is dropped and counted; a
+ * All kinds together have a budget as well, beyond the first lines of each.
+ * What passes a budget or finds the pipe full is dropped and counted; a
  * line "log_dropped" tells the count.
  */
 void
--- /dev/null
+++ b/soak/soak_plan.c
@@ -0,0 +1,117 @@
+#include "soak_plan.h"
+
+#include <stdbool.h>
+
+enum {
+    FAULTS_LEAST = 5,
+    FAULTS_MOST = 9,
+    FOR_LEAST_MS = 300,
+    FOR_MOST_MS = 5000,
+    /* Time before the first fault: jobs are under way by then. */
+    CALM_MS = 1000,
+};
+
+static bool
+hits_entry(enum soak_fault_kind kind)
+{
+    return kind != FAULT_STORE_DOWN && kind != FAULT_STORE_SILENT &&
+           kind != FAULT_BACKEND_DARK && kind != FAULT_HOST_CRASH;
+}
+
+static bool
+hits_process(enum soak_fault_kind kind)
+{
+    return kind == FAULT_KILL || kind == FAULT_PAUSE || kind == FAULT_LEAVE;
+}
+
+static bool
+hits_store(enum soak_fault_kind kind)
+{
+    return kind == FAULT_STORE_DOWN || kind == FAULT_STORE_SILENT;
+}
+
+/* Two faults that undo each other do not overlap; all others may. */
+static bool
+same_thing(const struct soak_fault *a, const struct soak_fault *b)
+{
+    if (hits_store(a->kind) && hits_store(b->kind)) {
+        return true;
+    }
+    if (a->target != b->target) {
+        return false;
+    }
+    if (hits_process(a->kind) && hits_process(b->kind)) {
+        return true;
+    }
+    bool links = hits_entry(a->kind) && !hits_process(a->kind) &&
+                 hits_entry(b->kind) && !hits_process(b->kind);
+    return links || a->kind == b->kind;
+}
+
+static bool
+fits(const GArray *plan, const struct soak_fault *fault)
+{
+    for (guint i = 0; i < plan->len; i++) {
+        const struct soak_fault *other =
+            &g_array_index(plan, struct soak_fault, i);
+        bool apart = fault->at_ms > other->at_ms + other->for_ms ||
+                     other->at_ms > fault->at_ms + fault->for_ms;
+        if (!apart && same_thing(fault, other)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+    const struct soak_fault *x = a;
+    const struct soak_fault *y = b;
+    return x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms;
+}
+
+GArray *
+soak_plan_create(uint32_t seed, int n_entries, int n_backends,
+                 int64_t length_ms)
+{
+    GRand *chance = g_rand_new_with_seed(seed);
+    GArray *plan = g_array_new(FALSE, FALSE, sizeof(struct soak_fault));
+    int n_faults = g_rand_int_range(chance, FAULTS_LEAST, FAULTS_MOST + 1);
+    for (int i = 0; i < n_faults; i++) {
+        struct soak_fault fault = {
+            .kind =
+                (enum soak_fault_kind)g_rand_int_range(chance, 0, FAULT_KINDS),
+            .at_ms = g_rand_int_range(chance, CALM_MS, (gint32)length_ms),
+            .for_ms = g_rand_int_range(chance, FOR_LEAST_MS, FOR_MOST_MS),
+        };
+        fault.target = g_rand_int_range(
+            chance, 0, hits_entry(fault.kind) ? n_entries : n_backends);
+        if (fits(plan, &fault)) {
+            g_array_append_val(plan, fault);
+        }
+    }
+    g_rand_free(chance);
+    g_array_sort(plan, compare_times);
+    return plan;
+}
+
+const char *
+soak_fault_name(enum soak_fault_kind kind)
+{
+    static const char *const names[] = {
+        [FAULT_KILL] = "kill",
+        [FAULT_PAUSE] = "pause",
+        [FAULT_LEAVE] = "leave",
+        [FAULT_STORE_DOWN] = "store down",
+        [FAULT_STORE_SILENT] = "store silent",
+        [FAULT_LINK_REFUSED] = "link refused",
+        [FAULT_LINK_SILENT] = "link silent",
+        [FAULT_LINK_ONE_WAY] = "link one way",
+        [FAULT_LINK_SLOW] = "link slow",
+        [FAULT_LINK_RESET] = "link reset",
+        [FAULT_BACKEND_DARK] = "backend dark",
+        [FAULT_HOST_CRASH] = "host crash",
+    };
+    return names[kind];
+}
--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -40,6 +40,8 @@
  * struct emulator - the platform
  * @store_down: the store answers nothing but 503
  * @store_silent: the store does not answer
+ * @broken: promise that the emulator breaks itself, so that its check is seen
+ *          to fail; NULL: none
  * @done_noted: tasks whose end as done was acknowledged
  * @checks: starts that were checked
  * @tickets_missing: starts refused for want of a ticket
@@ -58,6 +60,7 @@
     bool store_down;
     bool store_silent;
     GPtrArray *silenced;
+    char *broken;
     GHashTable *done_noted;
     uint64_t checks;
     uint64_t tickets_missing;
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -94,6 +94,30 @@
     fprintf(stderr, "violation: %s: %s\n", what, task);
 }
 
+static bool
+breaks(const struct emulator *emulator, const char *promise)
+{
+    return g_strcmp0(emulator->broken, promise) == 0;
+}
+
+/* Makes up what a broken promise would look like to the checks. */
+static void
+break_promise(struct emulated_host *host, const char *task)
+{
+    struct emulator *emulator = host->emulator;
+    if (breaks(emulator, "one-run")) {
+        struct emulated_host *other =
+            &emulator->hosts[(host->index + 1) % emulator->n_hosts];
+        struct model_task_run *run = g_new0(struct model_task_run, 1);
+        run->task = g_strdup(task);
+        run->ends_ms = emulator_now_ms();
+        g_ptr_array_add(other->backend.runs, run);
+    }
+    if (breaks(emulator, "once-done")) {
+        g_hash_table_add(emulator->done_noted, g_strdup(task));
+    }
+}
+
 static void
 check_start(struct emulated_host *host, const char *task)
 {
@@ -113,7 +137,8 @@
         violation(emulator, "a start after its end was acknowledged", task);
     }
     char *key = g_strdup_printf("eg/job/%.16s", task);
-    if (kv_model_get(&emulator->kv, key) == NULL) {
+    if (kv_model_get(&emulator->kv, key) == NULL ||
+        breaks(emulator, "stored")) {
         violation(emulator, "a start without a stored job", task);
     }
     g_free(key);
@@ -198,6 +223,7 @@
         run_time_ms(json_text_get(body, "spec")),
         strstr(json_text_get(body, "spec"), "fail") != NULL, now_ms, &began);
     if (began) {
+        break_promise(host, task);
         check_start(host, task);
     }
     char text[96];
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -86,7 +86,7 @@
 }
 
 /* POST /put/KEY writes a key; POST /store/up|down|silent; POST /crash/N;
- * POST /dark/N; GET /figures. */
+ * POST /dark/N; POST /break/PROMISE; GET /figures. */
 static void
 on_admin(void *ctx, struct http_exchange *exchange)
 {
@@ -109,6 +109,10 @@
             release_silenced(emulator);
         }
     }
+    else if (g_str_has_prefix(path, "/break/")) {
+        g_free(emulator->broken);
+        emulator->broken = g_strdup(path + strlen("/break/"));
+    }
     else if (sscanf(path, "/crash/%d", &index) == 1 && index >= 0 &&
              index < emulator->n_hosts) {
         emulator_host_crash(&emulator->hosts[index]);
--- a/standins/jobs/job_caller.c
+++ b/standins/jobs/job_caller.c
@@ -22,9 +22,14 @@
     uint32_t next_front;
     uint32_t run_id;
     uint32_t answered;
+    GPtrArray *refused;
 };
 
-/** struct followed - a job on its way; @cancel_ms 0: not to be cancelled */
+/**
+ * struct followed - a job on its way
+ * @cancel_ms: when it is cancelled after its submission; 0: never
+ * @uncertain: a try got no answer, or one that leaves open whether it runs
+ */
 struct followed {
     struct job_caller *caller;
     struct caller_queue *queue;
@@ -35,6 +40,7 @@
     int64_t cancel_ms;
     uint32_t tries;
     bool accepted;
+    bool uncertain;
 };
 
 static int64_t
@@ -67,6 +73,7 @@
     caller->clients = g_ptr_array_new_with_free_func(client_free);
     caller->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
                                          followed_free, NULL);
+    caller->refused = g_ptr_array_new_with_free_func(g_free);
     caller->run_id = (uint32_t)g_get_real_time();
     for (; *fronts != NULL; fronts++) {
         g_ptr_array_add(caller->clients,
@@ -83,6 +90,7 @@
     }
     g_hash_table_unref(caller->jobs);
     g_ptr_array_unref(caller->clients);
+    g_ptr_array_unref(caller->refused);
     g_free(caller);
 }
 
@@ -189,8 +197,14 @@
         set_timer(job, POLL_MS);
         return;
     }
+    job->uncertain =
+        job->uncertain ||
+        (reply->status != 503 && reply->status != 429 && !reply->never_sent);
     if (reply->status == 400 || ++job->tries >= TRIES_MAX) {
         job->queue->refused++;
+        if (!job->uncertain) {
+            g_ptr_array_add(job->caller->refused, g_strdup(job->path));
+        }
         finish(job);
         return;
     }
@@ -253,6 +267,12 @@
     return caller->answered;
 }
 
+const GPtrArray *
+job_caller_refused(const struct job_caller *caller)
+{
+    return caller->refused;
+}
+
 void
 caller_queue_init(struct caller_queue *queue)
 {
--- a/standins/jobs/job_caller.h
+++ b/standins/jobs/job_caller.h
@@ -59,6 +59,11 @@
 uint32_t
 job_caller_answered(const struct job_caller *caller);
 
+/** job_caller_refused() - paths of submissions of which every try was told
+ * that it will never run. */
+const GPtrArray *
+job_caller_refused(const struct job_caller *caller);
+
 /** caller_queue_init() - set up the figures of a queue. */
 void
 caller_queue_init(struct caller_queue *queue);
--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -15,6 +15,9 @@
     STEP_US = 2000,
     JOB_EVERY_MS = 150,
     END_MS = 20000,
+    /* Ports after the first: the proxy's own and its routes. */
+    PORT_PROXY = 70,
+    PORT_ROUTES = 71,
 };
 
 const char job_body[] =
@@ -61,10 +64,18 @@
     return fixture.first_port + 30 + 10 * entry;
 }
 
+static int
+proxy_port(int entry)
+{
+    return fixture.first_port + PORT_ROUTES + entry;
+}
+
 void
 start_entry(int entry)
 {
     int port = entry_port(entry);
+    int store_port =
+        fixture.proxy > 0 ? proxy_port(entry) : fixture.first_port;
     char *settings = g_strdup_printf(
         "{\"node_name\":\"entry-%d\",\"zone\":\"dc-a\",\"ip\":\"127.0.0.1\","
         "\"internal_ports\":[%d,%d],\"listen\":{\"front\":\"127.0.0.1:%d\","
@@ -74,7 +85,7 @@
         "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
         "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
         "\"config_ms\":2000,\"lease_ms\":3000}}",
-        entry, port + 2, port + 5, port, port + 1, fixture.first_port,
+        entry, port + 2, port + 5, port, port + 1, store_port,
         fixture.first_port + 1, fixture.first_port + 1);
     char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
     char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
@@ -108,7 +119,43 @@
 }
 
 static void
-set_up(int first_port)
+add_route(int entry)
+{
+    char *route = g_strdup_printf(
+        "{\"name\":\"store-%d\",\"target\":\"127.0.0.1:%d\",\"listen\":%d}",
+        entry, fixture.first_port, proxy_port(entry));
+    int tries = READY_TRIES;
+    while (http_ask(fixture.base, fixture.proxy_admin, "POST",
+                    "/standin/routes", NULL, route, NULL) != 200 &&
+           --tries > 0) {
+        g_usleep(50000);
+    }
+    CU_ASSERT(tries > 0);
+    g_free(route);
+}
+
+static void
+start_proxy(void)
+{
+    char *program =
+        g_build_filename(build_root, "standins", "standin-proxy", NULL);
+    char *port =
+        g_strdup_printf("--admin-port=%d", fixture.first_port + PORT_PROXY);
+    char *log = g_strdup_printf("%s/proxy.log", fixture.directory);
+    char *const argv[] = {program, port, NULL};
+    fixture.proxy_admin =
+        g_strdup_printf("127.0.0.1:%d", fixture.first_port + PORT_PROXY);
+    fixture.proxy = spawn(log, argv);
+    for (int i = 0; i < ENTRIES; i++) {
+        add_route(i);
+    }
+    g_free(program);
+    g_free(port);
+    g_free(log);
+}
+
+void
+fixture_set_up(int first_port, bool proxied)
 {
     fixture = (struct fixture){.first_port = first_port};
     fixture.base = event_base_new();
@@ -126,6 +173,9 @@
     g_free(config);
     g_free(log);
     fixture.admin = g_strdup_printf("127.0.0.1:%d", first_port + 2);
+    if (proxied) {
+        start_proxy();
+    }
     for (int i = 0; i < ENTRIES; i++) {
         fixture.fronts[i] = g_strdup_printf("127.0.0.1:%d", entry_port(i));
         start_entry(i);
@@ -165,18 +215,20 @@
     return value;
 }
 
-static void
-tear_down(void)
+void
+fixture_tear_down(void)
 {
     job_caller_destroy(fixture.caller);
     for (int i = 0; i < ENTRIES; i++) {
         end_process(&fixture.entries[i], SIGTERM);
         g_free(fixture.fronts[i]);
     }
+    end_process(&fixture.proxy, SIGTERM);
     end_process(&fixture.emulator, SIGTERM);
     caller_queue_clear(&fixture.quick);
     caller_queue_clear(&fixture.lasting);
     g_free(fixture.admin);
+    g_free(fixture.proxy_admin);
     g_free(fixture.directory);
     event_base_free(fixture.base);
 }
@@ -254,14 +306,14 @@
 }
 
 static int first_port;
-static void (*chosen)(void);
+static const struct scenario *chosen;
 
 static void
 run_chosen(void)
 {
-    set_up(first_port);
-    chosen();
-    tear_down();
+    fixture_set_up(first_port, chosen->proxied);
+    chosen->run();
+    fixture_tear_down();
 }
 
 int
@@ -277,7 +329,7 @@
     for (size_t i = 0; i < n_scenarios; i++) {
         if (strcmp(scenarios[i].name, argv[3]) == 0) {
             first_port = atoi(argv[2]);
-            chosen = scenarios[i].run;
+            chosen = &scenarios[i];
             const struct suite_test test = {argv[3], run_chosen};
             return suite_main("jobs processes", &test, 1);
         }
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -25,6 +25,8 @@
  * struct fixture - the emulator, the entry hosts and a caller
  * @fronts: addresses of the entry hosts for callers, NULL-terminated
  * @admin: address at which the emulator takes faults
+ * @proxy: process between each entry host and the store; 0: there is none
+ * @proxy_admin: address at which it takes faults on its routes store-0, ...
  */
 struct fixture {
     struct event_base *base;
@@ -34,6 +36,8 @@
     pid_t entries[ENTRIES];
     char *fronts[ENTRIES + 1];
     char *admin;
+    pid_t proxy;
+    char *proxy_admin;
     struct job_caller *caller;
     struct caller_queue quick;
     struct caller_queue lasting;
@@ -42,10 +46,14 @@
 extern struct fixture fixture;
 extern const char *build_root;
 
-/** struct scenario - a test by the name that the command line gives */
+/**
+ * struct scenario - a test by the name that the command line gives
+ * @proxied: with a proxy before the store
+ */
 struct scenario {
     const char *name;
     void (*run)(void);
+    bool proxied;
 };
 
 /** scenario_main() - run the one of @n_scenarios that is named. */
@@ -53,6 +61,12 @@
 scenario_main(int argc, char **argv, const struct scenario *scenarios,
               size_t n_scenarios);
 
+/** fixture_set_up() - start all on ports from @first_port on. */
+void
+fixture_set_up(int first_port, bool proxied);
+void
+fixture_tear_down(void);
+
 /** end_process() - signal a process and wait for its end. */
 void
 end_process(pid_t *pid, int signal_number);
