Store side by side while the store is slow

The logs show no change of holder and no refusal, but 11 to 38 jobs accepted a second of about 100 that arrive: each transaction holds ten jobs and the next waits for its answer, which a slow store gives after a quarter of a second. Progress, and with it `completed`, waits in a line of the same kind.

Ruled out: processor (0.09 of a core), the rate of orders about hosts, pool size (hosts come as the accepted jobs ask for them).

Changed: four transactions at once for submissions and for progress, a further one only when those under way are late by 30 ms, so that calls stay few while the store is fast; fifteen submissions in one with the duty. Registrations keep their order in the first lane. Eight connections to the holder where two were.

--- a/core/jobs/scheduler_store.c
+++ b/core/jobs/scheduler_store.c
@@ -31,8 +31,8 @@
     }
 }
 
-struct store_batch *
-scheduler_take_batch(struct scheduler *sched, uint32_t most)
+static struct store_batch *
+batch_create(void)
 {
     struct store_batch *batch = g_new0(struct store_batch, 1);
     batch->jobs = g_ptr_array_new();
@@ -40,15 +40,38 @@
     batch->register_ids = g_ptr_array_new_with_free_func(g_free);
     batch->release_ids = g_ptr_array_new_with_free_func(g_free);
     batch->expire_ids = g_ptr_array_new_with_free_func(g_free);
+    return batch;
+}
 
-    move_strings(sched->to_register, batch->register_ids, most);
-    uint32_t left = most - batch->register_ids->len;
-    while (sched->dirty->len > 0 && batch->jobs->len < left) {
+static void
+take_dirty(struct scheduler *sched, struct store_batch *batch, uint32_t most)
+{
+    while (sched->dirty->len > 0 && batch->jobs->len < most) {
         struct job *job = g_ptr_array_steal_index(sched->dirty, 0);
         job->storing = true;
         g_ptr_array_add(batch->jobs, job);
         g_array_append_val(batch->versions, job->version);
     }
+}
+
+struct store_batch *
+scheduler_take_progress(struct scheduler *sched, uint32_t most)
+{
+    if (sched->dirty->len == 0) {
+        return NULL;
+    }
+    struct store_batch *batch = batch_create();
+    take_dirty(sched, batch, most);
+    return batch;
+}
+
+struct store_batch *
+scheduler_take_batch(struct scheduler *sched, uint32_t most)
+{
+    struct store_batch *batch = batch_create();
+    move_strings(sched->to_register, batch->register_ids, most);
+    uint32_t left = most - batch->register_ids->len;
+    take_dirty(sched, batch, left);
     left -= batch->jobs->len;
     move_strings(sched->to_release, batch->release_ids, left);
     left -= batch->release_ids->len;
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -12,8 +12,14 @@
 
 enum {
     CALL_TIMEOUT_MS = 1000,
-    /* Two rows per job, a note and the duty: within one transaction. */
+    /* A condition and two writes per job within one transaction; with the
+     * duty a condition and one write, and the duty's own. */
     BATCH_JOBS = 10,
+    BATCH_JOBS_WITH_DUTY = 15,
+    /* Transactions at once. One answer takes some milliseconds, and what comes
+     * meanwhile goes together; a slow store takes 50 times as long. */
+    LANES = 4,
+    NEXT_LANE_AFTER_MS = 30,
     RETRY_MS = 40,
     RETRY_MAX_MS = 640,
     /* A write that was refused is tried this long before the caller is. */
@@ -48,14 +54,26 @@
     GArray *replies;
 };
 
+/**
+ * struct lane - one transaction under way
+ * @batch: struct entry in it, or NULL
+ * @with_duty: it holds only while this process has the duty
+ * @sent_ms: when it was sent
+ */
+struct lane {
+    struct acceptor *acceptor;
+    struct committer *committer;
+    GPtrArray *batch;
+    bool with_duty;
+    int64_t sent_ms;
+};
+
 struct acceptor {
     struct node *node;
-    struct committer *committer;
+    struct lane lanes[LANES];
     struct event *timer;
     GQueue waiting;
-    GPtrArray *batch;
     GHashTable *by_id;
-    bool with_duty;
     int64_t retry_ms;
     uint32_t failed_commits;
 };
@@ -99,7 +117,7 @@
 }
 
 static void
-send_batch(struct acceptor *acceptor);
+send_batches(struct acceptor *acceptor);
 
 static void
 requeue(struct acceptor *acceptor, struct entry *entry, bool refused)
@@ -169,15 +187,16 @@
 static void
 on_commit(void *ctx, const struct kv_result *result)
 {
-    struct acceptor *acceptor = ctx;
-    GPtrArray *batch = acceptor->batch;
-    acceptor->batch = NULL;
+    struct lane *lane = ctx;
+    struct acceptor *acceptor = lane->acceptor;
+    GPtrArray *batch = lane->batch;
+    lane->batch = NULL;
     bool progress = result->outcome == KV_OK;
     for (guint i = 0; i < batch->len; i++) {
         struct entry *entry = g_ptr_array_index(batch, i);
         bool found = found_in(result, entry->key);
         if (result->outcome == KV_OK || found_in(result, entry->inbox_key) ||
-            (found && acceptor->with_duty)) {
+            (found && lane->with_duty)) {
             progress = true;
             entry_stored(acceptor, entry);
             continue;
@@ -192,7 +211,7 @@
         requeue(acceptor, entry, result->outcome == KV_REFUSED);
     }
     g_ptr_array_unref(batch);
-    if (acceptor->with_duty && result->outcome == KV_CONFLICT &&
+    if (lane->with_duty && result->outcome == KV_CONFLICT &&
         duty_moved(acceptor, result)) {
         duty_lose(acceptor->node->duty, "another holder was found");
     }
@@ -205,7 +224,7 @@
     }
     if (progress) {
         acceptor->retry_ms = RETRY_MS;
-        send_batch(acceptor);
+        send_batches(acceptor);
         return;
     }
     event_log("accept_retry",
@@ -220,41 +239,72 @@
 }
 
 static void
-send_batch(struct acceptor *acceptor)
+send_batch(struct lane *lane)
 {
-    if (acceptor->batch != NULL || g_queue_is_empty(&acceptor->waiting)) {
-        return;
-    }
-    struct kv_condition conditions[BATCH_JOBS + 1];
-    struct kv_put puts[2 * BATCH_JOBS];
+    struct acceptor *acceptor = lane->acceptor;
+    struct kv_condition conditions[BATCH_JOBS_WITH_DUTY + 1];
+    struct kv_put puts[2 * BATCH_JOBS_WITH_DUTY];
     struct kv_txn txn = {.conditions = conditions, .puts = puts};
-    acceptor->batch = g_ptr_array_new();
-    acceptor->with_duty = duty_held(acceptor->node->duty);
-    if (acceptor->with_duty) {
+    lane->batch = g_ptr_array_new();
+    lane->with_duty = duty_held(acceptor->node->duty);
+    lane->sent_ms = node_now(acceptor->node);
+    guint most = lane->with_duty ? BATCH_JOBS_WITH_DUTY : BATCH_JOBS;
+    if (lane->with_duty) {
         conditions[txn.n_conditions++] = (struct kv_condition){
             .key = RECORD_DUTY_KEY,
             .revision = duty_token(acceptor->node->duty),
         };
     }
-    while (acceptor->batch->len < BATCH_JOBS &&
-           !g_queue_is_empty(&acceptor->waiting)) {
+    while (lane->batch->len < most && !g_queue_is_empty(&acceptor->waiting)) {
         struct entry *entry = g_queue_pop_head(&acceptor->waiting);
-        g_ptr_array_add(acceptor->batch, entry);
+        g_ptr_array_add(lane->batch, entry);
         /* A stored job needs nothing but the note for the scheduler. */
-        bool note_only = entry->exists && !acceptor->with_duty;
+        bool note_only = entry->exists && !lane->with_duty;
         conditions[txn.n_conditions++] = (struct kv_condition){
             .key = note_only ? entry->inbox_key : entry->key};
         if (!note_only) {
             puts[txn.n_puts++] =
                 (struct kv_put){.key = entry->key, .value = entry->value};
         }
-        if (!acceptor->with_duty) {
+        if (!lane->with_duty) {
             puts[txn.n_puts++] =
                 (struct kv_put){.key = entry->inbox_key, .value = INBOX_JOB};
         }
     }
-    committer_commit(acceptor->committer, &txn,
-                     (struct kv_done){.call = on_commit, .ctx = acceptor});
+    committer_commit(lane->committer, &txn,
+                     (struct kv_done){.call = on_commit, .ctx = lane});
+}
+
+/* The lane for the next transaction, or NULL if what waits goes with a later
+ * one: another lane is taken only when the others are late. */
+static struct lane *
+next_lane(struct acceptor *acceptor)
+{
+    struct lane *idle = NULL;
+    int64_t latest_ms = 0;
+    for (size_t i = 0; i < LANES; i++) {
+        struct lane *lane = &acceptor->lanes[i];
+        if (lane->batch == NULL) {
+            idle = idle == NULL ? lane : idle;
+        }
+        else {
+            latest_ms = MAX(latest_ms, lane->sent_ms);
+        }
+    }
+    return node_now(acceptor->node) - latest_ms >= NEXT_LANE_AFTER_MS ? idle
+                                                                      : NULL;
+}
+
+static void
+send_batches(struct acceptor *acceptor)
+{
+    if (g_queue_is_empty(&acceptor->waiting)) {
+        return;
+    }
+    struct lane *lane = next_lane(acceptor);
+    if (lane != NULL) {
+        send_batch(lane);
+    }
 }
 
 static void
@@ -262,7 +312,7 @@
 {
     (void)fd;
     (void)events;
-    send_batch(ctx);
+    send_batches(ctx);
 }
 
 struct acceptor *
@@ -270,9 +320,14 @@
 {
     struct acceptor *acceptor = g_new0(struct acceptor, 1);
     acceptor->node = node;
-    acceptor->committer =
-        committer_create(node->base, node->boot->store, CALL_TIMEOUT_MS,
-                         store_path_any(node->path));
+    for (size_t i = 0; i < LANES; i++) {
+        acceptor->lanes[i] = (struct lane){
+            .acceptor = acceptor,
+            .committer =
+                committer_create(node->base, node->boot->store,
+                                 CALL_TIMEOUT_MS, store_path_any(node->path)),
+        };
+    }
     acceptor->timer = evtimer_new(node->base, on_timer, acceptor);
     acceptor->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     g_queue_init(&acceptor->waiting);
@@ -287,7 +342,9 @@
         return;
     }
     event_free(acceptor->timer);
-    committer_destroy(acceptor->committer);
+    for (size_t i = 0; i < LANES; i++) {
+        committer_destroy(acceptor->lanes[i].committer);
+    }
     g_hash_table_unref(acceptor->by_id);
     g_free(acceptor);
 }
@@ -298,16 +355,23 @@
     entry_answer(entry, entry->uncertain || entry->exists ? 504 : 503);
 }
 
-void
-acceptor_answer_all(struct acceptor *acceptor)
+static void
+answer_lane(struct lane *lane)
 {
-    for (guint i = 0; acceptor->batch != NULL && i < acceptor->batch->len;
-         i++) {
-        struct entry *entry = g_ptr_array_index(acceptor->batch, i);
+    for (guint i = 0; lane->batch != NULL && i < lane->batch->len; i++) {
+        struct entry *entry = g_ptr_array_index(lane->batch, i);
         /* Its write is on its way. */
         entry->uncertain = true;
         answer_open(entry);
     }
+}
+
+void
+acceptor_answer_all(struct acceptor *acceptor)
+{
+    for (size_t i = 0; i < LANES; i++) {
+        answer_lane(&acceptor->lanes[i]);
+    }
     for (GList *link = acceptor->waiting.head; link != NULL;
          link = link->next) {
         answer_open(link->data);
@@ -319,8 +383,11 @@
 static bool
 stalled(const struct acceptor *acceptor)
 {
-    return acceptor->failed_commits >= STALLED_COMMITS &&
-           (acceptor->batch != NULL || evtimer_pending(acceptor->timer, NULL));
+    bool asking = evtimer_pending(acceptor->timer, NULL);
+    for (size_t i = 0; i < LANES; i++) {
+        asking = asking || acceptor->lanes[i].batch != NULL;
+    }
+    return asking && acceptor->failed_commits >= STALLED_COMMITS;
 }
 
 void
@@ -361,5 +428,5 @@
     g_array_append_val(entry->replies, reply);
     g_hash_table_insert(acceptor->by_id, entry->id, entry);
     g_queue_push_tail(&acceptor->waiting, entry);
-    send_batch(acceptor);
+    send_batches(acceptor);
 }
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -144,8 +144,13 @@
                               store_path_any(node->path));
     leader->writes = kv_create(node->base, store, WRITE_TIMEOUT_MS,
                                store_path_any(node->path));
-    leader->progress_writes = committer_create(
-        node->base, store, WRITE_TIMEOUT_MS, store_path_any(node->path));
+    for (size_t i = 0; i < PROGRESS_LANES; i++) {
+        leader->lanes[i] = (struct progress_lane){
+            .leader = leader,
+            .committer = committer_create(node->base, store, WRITE_TIMEOUT_MS,
+                                          store_path_any(node->path)),
+        };
+    }
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
                   store_path_any(node->path));
@@ -216,7 +221,6 @@
     answer_open_cancels(leader);
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
-    committer_destroy(leader->progress_writes);
     kv_destroy(leader->backend_watch);
     kv_destroy(leader->inbox);
     leader_load_clear(leader);
@@ -229,8 +233,12 @@
     g_hash_table_unref(leader->listed_now);
     g_hash_table_unref(leader->wave_status);
     g_free(leader->wave_status_sent);
-    if (leader->batch != NULL) {
-        scheduler_batch_stored(leader->sched, leader->batch, false, 0);
+    for (size_t i = 0; i < PROGRESS_LANES; i++) {
+        committer_destroy(leader->lanes[i].committer);
+        if (leader->lanes[i].batch != NULL) {
+            scheduler_batch_stored(leader->sched, leader->lanes[i].batch,
+                                   false, 0);
+        }
     }
     scheduler_destroy(leader->sched);
     g_free(leader);
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -42,6 +42,23 @@
     struct job_reply reply;
 };
 
+enum {
+    /* Transactions at once; a slow store takes 50 times as long as usual. */
+    PROGRESS_LANES = 4,
+};
+
+/**
+ * struct progress_lane - one transaction of what the scheduler decided
+ * @batch: what is in it, or NULL
+ * @sent_ms: when it was sent
+ */
+struct progress_lane {
+    struct leader *leader;
+    struct committer *committer;
+    struct store_batch *batch;
+    int64_t sent_ms;
+};
+
 struct leader {
     struct node *node;
     struct scheduler *sched;
@@ -49,7 +66,7 @@
     enum leader_stage stage;
     struct kv *reads;
     struct kv *writes;
-    struct committer *progress_writes;
+    struct progress_lane lanes[PROGRESS_LANES];
     struct kv *backend_watch;
     struct kv *inbox;
     struct hosts_api *hosts;
@@ -68,7 +85,6 @@
     int64_t backends_as_of;
     bool inbox_fetching;
     struct leader_range ranges[STAGE_READY];
-    struct store_batch *batch;
     GPtrArray *cancels;
     GHashTable *wave_status;
     char *wave_status_sent;
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -12,6 +12,9 @@
 enum {
     /* A condition and a write per job, and the duty, in one transaction. */
     BATCH_CHANGES = 15,
+    /* What comes while one transaction is on its way goes together with the
+     * next, unless the store is slow. */
+    NEXT_LANE_AFTER_MS = 30,
     FLUSH_RETRY_MS = 60,
     STATUS_RETRY_MS = 500,
 };
@@ -139,7 +142,8 @@
 /* A conflict comes from a new holder, or from an earlier write of our own
  * that got no answer; then its revision is taken over. */
 static bool
-learn_conflict(struct leader *leader, const struct kv_result *result)
+learn_conflict(struct leader *leader, const struct store_batch *batch,
+               const struct kv_result *result)
 {
     for (guint i = 0; i < result->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(result->items, i);
@@ -148,8 +152,8 @@
             return false;
         }
     }
-    for (guint i = 0; i < leader->batch->jobs->len; i++) {
-        struct job *job = g_ptr_array_index(leader->batch->jobs, i);
+    for (guint i = 0; i < batch->jobs->len; i++) {
+        struct job *job = g_ptr_array_index(batch->jobs, i);
         job->revision = 0;
         for (guint k = 0; k < result->items->len; k++) {
             const struct kv_item *item = g_ptr_array_index(result->items, k);
@@ -164,13 +168,15 @@
 static void
 on_flushed(void *ctx, const struct kv_result *result)
 {
-    struct leader *leader = ctx;
-    struct store_batch *batch = leader->batch;
-    if (result->outcome == KV_CONFLICT && !learn_conflict(leader, result)) {
+    struct progress_lane *lane = ctx;
+    struct leader *leader = lane->leader;
+    struct store_batch *batch = lane->batch;
+    if (result->outcome == KV_CONFLICT &&
+        !learn_conflict(leader, batch, result)) {
         duty_lose(leader->node->duty, "another holder was found");
         return;
     }
-    leader->batch = NULL;
+    lane->batch = NULL;
     bool stored = result->outcome == KV_OK;
     scheduler_batch_stored(leader->sched, batch, stored, result->revision);
     answer_cancels(leader);
@@ -184,24 +190,51 @@
     timer_set(leader->flush_timer, FLUSH_RETRY_MS);
 }
 
+static void
+send_lane(struct progress_lane *lane)
+{
+    struct leader *leader = lane->leader;
+    struct txn_text text = txn_text_create();
+    add_condition(&text, RECORD_DUTY_KEY, leader->token);
+    add_jobs(&text, lane->batch);
+    add_registrations(leader, &text, lane->batch);
+    struct kv_txn txn = txn_of(&text);
+    lane->sent_ms = node_now(leader->node);
+    committer_commit(lane->committer, &txn,
+                     (struct kv_done){.call = on_flushed, .ctx = lane});
+    txn_text_clear(&text);
+}
+
+/* Registrations and deletions keep their order in the first lane; the others
+ * carry progress alone, and only when those before them are late. */
 void
 leader_flush(struct leader *leader)
 {
-    if (leader->batch != NULL || evtimer_pending(leader->flush_timer, NULL)) {
+    if (evtimer_pending(leader->flush_timer, NULL)) {
         return;
     }
-    leader->batch = scheduler_take_batch(leader->sched, BATCH_CHANGES);
-    if (leader->batch == NULL) {
+    int64_t latest_ms = 0;
+    struct progress_lane *idle = NULL;
+    for (size_t i = 0; i < PROGRESS_LANES; i++) {
+        struct progress_lane *lane = &leader->lanes[i];
+        if (lane->batch != NULL) {
+            latest_ms = MAX(latest_ms, lane->sent_ms);
+        }
+        else if (idle == NULL) {
+            idle = lane;
+        }
+    }
+    bool first = idle == &leader->lanes[0];
+    if (idle == NULL ||
+        (!first && node_now(leader->node) - latest_ms < NEXT_LANE_AFTER_MS)) {
         return;
     }
-    struct txn_text text = txn_text_create();
-    add_condition(&text, RECORD_DUTY_KEY, leader->token);
-    add_jobs(&text, leader->batch);
-    add_registrations(leader, &text, leader->batch);
-    struct kv_txn txn = txn_of(&text);
-    committer_commit(leader->progress_writes, &txn,
-                     (struct kv_done){.call = on_flushed, .ctx = leader});
-    txn_text_clear(&text);
+    idle->batch = first
+                      ? scheduler_take_batch(leader->sched, BATCH_CHANGES)
+                      : scheduler_take_progress(leader->sched, BATCH_CHANGES);
+    if (idle->batch != NULL) {
+        send_lane(idle);
+    }
 }
 
 static void
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -11,7 +11,9 @@
 enum {
     /* A job is stored in milliseconds; after this the store is asked. */
     CALL_TIMEOUT_MS = 700,
-    CONNECTIONS = 2,
+    /* Opened as they are needed: a submission waits at the holder for its
+     * write, which a slow store answers in a quarter of a second. */
+    CONNECTIONS = 8,
     /* Longer than the longest wait that is relayed. */
     RELAY_TIMEOUT_MS = 2500,
     RELAY_NO_ANSWER = 504,
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -350,6 +350,11 @@
 struct store_batch *
 scheduler_take_batch(struct scheduler *sched, uint32_t most);
 
+/** scheduler_take_progress() - the same with nothing but progress of jobs:
+ * it depends on no other batch, so several may be under way. */
+struct store_batch *
+scheduler_take_progress(struct scheduler *sched, uint32_t most);
+
 /** scheduler_batch_stored() - a batch was stored at @revision or, with
  * @stored false, was not; frees it. */
 void
--- a/tests/jobs/store_process_test.c
+++ b/tests/jobs/store_process_test.c
@@ -9,6 +9,9 @@
 enum {
     /* Two thirds of a usual caller's deadline. */
     ANSWER_MS = 2000,
+    BURST_JOBS = 120,
+    BURST_MS = 1500,
+    BURST_END_MS = 6000,
 };
 
 static void
@@ -131,12 +134,46 @@
     CU_ASSERT_EQUAL(figure("violations"), 0);
 }
 
+/* The store takes over a tenth of a second for each answer just as many jobs
+ * arrive: they are stored side by side, not one transaction after the other.
+ */
+static void
+test_slow_store(void)
+{
+    play(1000, true);
+    http_ask(fixture.base, fixture.proxy_admin, "POST", "/standin/faults",
+             NULL, "{\"routes\":\"store-*\",\"delay_ms\":60}", NULL);
+    uint32_t before = fixture.quick.accepted;
+    /* Each caller has one call at a time open to each entry host. */
+    struct job_caller *callers[BURST_JOBS / ENTRIES];
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        callers[i] = job_caller_create(fixture.base,
+                                       (const char *const *)fixture.fronts);
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            job_caller_submit(callers[i], &fixture.quick, job_body);
+        }
+    }
+    play(BURST_MS, false);
+    uint32_t accepted = fixture.quick.accepted - before;
+    printf("%u accepted in %d ms ", accepted, BURST_MS);
+    CU_ASSERT(accepted >= BURST_JOBS * 9 / 10);
+    http_ask(fixture.base, fixture.proxy_admin, "POST", "/standin/faults",
+             NULL, "{\"routes\":\"store-*\",\"clear\":true}", NULL);
+    play(BURST_END_MS, false);
+    for (size_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+        CU_ASSERT_EQUAL(job_caller_open(callers[i]), 0);
+        job_caller_destroy(callers[i]);
+    }
+    check_promises();
+}
+
 static const struct scenario scenarios[] = {
     {"store-refuses", test_store_refuses},
     {"store-silent", test_store_silent},
     {"leaving-answers", test_leaving_answers},
     {"stored-unknown", test_stored_unknown},
     {"answers-in-outage", test_answers_in_outage},
+    {"slow-store", test_slow_store, .proxied = true},
     {"no-false-refusal", test_no_false_refusal},
 };
 
