--- a/tests/jobs/store_process_test.c
+++ b/tests/jobs/store_process_test.c
@@ -167,6 +167,26 @@
     check_promises();
 }
 
+/* The holder is gone and the store refuses everybody: nothing was handed to
+ * either, so the refusal is a plain one. */
+static void
+test_refusal_with_dead_holder(void)
+{
+    play(1000, false);
+    int killed = holder();
+    CU_ASSERT_FATAL(killed >= 0);
+    end_process(&fixture.entries[killed], SIGKILL);
+    ask(fixture.admin, "POST", "/store/down");
+    int status =
+        http_ask(fixture.base, fixture.fronts[(killed + 1) % ENTRIES], "POST",
+                 "/draft/00000000000000af", "key-skela", job_body, NULL);
+    printf("status %d ", status);
+    CU_ASSERT_EQUAL(status, 503);
+    ask(fixture.admin, "POST", "/store/up");
+    play(4000, false);
+    CU_ASSERT_EQUAL(figure("checks"), 0);
+}
+
 static const struct scenario scenarios[] = {
     {"store-refuses", test_store_refuses},
     {"store-silent", test_store_silent},
@@ -174,6 +194,7 @@
     {"stored-unknown", test_stored_unknown},
     {"answers-in-outage", test_answers_in_outage},
     {"slow-store", test_slow_store, .proxied = true},
+    {"refusal-with-dead-holder", test_refusal_with_dead_holder},
     {"no-false-refusal", test_no_false_refusal},
 };
 
