--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -11,7 +11,7 @@
 enum {
     /* A job is stored in milliseconds; after this the store is asked. */
     CALL_TIMEOUT_MS = 700,
-    /* Opened as they are needed: a submission waits at the holder for its
+    /* Opened as they are needed: a job waits at the holder for its
      * write, which a slow store answers in a quarter of a second. */
     CONNECTIONS = 8,
     /* Longer than the longest wait that is relayed. */
--- a/standins/jobs/job_caller.c
+++ b/standins/jobs/job_caller.c
@@ -27,7 +27,7 @@
 
 /**
  * struct followed - a job on its way
- * @cancel_ms: when it is cancelled after its submission; 0: never
+ * @cancel_ms: when it is cancelled after it was sent; 0: never
  * @uncertain: a try got no answer, or one that leaves open whether it runs
  */
 struct followed {
--- a/standins/jobs/job_caller.h
+++ b/standins/jobs/job_caller.h
@@ -14,7 +14,7 @@
  * @prefix: path prefix
  * @key: key of a client account, or NULL on an open queue
  * @objective_ms: a job completed within this time is in its objective
- * @times_ms: int64_t, time from submission to completion of each job
+ * @times_ms: int64_t, time from sending to completion of each job
  */
 struct caller_queue {
     const char *name;
@@ -55,11 +55,11 @@
 uint32_t
 job_caller_open(const struct job_caller *caller);
 
-/** job_caller_answered() - submissions that got any answer. */
+/** job_caller_answered() - jobs sent that got any answer. */
 uint32_t
 job_caller_answered(const struct job_caller *caller);
 
-/** job_caller_refused() - paths of submissions of which every try was told
+/** job_caller_refused() - paths of jobs of which every try was told
  * that it will never run. */
 const GPtrArray *
 job_caller_refused(const struct job_caller *caller);
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -8,6 +8,8 @@
 enum {
     STOP_MS = 500,
     BATCH = 15,
+    HOSTS_MAX = 16,
+    NAME_BYTES = 8,
 };
 
 static void
@@ -205,6 +207,27 @@
     see_backend(fixture, id, pool, host, true);
 }
 
+void
+fixture_hosts(struct fleet_fixture *fixture, const char *const *pools)
+{
+    struct host_fact facts[HOSTS_MAX] = {0};
+    char names[HOSTS_MAX][2][NAME_BYTES];
+    size_t n_hosts = 0;
+    for (; pools[n_hosts] != NULL && n_hosts < HOSTS_MAX; n_hosts++) {
+        char *host = names[n_hosts][0];
+        char *id = names[n_hosts][1];
+        snprintf(host, NAME_BYTES, "m%zu", n_hosts);
+        snprintf(id, NAME_BYTES, "b%zu", n_hosts);
+        fixture_backend(fixture, id, pools[n_hosts], host);
+        facts[n_hosts] = (struct host_fact){.host = host,
+                                            .pool = pools[n_hosts],
+                                            .backend_id = id,
+                                            .data_centre = "dc",
+                                            .up = true};
+    }
+    scheduler_hosts_read(fixture->sched, facts, n_hosts);
+}
+
 static void
 store_all(struct fleet_fixture *fixture)
 {
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -66,6 +66,11 @@
 fixture_backend_drains(struct fleet_fixture *fixture, const char *id,
                        const char *pool, const char *host);
 
+/** fixture_hosts() - hosts m0, m1, ... of these pools, NULL-terminated, with
+ * backend servers b0, b1, ...; the list of hosts is read. */
+void
+fixture_hosts(struct fleet_fixture *fixture, const char *const *pools);
+
 /** fixture_settle() - register backend servers and answer first lists. */
 void
 fixture_settle(struct fleet_fixture *fixture);
--- a/tests/jobs/pace_test.c
+++ b/tests/jobs/pace_test.c
@@ -10,6 +10,7 @@
 #define JOB_FILLS "00000000000000bb"
 
 enum {
+    STEP_MS = 50,
     SAMPLE_MS = 300,
     /* A change of pace takes effect, then half a second is measured. */
     EFFECT_MS = 100,
@@ -44,9 +45,10 @@
 {
     double sum = 0;
     int count = 0;
-    for (int64_t t = now_ms - WINDOW_MS; t < now_ms; t += 50) {
+    for (int64_t t = now_ms - WINDOW_MS; t < now_ms; t += STEP_MS) {
         int64_t in_effect_ms = MAX(t - EFFECT_MS, 0);
-        sum += levels[in_effect_ms / 50];
+        int64_t slot = in_effect_ms / STEP_MS;
+        sum += levels[slot];
         count++;
     }
     return sum / count;
@@ -56,13 +58,13 @@
 play_series(struct series series, uint32_t seed)
 {
     GRand *chance = g_rand_new_with_seed(seed);
-    int32_t *levels = g_new0(int32_t, SERIES_MS / 50 + 1);
+    int32_t *levels = g_new0(int32_t, SERIES_MS / STEP_MS + 1);
     struct pace pace = {0};
     struct replay replay = {0};
     int64_t over_since_ms = 0;
     int samples = 0;
     int32_t level = 100;
-    for (int64_t now_ms = 50; now_ms < SERIES_MS; now_ms += 50) {
+    for (int64_t now_ms = STEP_MS; now_ms < SERIES_MS; now_ms += STEP_MS) {
         if (series.changes_ms > 0 && now_ms % series.changes_ms == 0) {
             series.alone_ms = g_rand_double_range(chance, 20, 70);
             series.added_ms = g_rand_double_range(chance, 0, 300);
@@ -74,7 +76,7 @@
         if (now_ms % SAMPLE_MS == 0) {
             level = pace_step(&pace, tail_ms / TARGET_MS, now_ms + 1000);
         }
-        levels[now_ms / 50] = level;
+        levels[now_ms / STEP_MS] = level;
         if (tail_ms <= TARGET_MS || level == 0) {
             over_since_ms = 0;
         }
--- /dev/null
+++ b/tests/jobs/pools_test.c
@@ -0,0 +1,133 @@
+/* Hosts of pools under load and maintenance. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "fleet_fixture.h"
+
+#define JOB_A "00000000000000aa"
+
+/* A wave never takes more hosts than allowed, and is done at its end. */
+static void
+test_wave_keeps_its_limit(void)
+{
+    static const char *const pools[] = {"p", "p", "p", "p", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_hosts(&f, pools);
+    fixture_settle(&f);
+    char *hosts[] = {(char *)"m0", (char *)"m1", (char *)"m2", (char *)"m3",
+                     NULL};
+    struct host_wave wave = {.number = 7,
+                             .hosts = hosts,
+                             .most = 2,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    fixture_tick(&f, f.now_ms + 4000);
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 2);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 7));
+    for (int i = 0; i < 4; i++) {
+        scheduler_on_host_order(f.sched, hosts[i], 7, HOST_ORDER_DONE);
+    }
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_REBOOT, NULL), 2);
+    char *begun = scheduler_wave_begun_list(f.sched, 7);
+    char **begun_hosts = g_strsplit(begun, " ", 0);
+    CU_ASSERT_EQUAL(g_strv_length(begun_hosts), 2);
+    g_strfreev(begun_hosts);
+    g_free(begun);
+    fixture_clear(&f);
+}
+
+/* A pool keeps as many hosts as a step has to be spread over, though their
+ * processors are idle. */
+static void
+test_spread_keeps_hosts(void)
+{
+    static const char *const pools[] = {"p", "p", "p", "p", "p", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_hosts(&f, pools);
+    fixture_settle(&f);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":4,\"cpu\":100,\"mem_mb\":10,"
+                "\"long_running\":true,\"anti_affinity\":1}]");
+    for (int i = 0; i < 45; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        for (int b = 0; b < 5; b++) {
+            fixture_accept_starts(&f);
+        }
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 4);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_MOVE, NULL), 0);
+    fixture_clear(&f);
+}
+
+/* A peak: a pool that is asked for far more than it holds gets hosts from
+ * the spare pool and from an idle one, at once. */
+static void
+test_peak_brings_hosts(void)
+{
+    static const char *const pools[] = {"p", "p", "q", "q", "q", "q", "s", "s", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_hosts(&f, pools);
+    fixture_settle(&f);
+    fixture_tick(&f, f.now_ms + 3400);
+    int64_t peak_ms = f.now_ms;
+    for (int i = 0; i < 12; i++) {
+        char id[JOB_ID_CHARS + 1];
+        snprintf(id, sizeof(id), "%016x", i);
+        fixture_job(&f, id, "p",
+                    "[{\"count\":6,\"cpu\":1500,\"mem_mb\":100,"
+                    "\"estimate_ms\":900}]");
+    }
+    fixture_tick(&f, f.now_ms + 150);
+    uint32_t to_p = 0;
+    for (guint i = 0; i < f.orders->len; i++) {
+        const struct order *order = g_ptr_array_index(f.orders, i);
+        if (order->kind == ORDER_MOVE && strcmp(order->task, "p") == 0) {
+            to_p++;
+            CU_ASSERT(order->at_ms - peak_ms <= 150);
+        }
+    }
+    /* Both spare hosts and those that the idle pool does not keep. */
+    CU_ASSERT(to_p >= 4);
+    fixture_clear(&f);
+}
+
+/* One large job now and then does not make a pool grow and shrink. */
+static void
+test_single_jobs_move_nothing(void)
+{
+    static const char *const pools[] = {"p", "p", "s", "s", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_hosts(&f, pools);
+    fixture_settle(&f);
+    fixture_tick(&f, f.now_ms + 3400);
+    fixture_job(&f, JOB_A, "p",
+                "[{\"count\":8,\"cpu\":1800,\"mem_mb\":100,"
+                "\"estimate_ms\":2000}]");
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        fixture_accept_starts(&f);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_START, NULL), 8);
+    CU_ASSERT_EQUAL(fixture_count(&f, ORDER_MOVE, NULL), 0);
+    fixture_clear(&f);
+}
+
+int
+main(void)
+{
+    static const struct suite_test tests[] = {
+        {"a wave keeps its limit", test_wave_keeps_its_limit},
+        {"spread keeps hosts in the pool", test_spread_keeps_hosts},
+        {"a peak brings hosts", test_peak_brings_hosts},
+        {"single jobs move nothing", test_single_jobs_move_nothing},
+    };
+    return suite_main("jobs pools", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -82,7 +82,7 @@
 int
 ask(const char *address, const char *method, const char *path);
 
-/** post() - a submission to the first entry host; its HTTP status. */
+/** post() - a job to the first entry host; its HTTP status. */
 int
 post(const char *path, const char *key, const char *text, char **body);
 
