--- /dev/null
+++ b/tests/jobs/model_holder.c
@@ -0,0 +1,225 @@
+/* Holders: the real scheduler, what it sends, and takeovers. */
+#include "model_state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "egretjobd/records.h"
+
+static int
+backend_index(const struct backend *backend)
+{
+    return backend->entry.id[1] - '0';
+}
+
+static char *
+task_name(const struct run *run)
+{
+    return g_strdup_printf("%s.%u.%u.%u", run->job->id, run->occurrence,
+                           run->step, run->index);
+}
+
+static void
+op_start(void *ctx, const struct start_order *order)
+{
+    struct holder *holder = ctx;
+    send_order(holder->sim, holder,
+               (struct message){
+                   .kind = MESSAGE_START,
+                   .backend = backend_index(order->backend),
+                   .handle = order->handle,
+                   .task = task_name(order->run),
+                   .number = order->run->number,
+                   .until_ms = order->until_ms,
+                   .token = holder->token,
+               });
+}
+
+static void
+op_stop(void *ctx, const struct stop_order *order)
+{
+    struct holder *holder = ctx;
+    send_order(holder->sim, holder,
+               (struct message){
+                   .kind = MESSAGE_STOP,
+                   .backend = backend_index(order->backend),
+                   .handle = order->handle,
+                   .task = g_strdup(order->task),
+                   .number = order->number,
+                   .token = holder->token,
+               });
+}
+
+static void
+op_list(void *ctx, struct backend *backend, int64_t until_ms,
+        int64_t seen_upto, int64_t wait_ms)
+{
+    struct holder *holder = ctx;
+    struct sim *sim = holder->sim;
+    if (sim->mutation == MUTATION_ACK_UNSTORED) {
+        seen_upto = backend->last_end;
+    }
+    send_order(sim, holder,
+               (struct message){
+                   .kind = MESSAGE_LIST,
+                   .backend = backend_index(backend),
+                   .until_ms = until_ms,
+                   .seen_upto = seen_upto,
+                   .number = (uint32_t)wait_ms,
+                   .token = holder->token,
+               });
+}
+
+struct stored_job *
+stored_job(struct sim *sim, const char *id)
+{
+    for (int i = 0; i < JOBS; i++) {
+        if (strcmp(sim->jobs[i].id, id) == 0) {
+            return &sim->jobs[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sends the next batch to the store; the answer or the write may be lost. */
+void
+flush(struct holder *holder)
+{
+    struct sim *sim = holder->sim;
+    if (holder->storing || holder->gone) {
+        return;
+    }
+    struct store_batch *batch = scheduler_take_batch(holder->sched, 10);
+    if (batch == NULL) {
+        return;
+    }
+    holder->storing = true;
+    struct message *message =
+        send_message(sim, MESSAGE_COMMIT, holder, 3 + network_ms(sim));
+    message->batch = batch;
+    message->values = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < batch->jobs->len; i++) {
+        g_ptr_array_add(
+            message->values,
+            record_progress_encode(g_ptr_array_index(batch->jobs, i)));
+    }
+}
+
+static void
+op_store(void *ctx)
+{
+    (void)ctx;
+}
+
+static void
+op_host(void *ctx, const char *host, const char *pool)
+{
+    (void)ctx;
+    (void)host;
+    (void)pool;
+}
+
+static void
+op_reboot(void *ctx, const char *host, int64_t wave)
+{
+    (void)ctx;
+    (void)host;
+    (void)wave;
+}
+
+static int64_t
+sim_now(void *ctx)
+{
+    return ((struct sim *)ctx)->now_ms;
+}
+
+/* True time plus a constant, so that no clock of the model starts at 0. */
+int64_t
+sim_unix(void *ctx)
+{
+    return ((struct sim *)ctx)->now_ms + 1000000000;
+}
+
+static void
+fill_entry(struct backend_entry *entry, struct sim *sim, int index)
+{
+    static char *labels[] = {(char *)"a", (char *)"r1", NULL};
+    *entry = (struct backend_entry){
+        .id = sim->backends[index].id,
+        .born_ms = 1,
+        .pool = (char *)"p",
+        .address = (char *)"127.0.0.1:1",
+        .data_centre = (char *)"dc",
+        .labels = labels,
+        .room = {.cpu_milli = POOL_CORES_MILLI, .mem_mb = 64000},
+    };
+}
+
+static void
+load_jobs(struct holder *holder)
+{
+    struct sim *sim = holder->sim;
+    for (int i = 0; i < JOBS; i++) {
+        struct stored_job *stored = &sim->jobs[i];
+        if (stored->value == NULL) {
+            continue;
+        }
+        struct job *job = record_job_decode(stored->id, stored->value,
+                                            strlen(stored->value));
+        job->inherited = sim->mutation != MUTATION_NO_BARRIER;
+        if (stored->progress != NULL) {
+            record_progress_apply(job, stored->progress,
+                                  strlen(stored->progress));
+            job->revision = stored->revision;
+        }
+        scheduler_add_job(holder->sched, job);
+        job_unref(job);
+    }
+}
+
+void
+take_over(struct sim *sim)
+{
+    struct holder *holder = g_new0(struct holder, 1);
+    holder->sim = sim;
+    holder->token = sim->next_token++;
+    holder->valid_until_ms = sim->now_ms + DUTY_MS;
+    struct sched_timings timings = {
+        .lease_max_ms = LEASE_MAX_MS,
+        .stop_ms = sim->mutation == MUTATION_NO_SETTLE ? -100 : STOP_MS,
+        .order_gap_ms = 1000000,
+        .keep_ms = 1000000,
+        .host_orders_per_s = 64,
+    };
+    struct sched_ops ops = {
+        .start = op_start,
+        .stop = op_stop,
+        .list = op_list,
+        .store = op_store,
+        .move = op_host,
+        .reboot = op_reboot,
+        .ctx = holder,
+    };
+    holder->sched =
+        scheduler_create(&timings, &ops, sim->term++,
+                         (struct ms_clock){.now = sim_now, .ctx = sim},
+                         (struct ms_clock){.now = sim_unix, .ctx = sim});
+    scheduler_configure(holder->sched, sim->config);
+    scheduler_set_valid(holder->sched, true);
+    load_jobs(holder);
+    for (int i = 0; i < BACKENDS; i++) {
+        struct backend_entry entry;
+        fill_entry(&entry, sim, i);
+        if (g_hash_table_contains(sim->registered, entry.id) &&
+            sim->mutation != MUTATION_NO_REGISTRY) {
+            scheduler_backend_inherited(holder->sched, &entry, LEASE_MAX_MS);
+        }
+        scheduler_backend_seen(holder->sched, &entry);
+    }
+    for (int i = 0; i < BACKENDS; i++) {
+        holder->cut_from[i] = troubled(sim) && chance(sim, 0.15);
+    }
+    g_ptr_array_add(sim->holders, holder);
+    sim->current = holder;
+    sim->result.takeovers++;
+}
--- a/tests/jobs/pools_test.c
+++ b/tests/jobs/pools_test.c
@@ -70,7 +70,8 @@
 static void
 test_peak_brings_hosts(void)
 {
-    static const char *const pools[] = {"p", "p", "q", "q", "q", "q", "s", "s", NULL};
+    static const char *const pools[] = {"p", "p", "q", "q", "q",
+                                        "q", "s", "s", NULL};
     struct fleet_fixture f;
     fixture_init(&f, 0);
     fixture_hosts(&f, pools);
