Lay a failed relay to the peer that the call went through

With up to sixteen transactions under way, calls through a peer that is cut as well fail one after the other, and each late failure gave up the peer that had been found meanwhile.

The new test failed without the comparison.

--- a/egretjobd/store_path.c
+++ b/egretjobd/store_path.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/event_log.h"
+#include "core/jobs/relay_peer.h"
 #include "egretjobd/config_feed.h"
 
 enum {
@@ -17,8 +18,7 @@
     struct node *node;
     uint32_t refusals;
     bool relaying;
-    char *peer;
-    uint32_t next_peer;
+    struct relay_peer peer;
 };
 
 static bool
@@ -28,16 +28,6 @@
            status != STATUS_RELAY_NO_ANSWER;
 }
 
-static void
-next_peer(struct store_path *path)
-{
-    char **peers = config_feed_peers(path->node->feed);
-    guint n_peers = peers == NULL ? 0 : g_strv_length(peers);
-    g_free(path->peer);
-    path->peer =
-        n_peers == 0 ? NULL : g_strdup(peers[path->next_peer++ % n_peers]);
-}
-
 static void
 set_relaying(struct store_path *path, bool relaying)
 {
@@ -46,26 +36,27 @@
     }
     path->relaying = relaying;
     if (relaying) {
-        next_peer(path);
+        relay_peer_choose(&path->peer, config_feed_peers(path->node->feed));
     }
     event_log(relaying ? "store_relayed" : "store_direct", "\"peer\":\"%s\"",
-              path->peer == NULL ? "" : path->peer);
+              path->peer.address == NULL ? "" : path->peer.address);
 }
 
 static const char *
 relay_any(void *ctx)
 {
     const struct store_path *path = ctx;
-    return path->relaying ? path->peer : NULL;
+    return path->relaying ? path->peer.address : NULL;
 }
 
 static void
-report(void *ctx, bool relayed, int status)
+report(void *ctx, const char *relay, int status)
 {
     struct store_path *path = ctx;
-    if (relayed) {
+    if (relay != NULL) {
         if (!served(status)) {
-            next_peer(path);
+            relay_peer_failed(&path->peer, relay,
+                              config_feed_peers(path->node->feed));
         }
         return;
     }
@@ -85,7 +76,7 @@
 {
     struct store_path *path = g_new0(struct store_path, 1);
     path->node = node;
-    path->next_peer = g_random_int();
+    path->peer.turn = g_random_int();
     return path;
 }
 
@@ -95,7 +86,7 @@
     if (path == NULL) {
         return;
     }
-    g_free(path->peer);
+    relay_peer_clear(&path->peer);
     g_free(path);
 }
 
--- /dev/null
+++ b/include/core/jobs/relay_peer.h
@@ -0,0 +1,33 @@
+/* Which peer passes calls on while the store turns this process away. */
+#ifndef CORE_JOBS_RELAY_PEER_H
+#define CORE_JOBS_RELAY_PEER_H
+
+#include <stdint.h>
+
+/**
+ * struct relay_peer - the peer in use
+ * @address: its address, or NULL
+ * @turn: counts choices; its start spreads processes over the peers
+ */
+struct relay_peer {
+    char *address;
+    uint32_t turn;
+};
+
+/** relay_peer_choose() - the next of @peers, NULL-terminated or NULL. */
+void
+relay_peer_choose(struct relay_peer *peer, char **peers);
+
+/**
+ * relay_peer_failed() - a call through @address was not served
+ *
+ * Calls through an earlier peer may fail long after another one was chosen;
+ * they say nothing of that one.
+ */
+void
+relay_peer_failed(struct relay_peer *peer, const char *address, char **peers);
+
+void
+relay_peer_clear(struct relay_peer *peer);
+
+#endif
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -106,11 +106,12 @@
  * struct kv_path - how calls reach the service; decided by the caller
  * @relay: address of a peer that passes the next call on, or NULL for the
  *         direct way; may be NULL itself
- * @report: HTTP status of an answer, 0 for none; may be NULL
+ * @report: HTTP status of an answer, 0 for none, and the peer that the call
+ *          went through, which may be an earlier one; may be NULL
  */
 struct kv_path {
     const char *(*relay)(void *ctx);
-    void (*report)(void *ctx, bool relayed, int status);
+    void (*report)(void *ctx, const char *relay, int status);
     void *ctx;
 };
 
--- a/tests/jobs/kv_test.c
+++ b/tests/jobs/kv_test.c
@@ -17,6 +17,7 @@
 struct way {
     const char *relay;
     int reports;
+    char *failed;
 };
 
 /* Keeps the request without an answer until the end of the test. */
@@ -40,11 +41,14 @@
 }
 
 static void
-count_report(void *ctx, bool relayed, int status)
+count_report(void *ctx, const char *relay, int status)
 {
-    (void)relayed;
-    (void)status;
-    ((struct way *)ctx)->reports++;
+    struct way *way = ctx;
+    way->reports++;
+    if (status == 0) {
+        g_free(way->failed);
+        way->failed = g_strdup(relay);
+    }
 }
 
 static void
@@ -84,6 +88,9 @@
     CU_ASSERT_EQUAL(first, KV_UNKNOWN);
     CU_ASSERT_EQUAL(second, KV_NOT_FOUND);
     CU_ASSERT_EQUAL(way.reports, 2);
+    /* The failure is laid to the peer that the call went through. */
+    CU_ASSERT_STRING_EQUAL(way.failed, SILENT_ADDRESS);
+    g_free(way.failed);
     kv_destroy(kv);
     if (kept != NULL) {
         http_exchange_reply(kept, 503, NULL);
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -4,6 +4,7 @@
 
 #include "../suite.h"
 #include "core/jobs/claim_turn.h"
+#include "core/jobs/relay_peer.h"
 #include "fleet_fixture.h"
 
 #define JOB_A "00000000000000aa"
@@ -338,6 +339,26 @@
     }
 }
 
+/* A cut holder has many calls under way through a peer that is cut as well;
+ * their late failures do not take it away from the peer that serves. */
+static void
+test_late_failures_keep_the_peer(void)
+{
+    char *peers[] = {(char *)"p1", (char *)"p2", (char *)"p3", NULL};
+    struct relay_peer peer = {0};
+    relay_peer_choose(&peer, peers);
+    CU_ASSERT_STRING_EQUAL(peer.address, "p1");
+    for (int i = 0; i < 8; i++) {
+        relay_peer_failed(&peer, "p1", peers);
+    }
+    CU_ASSERT_STRING_EQUAL(peer.address, "p2");
+    relay_peer_failed(&peer, "p2", peers);
+    CU_ASSERT_STRING_EQUAL(peer.address, "p3");
+    relay_peer_choose(&peer, NULL);
+    CU_ASSERT_PTR_NULL(peer.address);
+    relay_peer_clear(&peer);
+}
+
 int
 main(void)
 {
@@ -355,6 +376,7 @@
         {"no start without validity", test_no_start_without_validity},
         {"draining and out", test_draining_and_out},
         {"a weak host waits each time", test_weak_host_waits_each_time},
+        {"late failures keep the peer", test_late_failures_keep_the_peer},
     };
     return suite_main("jobs scheduler", tests,
                       sizeof(tests) / sizeof(tests[0]));
