Log what ends a run without its completion, and which list said so

The logs count the runs that are released with a backend server but don't name them, and don't say which incarnation replaced which, so that the causes in question can't be told apart.

Change: run_lost and run_absent name the task, its run, and whether its start was ever answered; backend_restarted and host_incarnation name both incarnations and the source; stray_stopped names the other run. No decision changes.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -74,8 +74,19 @@
 /* The host is back after a command, or has restarted by itself. */
 static void
 new_incarnation(struct scheduler *sched, struct host *host,
-                const char *backend_id)
+                const char *backend_id, const char *source)
 {
+    const struct backend *before = sched_host_backend(sched, host);
+    const struct backend *after = scheduler_find_backend(sched, backend_id);
+    if (before != NULL) {
+        sched_log_event(sched, "host_incarnation",
+                        "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
+                        "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
+                        "\"now_started\":%" G_GINT64_FORMAT,
+                        host->name, source, before->entry.id,
+                        before->entry.incarnation_start_ms, backend_id,
+                        after == NULL ? 0 : after->entry.incarnation_start_ms);
+    }
     end_incarnation(sched, sched_host_backend(sched, host));
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
@@ -143,7 +154,7 @@
         end_incarnation(sched, backend);
         return;
     }
-    new_incarnation(sched, host, backend->entry.id);
+    new_incarnation(sched, host, backend->entry.id, "entry");
     set_pool(sched, host, backend->entry.pool);
     /* The entry of an ended incarnation may stay in the list while its host is
      * unavailable. */
@@ -174,7 +185,7 @@
     }
     if (info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0) {
-        new_incarnation(sched, host, info->backend_id);
+        new_incarnation(sched, host, info->backend_id, "host list");
     }
     else if (info->up && host->command_accepted && !host->command_in_flight) {
         /* The command was not carried out after all. */
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -30,8 +30,14 @@
 /* The host list has another incarnation under the same id, so the old one has
  * ended. */
 static void
-renew_incarnation(struct scheduler *sched, struct backend *backend)
+renew_incarnation(struct scheduler *sched, struct backend *backend,
+                  int64_t previous_start_ms)
 {
+    sched_log_event(sched, "backend_restarted",
+                    "\"backend\":\"%s\",\"before\":%" G_GINT64_FORMAT
+                    ",\"now\":%" G_GINT64_FORMAT ",\"runs\":%u",
+                    backend->entry.id, previous_start_ms,
+                    backend->entry.incarnation_start_ms, backend->runs->len);
     sched_backend_lost(sched, backend, "restarted");
     backend->report_received = false;
     backend->unreconciled = false;
@@ -95,7 +101,7 @@
         }
         if (previous_start_ms != 0 && entry->incarnation_start_ms != 0 &&
             previous_start_ms != entry->incarnation_start_ms) {
-            renew_incarnation(sched, backend);
+            renew_incarnation(sched, backend, previous_start_ms);
         }
     }
     backend->listed = true;
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -198,10 +198,7 @@
             (run->state == RUN_STOPPING && !stop_took_effect)) {
             continue;
         }
-        sched_log_event(
-            sched, "run_absent",
-            "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\"",
-            run->job->id, run->step, run->index, backend->entry.id);
+        sched_log_run(sched, "run_absent", run);
         sched->stats.lost++;
         sched_run_free(sched, run);
     }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -7,6 +7,24 @@
 
 #include "scheduler_state.h"
 
+void
+sched_log_run(struct scheduler *sched, const char *event,
+              const struct run *run)
+{
+    static const char *const states[] = {
+        [RUN_STARTING] = "starting",
+        [RUN_UNCERTAIN] = "uncertain",
+        [RUN_WORKING] = "working",
+        [RUN_STOPPING] = "stopping",
+    };
+    sched_log_event(sched, event,
+                    "\"task\":\"%s.%u.%u.%u\",\"run\":%u,\"backend\":\"%s\","
+                    "\"state\":\"%s\",\"start_answered\":%s",
+                    run->job->id, run->occurrence, run->step, run->index,
+                    run->number, run->backend->entry.id, states[run->state],
+                    run->confirmed_ms == 0 ? "false" : "true");
+}
+
 static void
 account_run(struct scheduler *sched, struct run *run, int64_t factor)
 {
@@ -271,6 +289,7 @@
     sched_backend_strays_lost(sched, backend);
     while (backend->runs->len > 0) {
         struct run *run = g_ptr_array_index(backend->runs, 0);
+        sched_log_run(sched, "run_lost", run);
         sched->stats.lost++;
         sched_run_free(sched, run);
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -392,6 +392,11 @@
                  struct backend *backend);
 void
 sched_run_free(struct scheduler *sched, struct run *run);
+/* Logs what is known of @run; whether its start was ever confirmed tells a run
+ * that may begin later from one that has. */
+void
+sched_log_run(struct scheduler *sched, const char *event,
+              const struct run *run);
 void
 sched_run_stop(struct scheduler *sched, struct run *run);
 void
--- a/core/jobs/strays.c
+++ b/core/jobs/strays.c
@@ -112,9 +112,13 @@
     g_hash_table_insert(sched->strays, &stray->handle, stray);
     account_stray(sched, stray, 1);
     sched_schedule_report(sched, backend);
+    const struct run *other = job == NULL ? NULL : stray_task(stray)->run;
     sched_log_event(sched, "stray_stopped",
-                    "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"",
-                    reported->task, reported->number, backend->entry.id);
+                    "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\","
+                    "\"other_run\":%u,\"other_backend\":\"%s\"",
+                    reported->task, reported->number, backend->entry.id,
+                    other == NULL ? 0 : other->number,
+                    other == NULL ? "" : other->backend->entry.id);
     if (may_stop(sched)) {
         send_stop(sched, stray);
     }
