Watch from the first page of a range that is read in pages

A change of an early page while a later one is read was in neither, and the watch continued from the last page, so it was missed until the key changed again: a deleted entry of a backend server stayed listed, and on sites with more than 500 records a change of the operator's configuration could have been missed. Records of a peer that arrived between two pages of the configuration were mixed with them besides.

Change: kv_range_all() reads all pages and is as of its first one; the three places that read pages on their own use it.

Evidence: new case in jobs-kv; with the revision of the last page it fails (20 instead of 10).

--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -28,7 +28,7 @@
 /**
  * struct config_feed - the operator's records, as last read
  * @items: struct kv_item, all records as of revision @as_of
- * @next_items: struct kv_item, records of a read that is not complete
+ * @next_items: struct kv_item, records that are about to be activated
  * @waves: struct host_wave
  * @wave_seen_ms: key of a maintenance wave to the time it was first read
  * @out_of_service: names of data centres, NULL-terminated
@@ -162,9 +162,6 @@
     leader_operator_records_changed(feed->node->leader);
 }
 
-static void
-read_page(struct config_feed *feed, const char *after);
-
 static void
 on_peer_records(void *ctx, const struct http_reply *reply)
 {
@@ -219,7 +216,6 @@
 {
     struct config_feed *feed = ctx;
     if (result->outcome != KV_OK) {
-        g_ptr_array_set_size(feed->next_items, 0);
         timer_set(feed->timer, RETRY_MS);
         return;
     }
@@ -227,24 +223,11 @@
         g_ptr_array_add(feed->next_items,
                         kv_item_copy(g_ptr_array_index(result->items, i)));
     }
-    if (result->has_more && result->items->len > 0) {
-        const struct kv_item *last =
-            g_ptr_array_index(result->items, result->items->len - 1);
-        read_page(feed, last->key);
-        return;
-    }
     feed->watch_after = result->as_of;
     apply_items(feed, result->as_of, feed->sent_ms);
     timer_set(feed->timer, NEXT_CALL_MS);
 }
 
-static void
-read_page(struct config_feed *feed, const char *after)
-{
-    kv_range(feed->kv, PLATFORM_OPERATOR_PREFIX, after,
-             (struct kv_done){.call = on_range, .ctx = feed});
-}
-
 /* Builds the next records from the active ones and the changes of a watch. */
 static void
 merge_changes(struct config_feed *feed, const GPtrArray *events)
@@ -349,8 +332,8 @@
     read_peer_list(feed, now_ms);
     feed->sent_ms = now_ms;
     if (feed->watch_after == 0) {
-        g_ptr_array_set_size(feed->next_items, 0);
-        read_page(feed, NULL);
+        kv_range_all(feed->kv, PLATFORM_OPERATOR_PREFIX,
+                     (struct kv_done){.call = on_range, .ctx = feed});
         return;
     }
     kv_watch(feed->kv, PLATFORM_OPERATOR_PREFIX, feed->watch_after,
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -166,28 +166,16 @@
 }
 
 static void
-load_page(struct record_range *range, const char *after);
-
-static void
-on_page(void *ctx, const struct kv_result *result)
+on_range(void *ctx, const struct kv_result *result)
 {
     struct record_range *range = ctx;
     struct leader *leader = range->leader;
     if (result->outcome != KV_OK) {
-        g_ptr_array_set_size(range->items, 0);
         timer_set(range->retry, LOAD_RETRY_MS);
         return;
     }
-    for (guint i = 0; i < result->items->len; i++) {
-        g_ptr_array_add(range->items,
-                        kv_item_copy(g_ptr_array_index(result->items, i)));
-    }
-    if (result->has_more && result->items->len > 0) {
-        const struct kv_item *last =
-            g_ptr_array_index(result->items, result->items->len - 1);
-        load_page(range, last->key);
-        return;
-    }
+    g_ptr_array_unref(range->items);
+    range->items = g_ptr_array_ref(result->items);
     range->as_of = result->as_of;
     range->complete = true;
     for (int stage = 0; stage < STAGE_READY; stage++) {
@@ -199,10 +187,10 @@
 }
 
 static void
-load_page(struct record_range *range, const char *after)
+load_range(struct record_range *range)
 {
-    kv_range(range->kv, stage_prefixes[range->stage], after,
-             (struct kv_done){.call = on_page, .ctx = range});
+    kv_range_all(range->kv, stage_prefixes[range->stage],
+                 (struct kv_done){.call = on_range, .ctx = range});
 }
 
 static void
@@ -210,7 +198,7 @@
 {
     (void)fd;
     (void)events;
-    load_page(ctx, NULL);
+    load_range(ctx);
 }
 
 /* Reads all ranges in parallel and applies them in order at the end. Earlier
@@ -230,7 +218,7 @@
                       LOAD_TIMEOUT_MS, store_route_any(node->store_route));
         range->items = g_ptr_array_new_with_free_func(kv_item_destroy);
         range->retry = evtimer_new(node->base, on_range_retry, range);
-        load_page(range, NULL);
+        load_range(range);
     }
 }
 
@@ -259,16 +247,6 @@
     g_ptr_array_unref(ids);
 }
 
-static void
-on_backends_read(void *ctx, const struct kv_result *result);
-
-static void
-read_backends(struct leader *leader, const char *after)
-{
-    kv_range(leader->backend_watch, PLATFORM_BACKEND_PREFIX, after,
-             (struct kv_done){.call = on_backends_read, .ctx = leader});
-}
-
 static void
 on_backends_read(void *ctx, const struct kv_result *result)
 {
@@ -282,12 +260,6 @@
         apply_record(leader, STAGE_BACKENDS,
                      g_ptr_array_index(result->items, i));
     }
-    if (result->has_more && result->items->len > 0) {
-        const struct kv_item *last =
-            g_ptr_array_index(result->items, result->items->len - 1);
-        read_backends(leader, last->key);
-        return;
-    }
     drop_unlisted_backends(leader);
     leader->backends_as_of = result->as_of;
     leader_schedule_tick(leader);
@@ -319,7 +291,9 @@
 {
     g_hash_table_remove_all(leader->listed_ids);
     if (leader->backends_as_of == 0) {
-        read_backends(leader, NULL);
+        kv_range_all(
+            leader->backend_watch, PLATFORM_BACKEND_PREFIX,
+            (struct kv_done){.call = on_backends_read, .ctx = leader});
         return;
     }
     kv_watch(leader->backend_watch, PLATFORM_BACKEND_PREFIX,
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -28,9 +28,9 @@
 
 /**
  * struct record_range - read of one kind of record after a takeover
- * @items: struct kv_item read so far
- * @as_of: revision of the store at the last page
- * @complete: all pages are read
+ * @items: struct kv_item
+ * @as_of: revision of the store from which on a change may be missing
+ * @complete: it was read
  */
 struct record_range {
     struct leader *leader;
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -140,6 +140,15 @@
 kv_range(struct kv *kv, const char *prefix, const char *after,
          struct kv_done done);
 
+/**
+ * kv_range_all() - all items under @prefix, read page by page
+ *
+ * The pages are not a snapshot. The result is as of its first page, so a watch
+ * from there returns every change that a later page may have missed.
+ */
+void
+kv_range_all(struct kv *kv, const char *prefix, struct kv_done done);
+
 /** kv_watch() - changes under @prefix after a revision; waits at most
  * @wait_ms for the first. */
 void
--- a/tests/jobs/kv_test.c
+++ b/tests/jobs/kv_test.c
@@ -143,6 +143,68 @@
     event_base_free(base);
 }
 
+/* Serves keys "a" and "b" in two pages; the store changes between them. */
+static void
+serve_pages(void *ctx, struct http_exchange *exchange)
+{
+    int *n_pages = ctx;
+    (*n_pages)++;
+    bool first = strstr(http_exchange_path(exchange), "after=") == NULL;
+    http_exchange_reply(
+        exchange, 200,
+        first
+            ? "{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":7}],"
+              "\"has_more\":true,\"as_of\":10}"
+            : "{\"items\":[{\"key\":\"b\",\"value\":\"eA==\",\"revision\":8}],"
+              "\"has_more\":false,\"as_of\":20}");
+}
+
+struct range_result {
+    int outcome;
+    uint32_t n_items;
+    int64_t as_of;
+};
+
+static void
+keep_range(void *ctx, const struct kv_result *result)
+{
+    *(struct range_result *)ctx = (struct range_result){
+        .outcome = (int)result->outcome,
+        .n_items = result->items->len,
+        .as_of = result->as_of,
+    };
+}
+
+/* A change of the first page while the second one is read would be missed by a
+ * watch that continues from the second page. */
+static void
+test_change_between_pages_is_watched(void)
+{
+    struct event_base *base = event_base_new();
+    int n_pages = 0;
+    struct http_server *server =
+        http_server_create(base, SERVING_ADDRESS, serve_pages, &n_pages);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    struct kv *kv =
+        kv_create(base, SERVING_ADDRESS, TIMEOUT_MS, (struct kv_route){0});
+    struct range_result range = {.outcome = -1};
+    kv_range_all(kv, "", (struct kv_done){.call = keep_range, .ctx = &range});
+    for (int i = 0; i < POLLS_MAX && range.outcome < 0; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(POLL_US);
+    }
+    CU_ASSERT_EQUAL(range.outcome, KV_OK);
+    CU_ASSERT_EQUAL(n_pages, 2);
+    CU_ASSERT_EQUAL(range.n_items, 2);
+    CU_ASSERT_EQUAL(range.as_of, 10);
+    /* A read that is open when its client is destroyed. */
+    kv_range_all(kv, "", (struct kv_done){.call = keep_range, .ctx = &range});
+    kv_destroy(kv);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    http_server_destroy(server);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -150,6 +212,8 @@
     static const struct suite_test tests[] = {
         {"a change of the route completes calls", test_switch_completes_calls},
         {"an unsent call is refused", test_unsent_call_is_refused},
+        {"a change between two pages is watched",
+         test_change_between_pages_is_watched},
     };
     return suite_main("store client", tests, sizeof(tests) / sizeof(tests[0]));
 }
