End an incarnation by a host list only if it was seen before the request

A host whose wall clock is 4 s or more behind makes a new incarnation look older than a list that was requested before it: "moving" in that list ended it, and its runs started a second time. The same where an entry has no start time. A list that was requested after an incarnation was first seen can't be older than it, by the leader's own clock; both conditions have to hold now.

Evidence: new case in jobs-late-host-list (clock 6 s behind), failed before.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -11,7 +11,8 @@
      * that was requested sooner may still show the old state. */
     COMMAND_VISIBLE_MS = 2000,
     /* Wall clocks of hosts differ, so an incarnation that started by less than
-     * this before a list was requested may be newer than the list. */
+     * this before a list was requested may be newer than the list. One that
+     * was seen only after the request may be so whatever its clock says. */
     WALL_CLOCK_DIFFERENCE_MAX_MS = 4000,
 };
 
@@ -190,6 +191,7 @@
         return;
     }
     if (info->unavailable && current != NULL &&
+        current->seen_ms < requested_ms &&
         requested_unix_ms - current->entry.incarnation_start_ms >
             WALL_CLOCK_DIFFERENCE_MAX_MS) {
         end_incarnation(sched, current);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -39,6 +39,7 @@
                     backend->entry.id, previous_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
     sched_backend_lost(sched, backend, "restarted");
+    backend->seen_ms = sched_now(sched);
     backend->report_received = false;
     backend->unreconciled = false;
     backend->reconcile_due_ms = 0;
@@ -57,6 +58,7 @@
 {
     struct backend *backend = backend_create(entry);
     backend->empty_since_ms = sched_now(sched);
+    backend->seen_ms = sched_now(sched);
     g_hash_table_insert(sched->backends, backend->entry.id, backend);
     sched_backend_refs(sched, backend);
     return backend;
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -164,6 +164,7 @@
  * struct backend - a backend server as the scheduler knows it
  * @entry: its entry in the host list
  * @used: resources taken by runs and strays
+ * @seen_ms: when its current incarnation was first seen
  * @runs: struct run, all that may be in progress here
  * @strays: struct stray
  * @unknown_strays: strays of which it is unknown what they take
@@ -210,6 +211,7 @@
 struct backend {
     struct backend_entry entry;
     struct resources used;
+    int64_t seen_ms;
     GPtrArray *runs;
     GPtrArray *strays;
     uint32_t unknown_strays;
--- a/tests/jobs/host_list_test.c
+++ b/tests/jobs/host_list_test.c
@@ -12,10 +12,10 @@
     UNIX_OFFSET_MS = 1000000000,
 };
 
-/* Host m0 restarts by itself: c0 takes the place of b0 and runs the only task.
- * Returns when it restarted. */
+/* Host m0, whose wall clock is behind, restarts by itself: c0 takes the place
+ * of b0 and runs the only task. Returns when it restarted. */
 static int64_t
-init_with_new_incarnation(struct fleet_fixture *f)
+init_with_clock_behind(struct fleet_fixture *f, int64_t behind_ms)
 {
     static const char *const pools[] = {"p", "p", NULL};
     fixture_init(f, 0);
@@ -23,7 +23,7 @@
     fixture_drain_backend(f, "b1", "p", "m1");
     fixture_reconcile(f);
     int64_t restarted_ms = f->now_ms;
-    f->incarnation_start_ms = restarted_ms + UNIX_OFFSET_MS;
+    f->incarnation_start_ms = restarted_ms + UNIX_OFFSET_MS - behind_ms;
     fixture_add_backend(f, "c0", "p", "m0");
     scheduler_backend_removed(f->sched, "b0");
     fixture_tick(f, f->now_ms + 10);
@@ -35,12 +35,18 @@
     /* A second start would go there. */
     f->incarnation_start_ms = 1;
     fixture_add_backend(f, "b1", "p", "m1");
-    f->incarnation_start_ms = restarted_ms + UNIX_OFFSET_MS;
+    f->incarnation_start_ms = restarted_ms + UNIX_OFFSET_MS - behind_ms;
     fixture_tick(f, f->now_ms + 10);
     CU_ASSERT_EQUAL_FATAL(fixture_count(f, COMMAND_START, NULL), 1);
     return restarted_ms;
 }
 
+static int64_t
+init_with_new_incarnation(struct fleet_fixture *f)
+{
+    return init_with_clock_behind(f, 0);
+}
+
 /* The task works on, and reports of it are read. */
 static void
 work_on(struct fleet_fixture *f, int64_t duration_ms)
@@ -102,6 +108,24 @@
     fixture_clear(&f);
 }
 
+/* The same, and by its wall clock the incarnation started long before the
+ * request. */
+static void
+test_late_list_shows_host_with_clock_behind(void)
+{
+    struct fleet_fixture f;
+    int64_t restarted_ms = init_with_clock_behind(&f, 6000);
+    work_on(&f, 1000);
+    read_list(&f,
+              &(struct host_info){.host = "m0",
+                                  .pool = "p",
+                                  .data_centre = "dc",
+                                  .unavailable = true},
+              restarted_ms - 100);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
 /* A delayed read shows an entry of the earlier incarnation under the id that
  * both have. */
 static void
@@ -161,6 +185,8 @@
         {"a late list names the earlier incarnation",
          test_late_list_names_earlier_incarnation},
         {"a late list shows the host away", test_late_list_shows_host_away},
+        {"a late list shows a host whose clock is behind",
+         test_late_list_shows_host_with_clock_behind},
         {"a late list undoes no command", test_late_list_undoes_no_command},
         {"a late entry shows the earlier incarnation",
          test_late_entry_of_earlier_incarnation},
