Keep a host leaving while its reboot has no answer

More hosts of a wave could be unavailable than allowed (LIMIT). A host that restarted by itself while its reboot was in flight counted as one that stays: it took work, the next host of the wave was rebooted, and a reboot without an answer was not sent again although it may still be carried out.

Change: only an accepted reboot, or a move, is over with a new incarnation. A reboot without an answer keeps its host leaving until it is answered.

Evidence: two cases in jobs-host-orders, failed before (the other host rebooted beside it).

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -91,7 +91,9 @@
     end_incarnation(sched, sched_host_backend(sched, host));
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
-    if (host->command_accepted || host->command_in_flight) {
+    /* A reboot without an answer may still be carried out. */
+    bool reboot_open = host->command_in_flight && host->intent == HOST_REBOOTS;
+    if ((host->command_accepted || host->command_in_flight) && !reboot_open) {
         host->command_accepted = false;
         sched_host_set_intent(sched, host, HOST_STAYS, NULL);
     }
--- a/tests/jobs/host_commands_test.c
+++ b/tests/jobs/host_commands_test.c
@@ -189,6 +189,79 @@
     fixture_clear(&f);
 }
 
+/* A host restarts by itself while its reboot is in flight. The command may
+ * still be carried out, so the host takes nothing and counts as unavailable.
+ */
+static void
+reboot_beside_restart(bool answer_missing)
+{
+    static const char *const pools[] = {"p", "p", NULL};
+    static char *hosts[] = {(char *)"m0", (char *)"m1", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 100 && fixture_last(&f, COMMAND_REBOOT) == NULL; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_REBOOT, "m0"), 1);
+    f.incarnation_start_ms = f.now_ms + 1000000000;
+    fixture_add_backend(&f, "c0", "p", "m0");
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "c0", NULL, 0, NULL, 0);
+    /* Work that starts there makes the other host the cheaper one. */
+    fixture_add_job(&f, JOB_A, "p",
+                    "[{\"count\":2,\"cpu\":16000,\"mem_mb\":10,"
+                    "\"estimate_ms\":9000}]");
+    fixture_tick(&f, f.now_ms + 10);
+    const struct recorded_command *start = fixture_last(&f, COMMAND_START);
+    for (guint i = 0; i < f.commands->len; i++) {
+        const struct recorded_command *command =
+            g_ptr_array_index(f.commands, i);
+        if (command->kind == COMMAND_START &&
+            strcmp(command->target, "b1") == 0) {
+            start = command;
+        }
+    }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(start);
+    struct run_completion done = {.number = 1,
+                                  .task = start->task,
+                                  .run = start->number,
+                                  .reason = END_DONE,
+                                  .saved = ""};
+    f.incarnation_start_ms = 1;
+    fixture_report(&f, "b1", NULL, 0, &done, 1);
+    if (answer_missing) {
+        scheduler_on_host_command(f.sched, "m0", 4, HOST_COMMAND_UNKNOWN);
+    }
+    for (int i = 0; i < 30; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 0);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m0") > 1,
+                    answer_missing);
+    fixture_clear(&f);
+}
+
+static void
+test_reboot_in_flight_beside_restart(void)
+{
+    reboot_beside_restart(false);
+}
+
+static void
+test_unanswered_reboot_beside_restart(void)
+{
+    reboot_beside_restart(true);
+}
+
 int
 main(void)
 {
@@ -201,6 +274,10 @@
         {"hosts serve until commands are allowed",
          test_hosts_serve_until_commands_are_allowed},
         {"spare hosts after a takeover", test_spare_hosts_after_a_takeover},
+        {"a reboot in flight while its host restarts",
+         test_reboot_in_flight_beside_restart},
+        {"an unanswered reboot while its host restarts",
+         test_unanswered_reboot_beside_restart},
     };
     return suite_main("jobs host commands", tests,
                       sizeof(tests) / sizeof(tests[0]));
