Complete a wave only by a host list that was requested after it

A wave could be reported complete while one of its hosts had not begun its maintenance (MIXED): hosts that the last list doesn't name count as having left the fleet, and a host that joined after that list was requested isn't in it.

Change: the list has to be requested after the wave was first seen.

Evidence: "a wave needs a list requested after it" in jobs-scheduler, failed before. A host that one list leaves out is still taken for one that left.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -221,6 +221,7 @@
                      size_t n_hosts, int64_t requested_ms)
 {
     sched->hosts_read = sched->hosts_read || n_hosts > 0;
+    sched->hosts_requested_ms = requested_ms;
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->hosts);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -100,6 +100,7 @@
  * @started: names of those whose maintenance was accepted
  * @max_unavailable: hosts that may be unavailable for it at once
  * @complete_by_ms: when it should be complete
+ * @seen_ms: when its request was first seen
  */
 struct wave {
     int64_t number;
@@ -107,6 +108,7 @@
     GHashTable *started;
     int64_t max_unavailable;
     int64_t complete_by_ms;
+    int64_t seen_ms;
 };
 
 /**
@@ -258,6 +260,7 @@
  * @finished: finished jobs, in the order of finishing
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
+ * @hosts_requested_ms: when the list that was read last was requested
  */
 struct scheduler {
     struct sched_timings timings;
@@ -298,6 +301,7 @@
     GQueue finished;
     int64_t spare_hosts;
     bool hosts_read;
+    int64_t hosts_requested_ms;
     int64_t plan_due_ms;
     struct command_budget command_budget;
     struct advice_call advice;
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -57,6 +57,7 @@
                             : (int64_t)WAVE_DEFAULT_DURATION_MS;
     wave->max_unavailable = MAX(request->max_unavailable, 1);
     wave->complete_by_ms = request->seen_ms + within_ms;
+    wave->seen_ms = request->seen_ms;
     g_ptr_array_set_size(wave->hosts, 0);
     for (char **host = request->hosts; *host != NULL; host++) {
         g_ptr_array_add(wave->hosts, g_strdup(*host));
@@ -106,8 +107,11 @@
 scheduler_wave_done(const struct scheduler *sched, int64_t number)
 {
     const struct wave *wave = sched_find_wave(sched, number);
-    /* Before the host list is read no host counts as present. */
-    return wave != NULL && sched->hosts_read && hosts_left(sched, wave) == 0;
+    /* Hosts that joined since the list was requested don't count as present.
+     */
+    return wave != NULL && sched->hosts_read &&
+           sched->hosts_requested_ms >= wave->seen_ms &&
+           hosts_left(sched, wave) == 0;
 }
 
 /* Whether so few other tasks of the step are unavailable that this run may be
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -397,6 +397,36 @@
     fixture_clear(&f);
 }
 
+/* A host that joined after the last list was requested is named by a wave. */
+static void
+test_wave_needs_a_list_requested_after_it(void)
+{
+    static const char *const pools[] = {"p", "p", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    fixture_add_backend(&f, "b2", "p", "m2");
+    char *hosts[] = {(char *)"m0", (char *)"m2", NULL};
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    scheduler_wave_host_started(f.sched, 4, "m0");
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    /* It has left the fleet before the next list. */
+    struct host_info infos[] = {{.host = "m0",
+                                 .pool = "p",
+                                 .backend_id = "b0",
+                                 .data_centre = "dc",
+                                 .up = true}};
+    scheduler_hosts_read(f.sched, infos, 1, f.now_ms + 1);
+    CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
+    fixture_clear(&f);
+}
+
 /* The operator moved the queue of an inherited job to another pool. Its runs
  * may still be on a backend server of the earlier pool that gives no answer.
  */
@@ -638,6 +668,8 @@
         {"no start without leadership", test_no_start_without_leadership},
         {"a data centre out of service", test_out_of_service_data_centre},
         {"a weak host waits each time", test_weak_host_waits_each_time},
+        {"a wave needs a list requested after it",
+         test_wave_needs_a_list_requested_after_it},
         {"a takeover waits for the earlier pool of a queue",
          test_takeover_waits_for_earlier_pool},
         {"late failures keep the peer", test_late_failures_keep_the_peer},
