Model backend servers that start again under the same id (failing tests)

A backend server may crash and start again under its id: runs, completions, fencing token, lease and stale run numbers are gone, its clock and counts start anew. The model had no such thing. Leaders now read the new entry after up to 2.5 s, at times an earlier one again, reports carry the start of the incarnation at once, and a lease is shortened to the longest accepted. A report is now made when the backend server answers, not when the answer is read.

Commands on their way reach the new incarnation: "prompt" those of milliseconds, "late" also those that are carried out 1.5 to 9 s late.

--- a/standins/jobs/backend_model.c
+++ b/standins/jobs/backend_model.c
@@ -43,12 +43,34 @@
     g_hash_table_unref(backend->stale_upto);
 }
 
+void
+model_backend_restart(struct model_backend *backend, int64_t now_ms)
+{
+    g_ptr_array_set_size(backend->runs, 0);
+    g_ptr_array_set_size(backend->completions, 0);
+    g_hash_table_remove_all(backend->stale_upto);
+    backend->token = 0;
+    backend->until_ms = 0;
+    backend->next_completion = 1;
+    backend->offset_ms = 1 - now_ms * backend->speed_percent / 100;
+}
+
 int64_t
 model_backend_clock(const struct model_backend *backend, int64_t now_ms)
 {
     return backend->offset_ms + now_ms * backend->speed_percent / 100;
 }
 
+static void
+extend_lease(struct model_backend *backend, int64_t until_ms, int64_t now_ms)
+{
+    if (backend->lease_max_ms > 0) {
+        until_ms = MIN(until_ms, model_backend_clock(backend, now_ms) +
+                                     backend->lease_max_ms);
+    }
+    backend->until_ms = MAX(backend->until_ms, until_ms);
+}
+
 static uint32_t
 stale_run_upto(const struct model_backend *backend, const char *task)
 {
@@ -138,7 +160,7 @@
     if (fenced(backend, token)) {
         return START_FENCED;
     }
-    backend->until_ms = MAX(backend->until_ms, until_ms);
+    extend_lease(backend, until_ms, now_ms);
     const struct model_task_run *existing = find_run(backend, task);
     if (existing != NULL) {
         return existing->number == number ? START_DONE
@@ -180,11 +202,10 @@
 model_backend_renew(struct model_backend *backend, int64_t until_ms,
                     int64_t acked_completion, int64_t token, int64_t now_ms)
 {
-    (void)now_ms;
     if (fenced(backend, token)) {
         return false;
     }
-    backend->until_ms = MAX(backend->until_ms, until_ms);
+    extend_lease(backend, until_ms, now_ms);
     for (guint i = backend->completions->len; i > 0; i--) {
         const struct model_completion *completion =
             g_ptr_array_index(backend->completions, i - 1);
--- a/standins/jobs/backend_model.h
+++ b/standins/jobs/backend_model.h
@@ -46,6 +46,7 @@
  * @until_ms: end of the lease, on its clock; 0: none
  * @stale_upto: by task, highest number of a run that was stopped or ended
  *              here; only a run with a higher number may start
+ * @lease_max_ms: a longer lease is shortened to this; 0: never
  * @no_fence: accept commands with a lower token too
  * @no_lease_expiry: runs go on after the lease has expired
  */
@@ -59,6 +60,7 @@
     GPtrArray *completions;
     GHashTable *stale_upto;
     int64_t next_completion;
+    int64_t lease_max_ms;
     bool no_fence;
     bool no_lease_expiry;
 };
@@ -69,6 +71,11 @@
 void
 model_backend_clear(struct model_backend *backend);
 
+/** model_backend_restart() - crash and start again under the same id: it holds
+ * nothing of before, and its clock and its counts start anew. */
+void
+model_backend_restart(struct model_backend *backend, int64_t now_ms);
+
 int64_t
 model_backend_clock(const struct model_backend *backend, int64_t now_ms);
 
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -1,6 +1,7 @@
 /* Schedules of the model: message queue, faults, callers, final checks. */
 #include "model_state.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -23,6 +24,28 @@
     return mutation_names[mutation];
 }
 
+static bool tracing = false;
+
+void
+model_set_trace(bool trace)
+{
+    tracing = trace;
+}
+
+void
+trace_event(const struct sim *sim, const char *format, ...)
+{
+    if (!tracing) {
+        return;
+    }
+    va_list args;
+    va_start(args, format);
+    printf("%6" G_GINT64_FORMAT " ", sim->now_ms);
+    vprintf(format, args);
+    putchar('\n');
+    va_end(args);
+}
+
 bool
 chance(struct sim *sim, double probability)
 {
@@ -38,6 +61,7 @@
 void
 record_violation(struct sim *sim, const char *what)
 {
+    trace_event(sim, "VIOLATION %s", what);
     if (sim->result.violation == NULL) {
         sim->result.violation = what;
     }
@@ -60,6 +84,7 @@
 {
     struct message *message = data;
     g_free(message->task);
+    report_free(message->report);
     if (message->values != NULL) {
         g_ptr_array_unref(message->values);
     }
@@ -115,6 +140,7 @@
     sent->sequence = number;
     sent->leader = leader;
     sent->answer_lost = lost;
+    sent->life = sim->lives[command.backend].number;
 }
 
 /* Cut links, renewals of leadership and takeovers; called every 100 ms. */
@@ -122,7 +148,7 @@
 inject_faults(struct sim *sim)
 {
     struct leader *leader = sim->current;
-    if (sim->slow_leaders && faults_active(sim) && chance(sim, 0.04)) {
+    if (sim->faults.slow_leaders && faults_active(sim) && chance(sim, 0.04)) {
         leader->busy_until_ms =
             sim->now_ms + g_rand_int_range(sim->random, 200, SLOW_MAX_MS);
     }
@@ -141,6 +167,7 @@
             leader->cut_from[i] = false;
         }
     }
+    restart_backends(sim);
     scheduler_set_outage(leader->sched, leader->cut_from_store);
     if ((leader->cut_from_store || busy) &&
         sim->now_ms > leader->valid_until_ms + 50) {
@@ -218,7 +245,7 @@
     sim->next_token = 1;
     sim->messages = g_sequence_new(message_free);
     sim->registered =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sim->done_acked =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sim->leaders = g_ptr_array_new();
@@ -230,6 +257,8 @@
         model_backend_init(&sim->backends[i], i,
                            98 + g_rand_int_range(sim->random, 0, 3),
                            g_rand_int_range(sim->random, 1000, 900000));
+        sim->backends[i].lease_max_ms = LEASE_MAX_MS;
+        sim->lives[i].start_ms = 1;
         sim->backends[i].no_fence = mutation == MUTATION_NO_FENCE;
         sim->backends[i].no_lease_expiry =
             mutation == MUTATION_NO_LEASE_EXPIRY;
@@ -292,11 +321,12 @@
 }
 
 static struct model_result
-run_schedule(uint32_t seed, enum model_mutation mutation, bool slow_leaders)
+run_schedule(uint32_t seed, enum model_mutation mutation,
+             struct model_faults faults)
 {
     struct sim sim = {0};
     sim_init(&sim, seed, mutation);
-    sim.slow_leaders = slow_leaders;
+    sim.faults = faults;
     take_over(&sim);
     int64_t next_fault_ms = sim.now_ms;
     while (sim.now_ms < SCHEDULE_MS && sim.result.violation == NULL) {
@@ -333,11 +363,11 @@
 struct model_result
 model_run(uint32_t seed, enum model_mutation mutation)
 {
-    return run_schedule(seed, mutation, false);
+    return run_schedule(seed, mutation, (struct model_faults){0});
 }
 
 struct model_result
-model_run_slow(uint32_t seed)
+model_run_faults(uint32_t seed, struct model_faults faults)
 {
-    return run_schedule(seed, MUTATION_NONE, true);
+    return run_schedule(seed, MUTATION_NONE, faults);
 }
--- a/tests/jobs/model.h
+++ b/tests/jobs/model.h
@@ -38,6 +38,7 @@
  * @violation: first invariant violated, or NULL; static text
  * @starts: runs that backend servers started
  * @takeovers: leaders in the schedule, the first included
+ * @restarts: backend servers that started again under the same id
  * @completed: completed jobs
  * @unfinished: jobs not finished although the faults had ended
  */
@@ -45,6 +46,7 @@
     const char *violation;
     uint32_t starts;
     uint32_t takeovers;
+    uint32_t restarts;
     uint32_t completed;
     uint32_t unfinished;
 };
@@ -53,13 +55,30 @@
 struct model_result
 model_run(uint32_t seed, enum model_mutation mutation);
 
+/** model_set_trace() - whether schedules print what happens in them. */
+void
+model_set_trace(bool trace);
+
 /** model_mutation_name() - text for the test's output. */
 const char *
 model_mutation_name(enum model_mutation mutation);
 
-/** model_run_slow() - run a schedule in which leaders are too slow at times:
- * answers wait, no pass runs and no renewal is sent for up to some seconds. */
+/**
+ * struct model_faults - faults beside those of every schedule
+ * @slow_leaders: leaders are too slow at times: answers wait, no pass runs and
+ *                no renewal is sent for up to some seconds
+ * @restarts: backend servers crash and start again under the same id
+ * @late_to_next: a command that is carried out seconds late may be carried out
+ *                by a later incarnation than that which it was sent to
+ */
+struct model_faults {
+    bool slow_leaders;
+    bool restarts;
+    bool late_to_next;
+};
+
+/** model_run_faults() - run one schedule with these faults too. */
 struct model_result
-model_run_slow(uint32_t seed);
+model_run_faults(uint32_t seed, struct model_faults faults);
 
 #endif
--- a/tests/jobs/model_deliver.c
+++ b/tests/jobs/model_deliver.c
@@ -37,6 +37,60 @@
     }
 }
 
+void
+report_free(struct run_report *report)
+{
+    if (report == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < report->n_running; i++) {
+        g_free((char *)report->running[i].task);
+    }
+    for (size_t i = 0; i < report->n_completions; i++) {
+        g_free((char *)report->completions[i].task);
+    }
+    g_free(report->running);
+    g_free(report->completions);
+    g_free(report);
+}
+
+static struct run_report *
+make_report(const struct sim *sim, int index)
+{
+    const struct model_backend *backend = &sim->backends[index];
+    struct run_report *report = g_new0(struct run_report, 1);
+    report->outcome = REPORT_READ;
+    report->incarnation_start_ms = sim->lives[index].start_ms;
+    report->clock_ms = model_backend_clock(backend, sim->now_ms);
+    report->running = g_new0(struct reported_run, backend->runs->len + 1);
+    report->completions =
+        g_new0(struct run_completion, backend->completions->len + 1);
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct model_task_run *run = g_ptr_array_index(backend->runs, i);
+        /* A run that is being stopped is neither running nor completed. */
+        if (run->stops_ms == 0) {
+            report->running[report->n_running++] = (struct reported_run){
+                .task = g_strdup(run->task),
+                .number = run->number,
+                .saved = "",
+                .percent = run->stalls ? 40 : (int32_t)(sim->now_ms / 50 % 97),
+            };
+        }
+    }
+    for (guint i = 0; i < backend->completions->len; i++) {
+        const struct model_completion *completion =
+            g_ptr_array_index(backend->completions, i);
+        report->completions[report->n_completions++] = (struct run_completion){
+            .number = completion->number,
+            .task = g_strdup(completion->task),
+            .run = completion->run,
+            .reason = completion->reason,
+            .saved = "",
+        };
+    }
+    return report;
+}
+
 static void
 answer_command(struct sim *sim, const struct message *command,
                enum start_answer answer, bool acked)
@@ -61,6 +115,10 @@
     reply->acked = acked;
     reply->clock_ms =
         model_backend_clock(&sim->backends[command->backend], sim->now_ms);
+    if (reply->answered_kind == MESSAGE_REPORT_REQUEST &&
+        answer == START_DONE) {
+        reply->report = make_report(sim, command->backend);
+    }
 }
 
 static void
@@ -81,6 +139,12 @@
         run->stalls = faults_active(sim) && is_long;
         check_start(sim, command);
     }
+    trace_event(sim,
+                "start of %s run %u at b%d, token %" G_GINT64_FORMAT
+                ", answer %d%s%s",
+                command->task, command->number, command->backend,
+                command->token, answer, started ? ", began" : "",
+                command->answer_lost ? ", late or answer lost" : "");
     answer_command(sim, command, answer, true);
 }
 
@@ -95,53 +159,13 @@
             g_ptr_array_index(backend->completions, i);
         if (completion->number <= acked_completion &&
             completion->reason == END_DONE && !completion->lease_expired) {
+            trace_event(sim, "end of %s run %u at %s acknowledged",
+                        completion->task, completion->run, backend->id);
             g_hash_table_add(sim->done_acked, g_strdup(completion->task));
         }
     }
 }
 
-static void
-report_runs(struct leader *leader, const struct model_backend *backend,
-            int64_t clock_ms)
-{
-    struct run_report report = {
-        .outcome = REPORT_READ,
-        .incarnation_start_ms = 1,
-        .clock_ms = clock_ms,
-        .running = g_new0(struct reported_run, backend->runs->len + 1),
-        .completions =
-            g_new0(struct run_completion, backend->completions->len + 1),
-    };
-    for (guint i = 0; i < backend->runs->len; i++) {
-        const struct model_task_run *run = g_ptr_array_index(backend->runs, i);
-        /* A run that is being stopped is neither running nor completed. */
-        if (run->stops_ms == 0) {
-            report.running[report.n_running++] = (struct reported_run){
-                .task = run->task,
-                .number = run->number,
-                .saved = "",
-                .percent = run->stalls
-                               ? 40
-                               : (int32_t)(leader->sim->now_ms / 50 % 97),
-            };
-        }
-    }
-    for (guint i = 0; i < backend->completions->len; i++) {
-        const struct model_completion *completion =
-            g_ptr_array_index(backend->completions, i);
-        report.completions[report.n_completions++] = (struct run_completion){
-            .number = completion->number,
-            .task = completion->task,
-            .run = completion->run,
-            .reason = completion->reason,
-            .saved = "",
-        };
-    }
-    scheduler_on_report(leader->sched, backend->id, &report);
-    g_free(report.running);
-    g_free(report.completions);
-}
-
 static void
 deliver_report_request(struct sim *sim, struct message *command)
 {
@@ -161,6 +185,7 @@
                              command->number / 4);
             wait_end->backend = command->backend;
             wait_end->token = command->token;
+            wait_end->life = sim->lives[command->backend].number;
             wait_end->answer_lost = command->answer_lost;
             return;
         }
@@ -185,9 +210,10 @@
                           reply->acked && reply->answer != START_NO_ANSWER);
         break;
     default:
-        if (reply->answer == START_DONE) {
-            report_runs(leader, &sim->backends[reply->backend],
-                        reply->clock_ms);
+        if (reply->report != NULL) {
+            scheduler_on_report(leader->sched,
+                                sim->backends[reply->backend].id,
+                                reply->report);
         }
         else {
             struct run_report report = {
@@ -228,9 +254,15 @@
                   g_ptr_array_index(message->values, i), revision);
     }
     for (guint i = 0; applied && i < message->batch->register_ids->len; i++) {
-        g_hash_table_add(
-            sim->registered,
-            g_strdup(g_ptr_array_index(message->batch->register_ids, i)));
+        const char *id = g_ptr_array_index(message->batch->register_ids, i);
+        const struct backend *backend =
+            scheduler_find_backend(leader->sched, id);
+        if (backend != NULL) {
+            g_hash_table_replace(
+                sim->registered, g_strdup(id),
+                g_memdup2(&backend->entry.incarnation_start_ms,
+                          sizeof(backend->entry.incarnation_start_ms)));
+        }
     }
     leader->storing = false;
     scheduler_batch_stored(leader->sched, message->batch, applied && !lost,
@@ -247,6 +279,11 @@
     struct leader *leader = message->leader;
     scheduler_set_leadership_valid(leader->sched,
                                    sim->now_ms < leader->valid_until_ms);
+    if (message->kind <= MESSAGE_REPORT_WAIT_END &&
+        command_dropped(sim, message)) {
+        answer_command(sim, message, START_NO_ANSWER, false);
+        return;
+    }
     switch (message->kind) {
     case MESSAGE_START:
         deliver_start(sim, message);
@@ -268,5 +305,8 @@
     case MESSAGE_COMMIT:
         deliver_commit(sim, message);
         break;
+    case MESSAGE_ENTRY:
+        deliver_entry(message);
+        break;
     }
 }
--- a/tests/jobs/model_leader.c
+++ b/tests/jobs/model_leader.c
@@ -127,6 +127,14 @@
     (void)wave;
 }
 
+static void
+op_log_event(void *ctx, const char *event, const char *fields)
+{
+    const struct leader *leader = ctx;
+    trace_event(leader->sim, "leader %" G_GINT64_FORMAT ": %s %s",
+                leader->token, event, fields);
+}
+
 static int64_t
 sim_now(void *ctx)
 {
@@ -140,13 +148,14 @@
     return ((struct sim *)ctx)->now_ms + 1000000000;
 }
 
-static void
-fill_entry(struct backend_entry *entry, struct sim *sim, int index)
+void
+fill_entry(struct backend_entry *entry, struct sim *sim, int index,
+           int64_t start_ms)
 {
     static char *labels[] = {(char *)"a", (char *)"r1", NULL};
     *entry = (struct backend_entry){
         .id = sim->backends[index].id,
-        .incarnation_start_ms = 1,
+        .incarnation_start_ms = start_ms,
         .pool = (char *)"p",
         .address = (char *)"127.0.0.1:1",
         .data_centre = (char *)"dc",
@@ -198,6 +207,7 @@
         .store = op_store,
         .move_host = op_move_host,
         .reboot_host = op_reboot,
+        .log_event = op_log_event,
         .ctx = leader,
     };
     leader->sched =
@@ -209,11 +219,14 @@
     load_jobs(leader);
     for (int i = 0; i < BACKEND_COUNT; i++) {
         struct backend_entry entry;
-        fill_entry(&entry, sim, i);
-        if (g_hash_table_contains(sim->registered, entry.id) &&
-            sim->mutation != MUTATION_NO_REGISTRATION) {
+        fill_entry(&entry, sim, i, 1);
+        const int64_t *registered =
+            g_hash_table_lookup(sim->registered, entry.id);
+        if (registered != NULL && sim->mutation != MUTATION_NO_REGISTRATION) {
+            entry.incarnation_start_ms = *registered;
             scheduler_backend_inherited(leader->sched, &entry, LEASE_MAX_MS);
         }
+        entry.incarnation_start_ms = listed_start_ms(sim, leader, i);
         scheduler_backend_updated(leader->sched, &entry);
     }
     for (int i = 0; i < BACKEND_COUNT; i++) {
--- /dev/null
+++ b/tests/jobs/model_restart_test.c
@@ -0,0 +1,80 @@
+/*
+ * Seeded schedules in which backend servers crash and start again under the
+ * same id. Arguments: which commands a later incarnation may carry out,
+ * "prompt" (those on their way for milliseconds) or "late" (also those on
+ * their way for seconds); number of schedules; first seed; anything more
+ * prints what happens.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../suite.h"
+#include "model.h"
+
+enum {
+    SCHEDULE_COUNT = 400,
+    SEEDS_PRINTED_MAX = 20,
+};
+
+static uint32_t schedules = SCHEDULE_COUNT;
+static uint32_t first_seed = 1;
+static bool late_to_next = false;
+
+static void
+check_schedules(bool slow_leaders)
+{
+    uint32_t violating = 0;
+    uint32_t unfinished = 0;
+    uint32_t restarts = 0;
+    for (uint32_t seed = first_seed; seed < first_seed + schedules; seed++) {
+        struct model_result result = model_run_faults(
+            seed, (struct model_faults){.slow_leaders = slow_leaders,
+                                        .restarts = true,
+                                        .late_to_next = late_to_next});
+        unfinished += result.unfinished;
+        restarts += result.restarts;
+        if (result.violation != NULL && violating++ < SEEDS_PRINTED_MAX) {
+            printf("seed %u: %s\n", seed, result.violation);
+        }
+        if (result.unfinished > 0) {
+            printf("seed %u: %u unfinished\n", seed, result.unfinished);
+        }
+    }
+    printf("%u schedules, %u restarts, %u violating, %u unfinished\n",
+           schedules, restarts, violating, unfinished);
+    CU_ASSERT_EQUAL(violating, 0);
+    CU_ASSERT_EQUAL(unfinished, 0);
+    CU_ASSERT(restarts > schedules / 2);
+}
+
+static void
+test_restarts(void)
+{
+    check_schedules(false);
+}
+
+static void
+test_restarts_slow_leaders(void)
+{
+    check_schedules(true);
+}
+
+int
+main(int argc, char **argv)
+{
+    late_to_next = argc > 1 && strcmp(argv[1], "late") == 0;
+    if (argc > 2) {
+        schedules = (uint32_t)strtoul(argv[2], NULL, 10);
+    }
+    if (argc > 3) {
+        first_seed = (uint32_t)strtoul(argv[3], NULL, 10);
+    }
+    model_set_trace(argc > 4);
+    static const struct suite_test tests[] = {
+        {"restarts under the same id violate no invariant", test_restarts},
+        {"nor do they with slow leaders", test_restarts_slow_leaders},
+    };
+    return suite_main("jobs model, restarts", tests,
+                      sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/jobs/model_state.h
+++ b/tests/jobs/model_state.h
@@ -69,6 +69,7 @@
  * @MESSAGE_REPORT_WAIT_END: a backend server's wait for a completion is over,
  *                           so it answers the report request
  * @MESSAGE_ANSWER: answer of a backend server, or the time-out of a call to it
+ * @MESSAGE_ENTRY: an entry is read, or that it was removed
  */
 enum message_kind {
     MESSAGE_START,
@@ -77,6 +78,7 @@
     MESSAGE_REPORT_WAIT_END,
     MESSAGE_ANSWER,
     MESSAGE_COMMIT,
+    MESSAGE_ENTRY,
 };
 
 /**
@@ -89,6 +91,9 @@
  * @answer_lost: the answer to the command gets lost
  * @answered_kind: of an answer, kind of the command
  * @batch: changes to store, with the records of progress in @values
+ * @life: of a command, incarnation that it was sent to
+ * @start_ms: start of the incarnation in an entry; 0: the entry was removed
+ * @report: run report in an answer, or NULL
  */
 struct message {
     int64_t at_ms;
@@ -109,13 +114,32 @@
     bool acked;
     struct store_batch *batch;
     GPtrArray *values;
+    uint32_t life;
+    int64_t start_ms;
+    struct run_report *report;
+};
+
+/**
+ * struct model_life - the current incarnation of a backend server
+ * @number: counts incarnations under its id
+ * @start_ms: Unix time of its start
+ * @previous_start_ms: that of the incarnation before
+ * @up_ms: it is up from this time on
+ */
+struct model_life {
+    uint32_t number;
+    int64_t start_ms;
+    int64_t previous_start_ms;
+    int64_t up_ms;
 };
 
 /**
  * struct sim - state of a schedule
- * @slow_leaders: leaders are too slow at times
+ * @faults: faults beside those of every schedule
  * @messages: struct message by time of arrival
- * @registered: ids of backend servers registered in the store
+ * @lives: incarnations of @backends
+ * @registered: ids of backend servers registered in the store, with the start
+ *              of the incarnation that was registered
  * @done_acked: tasks whose completion as done was acknowledged
  * @leaders: struct leader, all that there were
  * @current: the leader that the store knows
@@ -123,11 +147,12 @@
 struct sim {
     GRand *random;
     enum model_mutation mutation;
-    bool slow_leaders;
+    struct model_faults faults;
     int64_t now_ms;
     uint64_t next_sequence;
     GSequence *messages;
     struct model_backend backends[BACKEND_COUNT];
+    struct model_life lives[BACKEND_COUNT];
     GHashTable *registered;
     GHashTable *done_acked;
     struct stored_job jobs[JOB_COUNT];
@@ -140,6 +165,10 @@
 };
 
 /* model.c */
+/* Prints what happens, if it is asked for. */
+void
+trace_event(const struct sim *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
 bool
 chance(struct sim *sim, double probability);
 bool
@@ -163,9 +192,27 @@
 sim_unix(void *ctx);
 void
 take_over(struct sim *sim);
+void
+fill_entry(struct backend_entry *entry, struct sim *sim, int index,
+           int64_t start_ms);
 
 /* model_deliver.c */
 void
 deliver(struct sim *sim, struct message *message);
+void
+report_free(struct run_report *report);
+
+/* model_restart.c */
+void
+restart_backends(struct sim *sim);
+bool
+backend_is_up(const struct sim *sim, int index);
+/* Start of the incarnation that a new leader reads of. */
+int64_t
+listed_start_ms(struct sim *sim, struct leader *leader, int index);
+void
+deliver_entry(const struct message *message);
+bool
+command_dropped(const struct sim *sim, const struct message *command);
 
 #endif
--- a/tests/jobs/model_test.c
+++ b/tests/jobs/model_test.c
@@ -54,7 +54,8 @@
     uint32_t violating = 0;
     uint32_t unfinished = 0;
     for (uint32_t seed = first_seed; seed < first_seed + schedules; seed++) {
-        struct model_result result = model_run_slow(seed);
+        struct model_result result = model_run_faults(
+            seed, (struct model_faults){.slow_leaders = true});
         unfinished += result.unfinished;
         if (result.violation != NULL && violating++ < 5) {
             printf("seed %u: %s\n", seed, result.violation);
