--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -80,7 +80,7 @@
     sched_backend_refs(sched, backend);
 }
 
-/* Whether @entry is of an incarnation before the known one. */
+/* A delayed read shows an incarnation that has ended. */
 static bool
 entry_outdated(const struct backend *backend,
                const struct backend_entry *entry)
@@ -95,6 +95,11 @@
 {
     struct backend *backend = scheduler_find_backend(sched, entry->id);
     if (backend != NULL && entry_outdated(backend, entry)) {
+        sched_log_event(sched, "entry_outdated",
+                        "\"backend\":\"%s\",\"started\":%" G_GINT64_FORMAT
+                        ",\"now_started\":%" G_GINT64_FORMAT,
+                        entry->id, entry->incarnation_start_ms,
+                        backend->entry.incarnation_start_ms);
         return;
     }
     if (backend == NULL) {
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -242,7 +242,8 @@
 
 /**
  * scheduler_backend_updated() - an entry was added to the host list or
- * changed.
+ * changed; that of an incarnation that started before the known one is
+ * ignored.
  */
 void
 scheduler_backend_updated(struct scheduler *sched,
--- /dev/null
+++ b/tests/jobs/restarted_backend_test.c
@@ -0,0 +1,85 @@
+/* Backend servers that start again under the same id: which facts, commands
+ * and acknowledgements of the earlier incarnation still count. */
+#include "../suite.h"
+#include "fleet_fixture.h"
+
+#define JOB_A "00000000000000aa"
+
+static const char one_task[] =
+    "[{\"count\":1,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":9000}]";
+
+enum {
+    FIRST_START_MS = 10,
+    SECOND_START_MS = 20,
+};
+
+static void
+list_b1(struct fleet_fixture *f, int64_t incarnation_start_ms)
+{
+    f->incarnation_start_ms = incarnation_start_ms;
+    fixture_add_backend(f, "b1", "p", "m1");
+}
+
+/* The only task was sent to b1; only b2 could run it too. */
+static void
+init_with_start(struct fleet_fixture *f)
+{
+    fixture_init(f, 0);
+    f->incarnation_start_ms = FIRST_START_MS;
+    fixture_drain_backend(f, "b2", "p", "m2");
+    list_b1(f, FIRST_START_MS);
+    fixture_reconcile(f);
+    fixture_add_job(f, JOB_A, "p", one_task);
+    fixture_tick(f, f->now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(f, COMMAND_START, "b1"), 1);
+    fixture_add_backend(f, "b2", "p", "m2");
+}
+
+static void
+report_running(struct fleet_fixture *f)
+{
+    const struct recorded_command *start = fixture_last(f, COMMAND_START);
+    struct reported_run running = {.task = start->task,
+                                   .number = start->number,
+                                   .saved = "",
+                                   .percent = 10};
+    fixture_report(f, "b1", &running, 1, NULL, 0);
+}
+
+static void
+tick_twice(struct fleet_fixture *f)
+{
+    fixture_tick(f, f->now_ms + 100);
+    fixture_tick(f, f->now_ms + 100);
+}
+
+/* An entry that was read before the restart arrives after it, and ended the
+ * incarnation that runs. */
+static void
+test_earlier_entry(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    fixture_accept_starts(&f);
+    fixture_tick(&f, f.now_ms + 100);
+    report_running(&f);
+    list_b1(&f, FIRST_START_MS - 1);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    f.incarnation_start_ms = FIRST_START_MS;
+    report_running(&f);
+    list_b1(&f, FIRST_START_MS);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
+int
+main(void)
+{
+    static const struct suite_test tests[] = {
+        {"an earlier entry ends nothing", test_earlier_entry},
+    };
+    return suite_main("jobs restarted backend", tests,
+                      sizeof(tests) / sizeof(tests[0]));
+}
