Forget unacknowledged completions at a restart under the same id

Callers saw a task run again after it was done. Completions wait for the store before they are acknowledged. Those of the earlier incarnation stayed in that queue over a restart, and once stored their numbers were acknowledged to the new incarnation, which counts anew: it forgot its own completions up to there before anybody had read them, and the next report without them was taken as proof that their runs were lost. The queue ends with its incarnation.

The test failed before (57 was acknowledged to an incarnation that had listed nothing).

--- a/core/jobs/backend.c
+++ b/core/jobs/backend.c
@@ -109,6 +109,15 @@
     g_free(completion);
 }
 
+void
+backend_forget_completions(struct backend *backend)
+{
+    g_queue_clear_full(&backend->completions, pending_completion_free);
+    backend->last_completion = 0;
+    backend->acked_completion = 0;
+    backend->acked_sent = 0;
+}
+
 void
 backend_destroy(struct backend *backend)
 {
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -82,9 +82,7 @@
      * grant it the longest lease, since its clock starts anew. */
     backend->leases_expire_ms = lease_over_ms(
         sched_now(sched) + LATE_COMMAND_MS, sched->lease_accepted_max_ms);
-    backend->last_completion = 0;
-    backend->acked_completion = 0;
-    backend->acked_sent = 0;
+    backend_forget_completions(backend);
     backend->unresponsive = false;
 }
 
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -304,6 +304,13 @@
 void
 backend_ack_completions(struct backend *backend);
 
+/**
+ * backend_forget_completions() - an incarnation has ended; the next one counts
+ * its completions anew.
+ */
+void
+backend_forget_completions(struct backend *backend);
+
 /**
  * backend_fencing_token() - token of commands to it, by the leader with
  * @leader_token
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -65,10 +65,11 @@
                   int64_t acked_completion, int64_t wait_ms)
 {
     (void)until_ms;
-    (void)acked_completion;
     (void)wait_ms;
-    record(ctx, COMMAND_REQUEST_REPORT, backend->entry.id)->token =
-        backend_fencing_token(backend, LEADER_TOKEN);
+    struct recorded_command *recorded =
+        record(ctx, COMMAND_REQUEST_REPORT, backend->entry.id);
+    recorded->token = backend_fencing_token(backend, LEADER_TOKEN);
+    recorded->acked_completion = acked_completion;
 }
 
 static void
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -24,6 +24,7 @@
  * @task: task, pool of a move, or the step that advice is requested for
  * @ticket: ticket of a start, or NULL
  * @number: number of the run, wave of a reboot, or CPU limit in percent
+ * @acked_completion: of a request for a report
  * @token: fencing token of a start, a stop or a request for a report
  * @at_ms: when it was sent, on the fixture's clock
  */
@@ -34,6 +35,7 @@
     char *task;
     char *ticket;
     uint32_t number;
+    int64_t acked_completion;
     int64_t token;
     int64_t at_ms;
 };
--- a/tests/jobs/restarted_backend_test.c
+++ b/tests/jobs/restarted_backend_test.c
@@ -295,6 +295,29 @@
     fixture_clear(&f);
 }
 
+/* A completion of the earlier incarnation is stored after the restart. Its
+ * number was acknowledged to the new one, which forgot its own completions up
+ * to there before anybody had read them. */
+static void
+test_completion_of_earlier_incarnation(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    const struct recorded_command *start = fixture_last(&f, COMMAND_START);
+    struct run_completion done = {.number = 57,
+                                  .task = start->task,
+                                  .run = start->number,
+                                  .reason = END_DONE,
+                                  .saved = ""};
+    fixture_report(&f, "b1", NULL, 0, &done, 1);
+    list_b1(&f, SECOND_START_MS);
+    report_empty_twice(&f);
+    report_empty_twice(&f);
+    fixture_tick(&f, f.now_ms + 1000);
+    CU_ASSERT_EQUAL(last_request_to_b1(&f)->acked_completion, 0);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -315,6 +338,8 @@
         {"the fencing token rises with a restart", test_token_rises},
         {"a refusal of an earlier token ends no leadership",
          test_own_earlier_token_refused},
+        {"a completion of the earlier incarnation isn't acknowledged",
+         test_completion_of_earlier_incarnation},
     };
     return suite_main("jobs restarted backend", tests,
                       sizeof(tests) / sizeof(tests[0]));
