Raise the fencing token also when a removed backend server comes back

A backend server whose entry is removed and that holds no runs any more is forgotten, and with it how often it had restarted. When it came back under its id it got the earlier token again, so commands to the earlier incarnation were carried out there whenever they arrived. The count is kept for a minute.

The test failed before (the same token as before the removal).

--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -94,6 +94,8 @@
     overload_init(&sched->overload);
     sched->backends = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                             backend_value_destroy);
+    sched->former_backends =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sched->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                         job_value_destroy);
     sched->active = g_ptr_array_new();
@@ -127,6 +129,7 @@
     sched_strays_clear(sched);
     g_hash_table_unref(sched->runs);
     g_hash_table_unref(sched->backends);
+    g_hash_table_unref(sched->former_backends);
     g_ptr_array_unref(sched->active);
     g_hash_table_unref(sched->jobs);
     g_hash_table_unref(sched->team_usage);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -86,10 +86,37 @@
     backend->unresponsive = false;
 }
 
+/* It may come back under its id while commands to it are still on their way,
+ * and needs a higher token then. */
+static void
+remember_backend(struct scheduler *sched, const struct backend *backend)
+{
+    struct former_backend *former = g_new0(struct former_backend, 1);
+    former->incarnation = backend->incarnation;
+    former->removed_ms = sched_now(sched);
+    g_hash_table_replace(sched->former_backends, g_strdup(backend->entry.id),
+                         former);
+}
+
+static gboolean
+former_backend_expired(void *id, void *value, void *ctx)
+{
+    (void)id;
+    const struct former_backend *former = value;
+    const struct scheduler *sched = ctx;
+    return sched_now(sched) - former->removed_ms > FORMER_BACKEND_MS;
+}
+
 static struct backend *
 add_backend(struct scheduler *sched, const struct backend_entry *entry)
 {
     struct backend *backend = backend_create(entry);
+    const struct former_backend *former =
+        g_hash_table_lookup(sched->former_backends, entry->id);
+    if (former != NULL) {
+        backend->incarnation = former->incarnation + 1;
+        g_hash_table_remove(sched->former_backends, entry->id);
+    }
     backend->empty_since_ms = sched_now(sched);
     backend->seen_ms = sched_now(sched);
     g_hash_table_insert(sched->backends, backend->entry.id, backend);
@@ -257,6 +284,8 @@
 sched_expire_backends(struct scheduler *sched)
 {
     int64_t now_ms = sched_now(sched);
+    g_hash_table_foreach_remove(sched->former_backends, former_backend_expired,
+                                sched);
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->backends);
@@ -278,6 +307,7 @@
         if (backend->registered) {
             g_ptr_array_add(sched->to_release, g_strdup(backend->entry.id));
         }
+        remember_backend(sched, backend);
         sched_backend_refs_clear(backend);
         g_ptr_array_remove_fast(sched->draining, backend);
         deadline_heap_remove(sched->report_deadlines,
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -15,6 +15,9 @@
     /* A command without an answer may be carried out seconds later; the
      * platform gives no bound. */
     LATE_COMMAND_MS = 10000,
+    /* How long the token of a backend server that was removed is remembered;
+     * well above LATE_COMMAND_MS, since it costs a few bytes. */
+    FORMER_BACKEND_MS = 60000,
     /* A report request waits at most this long for changes. It also renews the
      * lease, so this bounds the time between renewals. */
     REPORT_WAIT_MS = 800,
@@ -226,6 +229,16 @@
     double allowed_fraction;
 };
 
+/**
+ * struct former_backend - a backend server that was removed
+ * @incarnation: its last, see struct backend
+ * @removed_ms: when it was removed
+ */
+struct former_backend {
+    uint32_t incarnation;
+    int64_t removed_ms;
+};
+
 /**
  * struct scheduler - state of the scheduler
  * @lease_accepted_max_ms: a backend server shortens a longer lease to this
@@ -249,6 +262,7 @@
  * @fenced: a newer scheduler was met; no more commands are sent
  * @takeover_ms: when this scheduler took over
  * @backends: struct backend by id
+ * @former_backends: struct former_backend by id
  * @jobs: struct job by id, finished ones included
  * @active: the active jobs
  * @runs: struct run by handle
@@ -291,6 +305,7 @@
     int64_t takeover_ms;
     uint64_t next_handle;
     GHashTable *backends;
+    GHashTable *former_backends;
     GHashTable *jobs;
     GPtrArray *active;
     GHashTable *runs;
--- a/tests/jobs/restarted_backend_test.c
+++ b/tests/jobs/restarted_backend_test.c
@@ -318,6 +318,25 @@
     fixture_clear(&f);
 }
 
+/* The entry was removed, and the backend server forgotten, before it starts
+ * again. The token was the earlier one again. */
+static void
+test_token_rises_after_removal(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    list_b1(&f, FIRST_START_MS);
+    fixture_reconcile(&f);
+    int64_t token = last_request_to_b1(&f)->token;
+    scheduler_backend_removed(f.sched, "b1");
+    tick_twice(&f);
+    CU_ASSERT_PTR_NULL(scheduler_find_backend(f.sched, "b1"));
+    list_b1(&f, SECOND_START_MS);
+    fixture_reconcile(&f);
+    CU_ASSERT(last_request_to_b1(&f)->token > token);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -340,6 +359,8 @@
          test_own_earlier_token_refused},
         {"a completion of the earlier incarnation isn't acknowledged",
          test_completion_of_earlier_incarnation},
+        {"the fencing token rises also after a removal",
+         test_token_rises_after_removal},
     };
     return suite_main("jobs restarted backend", tests,
                       sizeof(tests) / sizeof(tests[0]));
