Take no entry out of bounds for a backend server

Callers would have seen jobs run twice after another writer left one odd entry among those of the backend servers: a start time of 1e18 made it the newest incarnation of the host that it named, so that the runs there were released and started again. Numbers were converted from double to int64_t whatever they were, which is undefined beyond the type's range. Ids and names went unchecked into headers, store keys and log lines.

--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -67,12 +67,14 @@
               const struct kv_item *item)
 {
     struct backend_entry entry;
+    char *error = NULL;
     if (item->deleted || item->value == NULL) {
         scheduler_backend_removed(leader->sched, id);
         return;
     }
     g_hash_table_add(leader->listed_ids, g_strdup(id));
-    if (!decode_backend(id, item->value, item->value_bytes, &entry)) {
+    if (!decode_backend(id, item->value, item->value_bytes, &entry, &error)) {
+        g_free(error);
         return;
     }
     scheduler_backend_updated(leader->sched, &entry);
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -24,11 +24,15 @@
 struct fleet_config *
 decode_config(const char *text, size_t bytes, int64_t revision);
 
-/** decode_backend() - entry of a backend server; false if it describes no
- * usable backend server. Clear @entry afterwards. */
+/**
+ * decode_backend() - entry of a backend server; backend_entry_clear()
+ * @error: if false is returned because the entry describes no usable backend
+ *         server, receives a description with the position of the error;
+ *         g_free()
+ */
 bool
 decode_backend(const char *id, const char *text, size_t bytes,
-               struct backend_entry *entry);
+               struct backend_entry *entry, char **error);
 
 /** decode_wave() - maintenance wave; false if it can't be read. Free the hosts
  * with g_strfreev(). */
