Answer a call that fails at once after it was sent, not while

A leader could end with "free(): invalid pointer" in the middle of its work: when connecting fails at once, libevent finishes the call inside of evhttp_make_request(), and the HTTP client passed that on before http_client_send() had returned, against its own description. The client of a backend server then freed the command that it was just sending, and used and freed it again. An entry that moves a backend server in use to port 0 or to an address without a route does it; so does a host without a route or without free local ports.

Evidence: jobs-backend-client, "a command that fails at once" (a stop to 255.255.255.255:80): aborted with "free(): invalid pointer" before; with the address sanitizer heap-use-after-free in send_waiting(), backend_client.c:251, freed under http_client.c:95.

Change: a call that fails while it is being sent is answered from the loop.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -8,19 +8,31 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** struct pending_call - a call without an answer */
+/**
+ * struct pending_call - a call without an answer
+ * @failed: it has failed, and its caller is told soon
+ * @never_sent: it failed before a connection was made
+ */
 struct pending_call {
     struct http_client *client;
+    bool failed;
+    bool never_sent;
     void (*done)(void *ctx, const struct http_reply *reply);
     void *ctx;
 };
 
+/**
+ * struct http_client - connection to one address and its open calls
+ * @sending: a call is being passed to libevent, and its caller still uses what
+ *           belongs to it
+ */
 struct http_client {
     struct event_base *base;
     struct evhttp_connection *connection;
     char *host;
     int64_t timeout_ms;
     GPtrArray *pending;
+    bool sending;
     bool destroyed;
 };
 
@@ -96,9 +108,30 @@
     g_free(pending);
 }
 
+static void
+on_failed(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct pending_call *pending = ctx;
+    struct http_reply reply = {.never_sent = pending->never_sent};
+    pending_call_finish(pending, &reply);
+}
+
+static void
+pending_call_fail_soon(struct pending_call *pending, bool never_sent)
+{
+    struct timeval now = {0};
+    pending->failed = true;
+    pending->never_sent = never_sent;
+    event_base_once(pending->client->base, -1, EV_TIMEOUT, on_failed, pending,
+                    &now);
+}
+
 static void
 on_reply(struct evhttp_request *request, void *ctx)
 {
+    struct pending_call *pending = ctx;
     struct http_reply reply = {0};
     if (request != NULL) {
         reply.status = evhttp_request_get_response_code(request);
@@ -110,16 +143,12 @@
         reply.body = (const char *)evbuffer_pullup(input, -1);
         reply.request = request;
     }
-    pending_call_finish(ctx, &reply);
-}
-
-static void
-on_not_sent(evutil_socket_t fd, short events, void *ctx)
-{
-    (void)fd;
-    (void)events;
-    struct http_reply reply = {.never_sent = true};
-    pending_call_finish(ctx, &reply);
+    /* Where connecting fails at once, libevent reports it at once. */
+    if (pending->client->sending) {
+        pending_call_fail_soon(pending, reply.never_sent);
+        return;
+    }
+    pending_call_finish(pending, &reply);
 }
 
 static enum evhttp_cmd_type
@@ -154,11 +183,13 @@
         evbuffer_add(evhttp_request_get_output_buffer(request), call->body,
                      call->body_bytes);
     }
-    if (evhttp_make_request(client->connection, request,
-                            method_type(call->method), call->path) != 0) {
-        struct timeval now = {0};
-        event_base_once(client->base, -1, EV_TIMEOUT, on_not_sent, pending,
-                        &now);
+    client->sending = true;
+    bool accepted =
+        evhttp_make_request(client->connection, request,
+                            method_type(call->method), call->path) == 0;
+    client->sending = false;
+    if (!accepted && !pending->failed) {
+        pending_call_fail_soon(pending, true);
     }
 }
 
--- /dev/null
+++ b/tests/jobs/backend_client_test.c
@@ -0,0 +1,151 @@
+/* The client of a backend server whose address or answers are no good. */
+#include <signal.h>
+
+#include "../suite.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/backend_client.h"
+
+enum {
+    POLLS_MAX = 400,
+    POLL_US = 2500,
+    /* More than a client has connections for commands. */
+    STOP_COUNT = 5,
+    STOP_HANDLE = 70,
+};
+
+#define SERVER_ADDRESS "127.0.0.1:20931"
+/* No TCP connection goes there; connecting fails at once. */
+#define NO_ROUTE_ADDRESS "255.255.255.255:80"
+
+/**
+ * struct served_backend - a backend server and what its client reported
+ * @answer: body of its answers
+ * @requests: requests that it received
+ * @reports: reports that the client delivered
+ * @outcome: outcome of the last one
+ */
+struct served_backend {
+    const char *answer;
+    int requests;
+    int reports;
+    enum report_outcome outcome;
+};
+
+struct stop_answers {
+    uint64_t count;
+};
+
+static void
+serve(void *ctx, struct http_exchange *exchange)
+{
+    struct served_backend *backend = ctx;
+    backend->requests++;
+    http_exchange_reply(exchange, 200, backend->answer);
+}
+
+static int64_t
+no_patience(void *ctx)
+{
+    (void)ctx;
+    return 0;
+}
+
+static void
+on_report(void *ctx, const char *backend_id, const struct run_report *report)
+{
+    struct served_backend *backend = ctx;
+    CU_ASSERT_STRING_EQUAL(backend_id, "b0");
+    backend->reports++;
+    backend->outcome = report->outcome;
+}
+
+/* Requests a report at @address, where a server listens at SERVER_ADDRESS that
+ * answers with @answer. */
+static struct served_backend
+request_report(const char *address, const char *answer)
+{
+    struct served_backend backend = {.answer = answer};
+    struct event_base *base = event_base_new();
+    struct http_server *server =
+        http_server_create(base, SERVER_ADDRESS, serve, &backend);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    struct backend_callbacks callbacks = {
+        .patience_ms = no_patience,
+        .on_report = on_report,
+        .ctx = &backend,
+    };
+    struct backend_client *client =
+        backend_client_create(base, "b0", address, &callbacks);
+    backend_client_request_report(client, 0, 1, 0, 0);
+    CU_ASSERT_EQUAL(backend.reports, 0);
+    for (int i = 0; i < POLLS_MAX && backend.reports == 0; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(POLL_US);
+    }
+    CU_ASSERT_EQUAL(backend.reports, 1);
+    backend_client_destroy(client);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    http_server_destroy(server);
+    event_base_free(base);
+    return backend;
+}
+
+static void
+test_report_is_read(void)
+{
+    struct served_backend backend =
+        request_report(SERVER_ADDRESS, "{\"running\":[],\"ended\":[]}");
+    CU_ASSERT_EQUAL(backend.requests, 1);
+    CU_ASSERT_EQUAL(backend.outcome, REPORT_READ);
+}
+
+static void
+on_stop(void *ctx, uint64_t handle, bool acked)
+{
+    struct stop_answers *answers = ctx;
+    CU_ASSERT_EQUAL(handle, STOP_HANDLE + answers->count);
+    CU_ASSERT_FALSE(acked);
+    answers->count++;
+}
+
+/* Connecting to some addresses fails at once, as it does everywhere when no
+ * route or no local port is left. The caller still owns what it has just sent,
+ * so the answer comes later. */
+static void
+test_command_that_fails_at_once(void)
+{
+    struct stop_answers answers = {0};
+    struct event_base *base = event_base_new();
+    struct backend_callbacks callbacks = {
+        .patience_ms = no_patience,
+        .on_stop = on_stop,
+        .ctx = &answers,
+    };
+    struct backend_client *client =
+        backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
+    for (uint64_t i = 0; i < STOP_COUNT; i++) {
+        backend_client_stop(client, STOP_HANDLE + i, "a.0.0.0", 1, 1);
+        CU_ASSERT_EQUAL(answers.count, 0);
+    }
+    for (int i = 0; i < POLLS_MAX && answers.count < STOP_COUNT; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(POLL_US);
+    }
+    CU_ASSERT_EQUAL(answers.count, STOP_COUNT);
+    backend_client_destroy(client);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    event_base_free(base);
+}
+
+int
+main(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    static const struct suite_test tests[] = {
+        {"a report is read", test_report_is_read},
+        {"a command that fails at once", test_command_that_fails_at_once},
+    };
+    return suite_main("jobs backend client", tests,
+                      sizeof(tests) / sizeof(tests[0]));
+}
