--- a/tests/jobs/backend_client_test.c
+++ b/tests/jobs/backend_client_test.c
@@ -9,6 +9,7 @@
 enum {
     POLLS_MAX = 400,
     POLL_US = 2500,
+    POLLS_AFTER_END = 5,
     /* More than a client has connections for commands. */
     STOP_COUNT = 5,
     STOP_HANDLE = 70,
@@ -32,8 +33,13 @@
     enum report_outcome outcome;
 };
 
+/**
+ * struct stop_answers - answers to stops
+ * @client: destroyed by the first answer if not NULL
+ */
 struct stop_answers {
     uint64_t count;
+    struct backend_client *client;
 };
 
 static void
@@ -107,6 +113,8 @@
     CU_ASSERT_EQUAL(handle, STOP_HANDLE + answers->count);
     CU_ASSERT_FALSE(acked);
     answers->count++;
+    backend_client_destroy(answers->client);
+    answers->client = NULL;
 }
 
 /* Connecting to some addresses fails at once, as it does everywhere when no
@@ -138,6 +146,54 @@
     event_base_free(base);
 }
 
+/* A client that is destroyed before such an answer gets none. */
+static void
+test_destroyed_before_it_fails(void)
+{
+    struct stop_answers answers = {0};
+    struct event_base *base = event_base_new();
+    struct backend_callbacks callbacks = {
+        .patience_ms = no_patience,
+        .on_stop = on_stop,
+        .ctx = &answers,
+    };
+    struct backend_client *client =
+        backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
+    backend_client_stop(client, STOP_HANDLE, "a.0.0.0", 1, 1);
+    backend_client_destroy(client);
+    for (int i = 0; i < POLLS_AFTER_END; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+    }
+    CU_ASSERT_EQUAL(answers.count, 0);
+    event_base_free(base);
+}
+
+/* An answer may show that the backend server has another address; the caller
+ * then replaces the client while the answer is delivered. */
+static void
+test_destroyed_by_an_answer(void)
+{
+    struct stop_answers answers = {0};
+    struct event_base *base = event_base_new();
+    struct backend_callbacks callbacks = {
+        .patience_ms = no_patience,
+        .on_stop = on_stop,
+        .ctx = &answers,
+    };
+    answers.client =
+        backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
+    struct backend_client *client = answers.client;
+    for (uint64_t i = 0; i < STOP_COUNT; i++) {
+        backend_client_stop(client, STOP_HANDLE + i, "a.0.0.0", 1, 1);
+    }
+    for (int i = 0; i < POLLS_AFTER_END; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+    }
+    CU_ASSERT_EQUAL(answers.count, 1);
+    CU_ASSERT_PTR_NULL(answers.client);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -145,6 +201,9 @@
     static const struct suite_test tests[] = {
         {"a report is read", test_report_is_read},
         {"a command that fails at once", test_command_that_fails_at_once},
+        {"a client destroyed before its command fails",
+         test_destroyed_before_it_fails},
+        {"a client destroyed by an answer", test_destroyed_by_an_answer},
     };
     return suite_main("jobs backend client", tests,
                       sizeof(tests) / sizeof(tests[0]));
