Call no address with a port out of range, and look up no name

An entry with port 86467 made the leader call port 20931, whoever listens there: the port was cut to 16 bits. An entry with a name instead of an IP address made libevent look the name up with getaddrinfo(), on the one thread that renews the leadership and answers callers; it stands still meanwhile.

Evidence: jobs-backend-client failed in "a port out of range is not called" (the server on port 20931 received the request for 86467, backend_client_test.c:233 and 234) and "a name is not looked up" (getaddrinfo() was called with the name, line 245). jobs-odd-entry took all 17 addresses of "an address that is none" for addresses of backend servers. How long a look-up takes was not measured: there is no name server here.

Change: one reader of addresses, http_address_valid(), IPv4 and a port from 1 to 65535.

--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -57,9 +57,14 @@
 
 struct http_client;
 
+/** http_address_valid() - whether @address is "ip:port", IPv4, with a port
+ * from 1 to 65535. A name would be looked up, which blocks the loop. */
+bool
+http_address_valid(const char *address);
+
 /**
  * http_client_create() - client of one address; connects when needed
- * @address: "ip:port"
+ * @address: "ip:port"; if it isn't http_address_valid(), no call is sent
  * @timeout_ms: time without an answer after which the connection is closed and
  *              its calls fail
  */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,11 +1,11 @@
 #include "net/http_client.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <stdbool.h>
-#include <stdlib.h>
 #include <string.h>
 
 /**
@@ -23,6 +23,7 @@
 
 /**
  * struct http_client - connection to one address and its open calls
+ * @connection: NULL if the address is none
  * @sending: a call is being passed to libevent, and its caller still uses what
  *           belongs to it
  */
@@ -36,20 +37,49 @@
     bool destroyed;
 };
 
+/* @host: receives the part before the port; g_free() */
+static bool
+address_read(const char *address, char **host, uint16_t *port)
+{
+    struct in_addr ip;
+    guint64 number = 0;
+    const char *colon = strchr(address, ':');
+    if (colon == NULL || !g_ascii_string_to_unsigned(
+                             colon + 1, 10, 1, UINT16_MAX, &number, NULL)) {
+        return false;
+    }
+    char *text = g_strndup(address, (gsize)(colon - address));
+    if (inet_pton(AF_INET, text, &ip) != 1) {
+        g_free(text);
+        return false;
+    }
+    *host = text;
+    *port = (uint16_t)number;
+    return true;
+}
+
+bool
+http_address_valid(const char *address)
+{
+    char *host = NULL;
+    uint16_t port = 0;
+    bool valid = address_read(address, &host, &port);
+    g_free(host);
+    return valid;
+}
+
 struct http_client *
 http_client_create(struct event_base *base, const char *address,
                    int64_t timeout_ms)
 {
     struct http_client *client = g_new0(struct http_client, 1);
-    const char *colon = strrchr(address, ':');
+    uint16_t port = 0;
     client->base = base;
     client->pending = g_ptr_array_new();
-    client->host = colon == NULL
-                       ? g_strdup(address)
-                       : g_strndup(address, (gsize)(colon - address));
-    unsigned long port = colon == NULL ? 0 : strtoul(colon + 1, NULL, 10);
-    client->connection = evhttp_connection_base_new(base, NULL, client->host,
-                                                    (unsigned short)port);
+    if (address_read(address, &client->host, &port)) {
+        client->connection =
+            evhttp_connection_base_new(base, NULL, client->host, port);
+    }
     http_client_set_timeout(client, timeout_ms);
     return client;
 }
@@ -57,7 +87,7 @@
 void
 http_client_set_timeout(struct http_client *client, int64_t timeout_ms)
 {
-    if (client->timeout_ms == timeout_ms) {
+    if (client->connection == NULL || client->timeout_ms == timeout_ms) {
         return;
     }
     client->timeout_ms = timeout_ms;
@@ -74,7 +104,9 @@
     (void)fd;
     (void)events;
     struct http_client *client = ctx;
-    evhttp_connection_free(client->connection);
+    if (client->connection != NULL) {
+        evhttp_connection_free(client->connection);
+    }
     for (guint i = 0; i < client->pending->len; i++) {
         g_free(g_ptr_array_index(client->pending, i));
     }
@@ -168,6 +200,10 @@
     pending->done = call->done;
     pending->ctx = call->ctx;
     g_ptr_array_add(client->pending, pending);
+    if (client->connection == NULL) {
+        pending_call_fail_soon(pending, true);
+        return;
+    }
 
     struct evhttp_request *request = evhttp_request_new(on_reply, pending);
     struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
--- a/tests/jobs/backend_client_test.c
+++ b/tests/jobs/backend_client_test.c
@@ -1,5 +1,9 @@
 /* The client of a backend server whose address or answers are no good. */
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <netdb.h>
 #include <signal.h>
+#include <string.h>
 
 #include "../suite.h"
 #include "net/http_client.h"
@@ -16,6 +20,8 @@
 };
 
 #define SERVER_ADDRESS "127.0.0.1:20931"
+/* The port of the server above, 65,536 higher. */
+#define WRAPPED_ADDRESS "127.0.0.1:86467"
 /* No TCP connection goes there; connecting fails at once. */
 #define NO_ROUTE_ADDRESS "255.255.255.255:80"
 
@@ -42,6 +48,26 @@
     struct backend_client *client;
 };
 
+static int names_looked_up;
+
+/* Takes the place of the C library's, which blocks while it looks up a
+ * name. */
+int
+getaddrinfo(const char *node, const char *service,
+            const struct addrinfo *hints, struct addrinfo **result)
+{
+    int (*next)(const char *, const char *, const struct addrinfo *,
+                struct addrinfo **);
+    void *symbol = dlsym(RTLD_NEXT, "getaddrinfo");
+    struct in_addr ip;
+    if (node != NULL && inet_pton(AF_INET, node, &ip) != 1) {
+        names_looked_up++;
+        return EAI_NONAME;
+    }
+    memcpy(&next, &symbol, sizeof(next));
+    return next(node, service, hints, result);
+}
+
 static void
 serve(void *ctx, struct http_exchange *exchange)
 {
@@ -194,6 +220,33 @@
     event_base_free(base);
 }
 
+/* A port out of range names no other port. */
+static void
+test_port_out_of_range_is_not_called(void)
+{
+    static const char *const addresses[] = {
+        WRAPPED_ADDRESS, "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1", "", ":",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        struct served_backend backend =
+            request_report(addresses[i], "{\"running\":[]}");
+        CU_ASSERT_EQUAL(backend.requests, 0);
+        CU_ASSERT_EQUAL(backend.outcome, REPORT_NO_ANSWER);
+    }
+}
+
+/* While a name is looked up, the loop would stand still: no renewal of the
+ * leadership, no answer to callers. */
+static void
+test_name_is_not_looked_up(void)
+{
+    struct served_backend backend =
+        request_report("backend.example:20931", "{\"running\":[]}");
+    CU_ASSERT_EQUAL(names_looked_up, 0);
+    CU_ASSERT_EQUAL(backend.requests, 0);
+    CU_ASSERT_EQUAL(backend.outcome, REPORT_NO_ANSWER);
+}
+
 int
 main(void)
 {
@@ -204,6 +257,9 @@
         {"a client destroyed before its command fails",
          test_destroyed_before_it_fails},
         {"a client destroyed by an answer", test_destroyed_by_an_answer},
+        {"a port out of range is not called",
+         test_port_out_of_range_is_not_called},
+        {"a name is not looked up", test_name_is_not_looked_up},
     };
     return suite_main("jobs backend client", tests,
                       sizeof(tests) / sizeof(tests[0]));
--- a/tests/jobs/odd_entry_test.c
+++ b/tests/jobs/odd_entry_test.c
@@ -167,6 +167,37 @@
     g_free(name);
 }
 
+static void
+test_address_that_is_none(void)
+{
+    static const char *const addresses[] = {
+        "127.0.0.1:65536",
+        "127.0.0.1:0",
+        "127.0.0.1:-1",
+        "127.0.0.1:+80",
+        "127.0.0.1:80x",
+        "127.0.0.1: 80",
+        "127.0.0.1:",
+        "127.0.0.1",
+        ":80",
+        "",
+        "256.0.0.1:80",
+        " 127.0.0.1:80",
+        "backend.example:80",
+        "[::1]:80",
+        "127.0.0.1:80\\r\\nX: 1",
+        "127.0.0.1:1e3",
+        "127.0.0.1:86467",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        char *address = g_strdup_printf("\"%s\"", addresses[i]);
+        const struct odd_member member = {"\"127.0.0.1:80\"", address,
+                                          "$.address"};
+        expect_errors(&member, 1);
+        g_free(address);
+    }
+}
+
 static void
 test_bytes_that_cannot_be_read(void)
 {
@@ -346,6 +377,7 @@
         {"optional members may be missing", test_optional_members},
         {"a number out of range", test_number_out_of_range},
         {"a member of another type", test_member_of_another_type},
+        {"an address that is none", test_address_that_is_none},
         {"bytes that cannot be read", test_bytes_that_cannot_be_read},
         {"deep nesting", test_deep_nesting},
         {"an id that no key takes", test_id_that_no_key_takes},
