Use no backend server whose entry can no longer be read, and say so once

A backend server whose entry another writer had replaced went on taking new tasks by its earlier entry, and nothing in the logs named an entry that was not used, or why.

Evidence: scenario odd-entries (jobs_process_test), in which five odd entries lie in the store before jobs are sent and while the leader changes, and one takes the place of a sound entry until the next heartbeat.

Change: such an entry counts as missing. It is logged with its id and the reason when it is first seen, and again only after it was usable or gone.

--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -213,6 +213,8 @@
     leader->early_jobs = g_ptr_array_new_with_free_func(kv_item_destroy);
     leader->listed_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    leader->unusable_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->inbox_obsolete =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->cancels = g_ptr_array_new();
@@ -269,6 +271,7 @@
     g_hash_table_unref(leader->progress);
     g_ptr_array_unref(leader->early_jobs);
     g_hash_table_unref(leader->listed_ids);
+    g_hash_table_unref(leader->unusable_ids);
     g_hash_table_unref(leader->inbox_obsolete);
     g_hash_table_unref(leader->wave_status);
     g_free(leader->wave_status_sent);
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -9,6 +9,7 @@
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
 #include "platform/decode.h"
+#include "platform/json_text.h"
 
 enum {
     LOAD_RETRY_MS = 100,
@@ -18,6 +19,8 @@
     BACKEND_WATCH_MS = 1000,
     LOAD_TIMEOUT_MS = 1500,
     WATCH_RETRY_MS = 100,
+    /* A log line has 1,000 bytes, of which an escaped byte takes up to 6. */
+    LOGGED_ID_BYTES_MAX = 64,
 };
 
 static const char *const stage_prefixes[] = {
@@ -62,6 +65,28 @@
     g_hash_table_replace(leader->progress, g_strdup(id), kv_item_copy(item));
 }
 
+/* Such an entry may change with each heartbeat, so it is logged once until it
+ * is usable or gone. */
+static void
+log_unusable_entry(struct leader *leader, const char *id, const char *error)
+{
+    if (!g_hash_table_add(leader->unusable_ids, g_strdup(id))) {
+        return;
+    }
+    char *start = g_strndup(id, LOGGED_ID_BYTES_MAX);
+    char *valid = g_utf8_make_valid(start, -1);
+    GString *fields = g_string_new("\"backend\":");
+    json_text_add(fields, valid);
+    g_string_append(fields, ",\"reason\":");
+    json_text_add(fields, error);
+    event_log("backend_entry_unusable", "%s", fields->str);
+    g_string_free(fields, TRUE);
+    g_free(valid);
+    g_free(start);
+}
+
+/* An entry that can't be used is treated like a missing one: it takes nothing
+ * new, and what runs there ends only with proof. */
 static void
 apply_backend(struct leader *leader, const char *id,
               const struct kv_item *item)
@@ -69,14 +94,18 @@
     struct backend_entry entry;
     char *error = NULL;
     if (item->deleted || item->value == NULL) {
+        g_hash_table_remove(leader->unusable_ids, id);
         scheduler_backend_removed(leader->sched, id);
         return;
     }
     g_hash_table_add(leader->listed_ids, g_strdup(id));
     if (!decode_backend(id, item->value, item->value_bytes, &entry, &error)) {
+        log_unusable_entry(leader, id, error);
         g_free(error);
+        scheduler_backend_removed(leader->sched, id);
         return;
     }
+    g_hash_table_remove(leader->unusable_ids, id);
     scheduler_backend_updated(leader->sched, &entry);
     backend_entry_clear(&entry);
 }
@@ -235,10 +264,19 @@
     }
 }
 
+static gboolean
+not_listed(void *id, void *value, void *listed_ids)
+{
+    (void)value;
+    return !g_hash_table_contains(listed_ids, id);
+}
+
 /* After a complete read, removes backend servers that it did not return. */
 static void
 drop_unlisted_backends(struct leader *leader)
 {
+    g_hash_table_foreach_remove(leader->unusable_ids, not_listed,
+                                leader->listed_ids);
     GPtrArray *ids = scheduler_backend_ids(leader->sched);
     for (guint i = 0; i < ids->len; i++) {
         const char *id = g_ptr_array_index(ids, i);
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -79,6 +79,7 @@
  * @progress: id of a job to the struct kv_item of its progress, while loading
  * @early_jobs: struct kv_item, jobs accepted before STAGE_READY
  * @listed_ids: ids of backend servers in the platform's list, as read so far
+ * @unusable_ids: ids of entries there that describe no usable backend server
  * @backends_as_of: revision after which to watch backend servers; 0: read all
  * @inbox_fetches: jobs that messages name and that are being read
  * @inbox_progress: one of them was found, or is certainly not stored
@@ -116,6 +117,7 @@
     GHashTable *progress;
     GPtrArray *early_jobs;
     GHashTable *listed_ids;
+    GHashTable *unusable_ids;
     int64_t backends_as_of;
     uint32_t inbox_fetches;
     bool inbox_progress;
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -301,6 +301,118 @@
     caller_queue_clear(&approved);
 }
 
+/* Lines with both texts in the logs of all entry hosts. */
+static uint32_t
+count_log_lines(const char *first, const char *second)
+{
+    uint32_t count = 0;
+    for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+        char *file = g_strdup_printf("%s/entry-%d.log", fixture.directory, i);
+        char *text = NULL;
+        CU_ASSERT(g_file_get_contents(file, &text, NULL, NULL));
+        char **lines = g_strsplit(text == NULL ? "" : text, "\n", 0);
+        for (char **line = lines; *line != NULL; line++) {
+            if (strstr(*line, first) != NULL &&
+                strstr(*line, second) != NULL) {
+                count++;
+            }
+        }
+        g_strfreev(lines);
+        g_free(text);
+        g_free(file);
+    }
+    return count;
+}
+
+static void
+put_entry(const char *id, const char *text)
+{
+    char *path = g_strdup_printf("/put/servers/%s", id);
+    http_call_sync(fixture.base, fixture.admin, "POST", path, NULL, text,
+                   NULL);
+    g_free(path);
+}
+
+enum {
+    /* Deeper than the JSON parser follows. */
+    ENTRY_NESTING = 2000,
+};
+
+static const char *const odd_ids[] = {"odd-room", "odd-port", "odd-name",
+                                      "odd-start", "odd-deep"};
+
+/* Entries that name no backend server, in a pool that is in use. */
+static void
+put_odd_entries(int seq)
+{
+    static const struct {
+        const char *address;
+        const char *cpu;
+        const char *born;
+    } members[] = {
+        {"127.0.0.1:9", "1e300", "1700000000000"},
+        {"127.0.0.1:86467", "16000", "1700000000000"},
+        {"backend.example:80", "16000", "1700000000000"},
+        {"127.0.0.1:9", "16000", "1e300"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        char *text = g_strdup_printf(
+            "{\"service\":\"notices\",\"address\":\"%s\",\"zone\":"
+            "\"dc-a\",\"slots\":8,\"state\":\"ready\",\"machine\":"
+            "\"m-%zu\",\"room\":{\"cpu\":%s,\"mem_mb\":65536,\"gpu\":0},"
+            "\"labels\":[\"a\",\"r-0\"],\"born\":%s,\"seq\":%d}",
+            members[i].address, i, members[i].cpu, members[i].born, seq);
+        put_entry(odd_ids[i], text);
+        g_free(text);
+    }
+    char *deep = g_strnfill(ENTRY_NESTING, '[');
+    put_entry("odd-deep", deep);
+    g_free(deep);
+}
+
+/* Odd entries lie among those of the backend servers before jobs are sent and
+ * while the leader changes, and one takes the place of a sound entry until the
+ * next heartbeat: every job completes, each is logged once by each leader, and
+ * an unreadable entry takes no new work. */
+static void
+test_odd_entries(void)
+{
+    put_odd_entries(1);
+    run_for(700, true);
+    /* The heartbeat that follows makes it usable again. */
+    put_entry("i-1-0", "{\"service\":");
+    run_for(400, true);
+    CU_ASSERT_EQUAL(count_log_lines("\"backend_entry_unusable\"", "\"i-1-0\""),
+                    1);
+    CU_ASSERT_EQUAL(count_log_lines("\"backend_unlisted\"", "\"i-1-0\""), 1);
+    for (int seq = 2; seq < 5; seq++) {
+        put_odd_entries(seq);
+        run_for(700, true);
+    }
+    int killed = find_leader();
+    CU_ASSERT_FATAL(killed >= 0);
+    end_process(&fixture.entry_pids[killed], SIGKILL);
+    run_for(5000, true);
+    start_entry_host(killed);
+    wait_ready(killed);
+    run_for(1000, true);
+    run_until_finished();
+    check_invariants();
+    CU_ASSERT(caller_queue_quantile_ms(&fixture.quick, 0.5) < 2000);
+    uint32_t leaders = count_log_lines("\"leader_ready\"", "");
+    CU_ASSERT(leaders >= 2);
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_ids); i++) {
+        uint32_t logged =
+            count_log_lines("\"backend_entry_unusable\"", odd_ids[i]);
+        if (logged != leaders) {
+            printf("%s: logged %u times by %u leaders\n", odd_ids[i], logged,
+                   leaders);
+        }
+        CU_ASSERT_EQUAL(logged, leaders);
+        CU_ASSERT_EQUAL(count_log_lines("\"backend_seen\"", odd_ids[i]), 0);
+    }
+}
+
 static const struct scenario scenarios[] = {
     {"calm", test_without_faults},
     {"holder-killed", test_leader_killed},
@@ -315,6 +427,7 @@
     {"invalid", test_invalid},
     {"same-id", test_same_id},
     {"walks", test_timelines_show_the_cause},
+    {"odd-entries", test_odd_entries},
 };
 
 int
--- a/tests/jobs/odd_entry_test.c
+++ b/tests/jobs/odd_entry_test.c
@@ -8,6 +8,7 @@
 #include "platform/decode.h"
 
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 
 enum {
     FUZZ_SEED = 20261205,
@@ -280,6 +281,51 @@
     fixture_clear(&f);
 }
 
+/* The entry of a backend server is replaced by one that can't be read, which
+ * counts as missing. Its run goes on under its lease, and its completion
+ * counts; nothing new starts there. */
+static void
+test_unusable_entry_keeps_runs(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    fixture_add_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_START, "b0"), 1);
+    fixture_accept_starts(&f);
+    uint32_t number = fixture_last(&f, COMMAND_START)->number;
+    uint32_t requests = fixture_count(&f, COMMAND_REQUEST_REPORT, "b0");
+    scheduler_backend_removed(f.sched, "b0");
+    fixture_add_backend(&f, "b1", "p", "m1");
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    for (int32_t percent = 1; percent < 60; percent++) {
+        struct reported_run running = {.task = JOB_A ".0.0.0",
+                                       .number = number,
+                                       .saved = "",
+                                       .percent = percent};
+        fixture_tick(&f, f.now_ms + 200);
+        /* One request for each report, each of which extends the lease. */
+        CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REQUEST_REPORT, "b0"),
+                        requests + (uint32_t)percent);
+        fixture_report(&f, "b0", &running, 1, NULL, 0);
+    }
+    struct run_completion done = {.number = 1,
+                                  .task = JOB_A ".0.0.0",
+                                  .run = number,
+                                  .reason = END_DONE,
+                                  .saved = ""};
+    fixture_report(&f, "b0", NULL, 0, &done, 1);
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_add_job(&f, JOB_B, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b0"), 1);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 1);
+    fixture_clear(&f);
+}
+
 /* A random change of @text: a byte, a piece that is left out or repeated, or a
  * piece of JSON that is inserted. */
 static void
@@ -383,6 +429,7 @@
         {"an id that no key takes", test_id_that_no_key_takes},
         {"a start time too large ends no run",
          test_start_time_too_large_ends_no_run},
+        {"an unusable entry keeps its runs", test_unusable_entry_keeps_runs},
         {"random changes of an entry", test_random_changes},
     };
     return suite_main("jobs odd entry", tests,
