Read a run report whole or not at all

A run that is missing from a report may be taken for ended and started again, and a clock or a number that is far too large hides every later one. Yet a report with "running": null counted as one without runs, a row without a task as a run of an unknown task, the number as run 7, and a start time of 1e300 as a newer incarnation, whose predecessor's runs are released at once. Numbers beyond the range of int64_t were converted all the same, which is undefined.

A start whose answer has no valid clock gives none. json_int_of() replaces the second reader of numbers.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -298,8 +298,10 @@
     }
     if (report->outcome == REPORT_NO_ANSWER) {
         if (!backend->unresponsive) {
-            sched_log_event(sched, "backend_silent", "\"backend\":\"%s\"",
-                            backend->entry.id);
+            sched_log_event(
+                sched, "backend_silent",
+                "\"backend\":\"%s\",\"reason\":\"%s\"", backend->entry.id,
+                report->error == NULL ? "no answer" : report->error);
         }
         backend->unresponsive = true;
         backend->report_due_ms = now_ms + REPORT_RETRY_MS;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -191,9 +191,11 @@
  * struct run_report - runs and completions on a backend server
  * @incarnation_start_ms: start of the incarnation that answered; 0: unknown
  * @clock_ms: its clock
+ * @error: why an answer counts as none, with the position in it, or NULL
  */
 struct run_report {
     enum report_outcome outcome;
+    const char *error;
     int64_t incarnation_start_ms;
     int64_t clock_ms;
     struct reported_run *running;
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -20,6 +20,10 @@
 #define PLATFORM_WAVE_STATUS_PREFIX "status/wave/"
 #define PLATFORM_BACKEND_PREFIX "servers/"
 
+/** PLATFORM_TIME_MAX_MS - start of the year 2100 in Unix time; no time that a
+ * backend server states is later, whatever its clock counts from */
+static const int64_t PLATFORM_TIME_MAX_MS = INT64_C(4102444800000);
+
 /** decode_config() - configuration, or NULL if it can't be read. */
 struct fleet_config *
 decode_config(const char *text, size_t bytes, int64_t revision);
--- a/include/platform/json_text.h
+++ b/include/platform/json_text.h
@@ -24,6 +24,10 @@
 int64_t
 json_int_get(const cJSON *object, const char *member, int64_t fallback);
 
+/** json_int_of() - @item as json_int_get() reads it; it may be NULL. */
+int64_t
+json_int_of(const cJSON *item, int64_t fallback);
+
 /** json_whole_get() - read @item as a whole number from @minimum to @maximum,
  * both within JSON_WHOLE_MAX; false if it isn't one, or NULL. */
 bool
--- a/tests/jobs/backend_client_test.c
+++ b/tests/jobs/backend_client_test.c
@@ -3,6 +3,7 @@
 #include <dlfcn.h>
 #include <netdb.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "../suite.h"
@@ -30,13 +31,15 @@
  * @answer: body of its answers
  * @requests: requests that it received
  * @reports: reports that the client delivered
- * @outcome: outcome of the last one
+ * @outcome: outcome of the last one, and how many rows it had
  */
 struct served_backend {
     const char *answer;
     int requests;
     int reports;
     enum report_outcome outcome;
+    size_t n_running;
+    size_t n_completions;
 };
 
 /**
@@ -90,6 +93,8 @@
     CU_ASSERT_STRING_EQUAL(backend_id, "b0");
     backend->reports++;
     backend->outcome = report->outcome;
+    backend->n_running = report->n_running;
+    backend->n_completions = report->n_completions;
 }
 
 /* Requests a report at @address, where a server listens at SERVER_ADDRESS that
@@ -126,10 +131,14 @@
 static void
 test_report_is_read(void)
 {
-    struct served_backend backend =
-        request_report(SERVER_ADDRESS, "{\"running\":[],\"ended\":[]}");
+    struct served_backend backend = request_report(
+        SERVER_ADDRESS, "{\"born\":1700000000000,\"clock_ms\":100,"
+                        "\"running\":[[\"a.0.0.0\",7,\"\",10,0]],\"ended\":"
+                        "[[1,\"a.0.0.1\",6,\"done\",\"\"]]}");
     CU_ASSERT_EQUAL(backend.requests, 1);
     CU_ASSERT_EQUAL(backend.outcome, REPORT_READ);
+    CU_ASSERT_EQUAL(backend.n_running, 1);
+    CU_ASSERT_EQUAL(backend.n_completions, 1);
 }
 
 static void
@@ -247,6 +256,45 @@
     CU_ASSERT_EQUAL(backend.outcome, REPORT_NO_ANSWER);
 }
 
+/* A run that is missing from a report may be taken for ended and started
+ * again, and a clock or a number that is far too large hides all that follow.
+ * A report with a part that can't be read counts as no answer. */
+static void
+test_unreadable_report_counts_as_no_answer(void)
+{
+    static const char *const answers[] = {
+        "",
+        "[]",
+        "{\"clock_ms\":100}",
+        "{\"clock_ms\":100,\"running\":[]}",
+        "{\"clock_ms\":100,\"running\":null,\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":{},\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[],\"ended\":7}",
+        "{\"running\":[],\"ended\":[]}",
+        "{\"clock_ms\":1e300,\"running\":[],\"ended\":[]}",
+        "{\"clock_ms\":-1,\"running\":[],\"ended\":[]}",
+        "{\"clock_ms\":\"100\",\"running\":[],\"ended\":[]}",
+        "{\"born\":1e300,\"clock_ms\":100,\"running\":[],\"ended\":[]}",
+        "{\"born\":17.5,\"clock_ms\":100,\"running\":[],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[7],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[[]],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[[\"a\",4294967303]],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[[\"a\",-1]],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[[8,7]],\"ended\":[]}",
+        "{\"clock_ms\":100,\"running\":[],\"ended\":[[1e300,\"a\",7]]}",
+        "{\"clock_ms\":100,\"running\":[],\"ended\":[[1,null,7]]}",
+        "{\"clock_ms\":100,\"running\":[],\"ended\":[[1,\"a\",1e300]]}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        struct served_backend backend =
+            request_report(SERVER_ADDRESS, answers[i]);
+        if (backend.outcome != REPORT_NO_ANSWER) {
+            printf("%s\n", answers[i]);
+        }
+        CU_ASSERT_EQUAL(backend.outcome, REPORT_NO_ANSWER);
+    }
+}
+
 int
 main(void)
 {
@@ -260,6 +308,8 @@
         {"a port out of range is not called",
          test_port_out_of_range_is_not_called},
         {"a name is not looked up", test_name_is_not_looked_up},
+        {"an unreadable report counts as no answer",
+         test_unreadable_report_counts_as_no_answer},
     };
     return suite_main("jobs backend client", tests,
                       sizeof(tests) / sizeof(tests[0]));
