Size no pool by an entry to which nothing has answered

The largest host of a pool, by which its need of hosts is computed and jobs are refused, was taken from every entry and never shrinks. One entry with a large capacity, where nothing answers, left its pool without further hosts at a peak, also after the entry was gone.

Evidence: jobs-pools, "an unanswered entry sizes no pool": with an entry of 10,000 cores that gives no answer the pool got fewer than 4 hosts at a peak that brings at least 4 without it (pools_test.c:137).

Change: the capacity of a backend server counts from its first run report on. The test of the peak without the entry is the same code, moved into a function.

--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -143,11 +143,15 @@
 {
     struct pool_load *load = backend->pool;
     const struct resources *capacity = &backend->entry.capacity;
-    load->largest_host.cpu_milli =
-        MAX(load->largest_host.cpu_milli, capacity->cpu_milli);
-    load->largest_host.mem_mb =
-        MAX(load->largest_host.mem_mb, capacity->mem_mb);
-    load->largest_host.gpus = MAX(load->largest_host.gpus, capacity->gpus);
+    /* An entry to which nothing has answered may be no backend server at all;
+     * too large a host here would leave its pool without hosts for good. */
+    if (backend->report_received) {
+        load->largest_host.cpu_milli =
+            MAX(load->largest_host.cpu_milli, capacity->cpu_milli);
+        load->largest_host.mem_mb =
+            MAX(load->largest_host.mem_mb, capacity->mem_mb);
+        load->largest_host.gpus = MAX(load->largest_host.gpus, capacity->gpus);
+    }
     if (backend->listed && !backend->leaving && !backend->entry.draining &&
         !backend->unresponsive &&
         !sched_is_out_of_service(sched, backend->entry.data_centre)) {
--- a/tests/jobs/pools_test.c
+++ b/tests/jobs/pools_test.c
@@ -66,38 +66,75 @@
     fixture_clear(&f);
 }
 
-/* At a peak beyond its capacity a pool gets hosts at once, from the spare pool
- * and from an idle pool. */
-static void
-test_peak_brings_hosts(void)
+/* Jobs beyond the capacity of pool "p" arrive; returns the hosts that are
+ * moved there at once. */
+static uint32_t
+hosts_moved_at_peak(struct fleet_fixture *f)
 {
-    static const char *const pools[] = {"p", "p", "q", "q", "q",
-                                        "q", "s", "s", NULL};
-    struct fleet_fixture f;
-    fixture_init(&f, 0);
-    fixture_add_hosts(&f, pools);
-    fixture_reconcile(&f);
-    fixture_tick(&f, f.now_ms + 3400);
-    int64_t peak_ms = f.now_ms;
+    int64_t peak_ms = f->now_ms;
     for (int i = 0; i < 12; i++) {
         char id[JOB_ID_CHARS + 1];
         snprintf(id, sizeof(id), "%016x", i);
-        fixture_add_job(&f, id, "p",
+        fixture_add_job(f, id, "p",
                         "[{\"count\":6,\"cpu\":1500,\"mem_mb\":100,"
                         "\"estimate_ms\":900}]");
     }
-    fixture_tick(&f, f.now_ms + 150);
+    fixture_tick(f, f->now_ms + 150);
     uint32_t to_p = 0;
-    for (guint i = 0; i < f.commands->len; i++) {
+    for (guint i = 0; i < f->commands->len; i++) {
         const struct recorded_command *command =
-            g_ptr_array_index(f.commands, i);
+            g_ptr_array_index(f->commands, i);
         if (command->kind == COMMAND_MOVE && strcmp(command->task, "p") == 0) {
             to_p++;
             CU_ASSERT(command->at_ms - peak_ms <= 150);
         }
     }
+    return to_p;
+}
+
+/* At a peak beyond its capacity a pool gets hosts at once, from the spare pool
+ * and from an idle pool. */
+static void
+test_peak_brings_hosts(void)
+{
+    static const char *const pools[] = {"p", "p", "q", "q", "q",
+                                        "q", "s", "s", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    fixture_tick(&f, f.now_ms + 3400);
     /* Both spare hosts and the hosts that the idle pool does not keep. */
-    CU_ASSERT(to_p >= 4);
+    CU_ASSERT(hosts_moved_at_peak(&f) >= 4);
+    fixture_clear(&f);
+}
+
+/* An entry claims the largest capacity that an entry may have, and nothing
+ * answers there. Its pool gets hosts at a peak as it does without it. */
+static void
+test_unanswered_entry_sizes_no_pool(void)
+{
+    static const char *const pools[] = {"p", "p", "q", "q", "q",
+                                        "q", "s", "s", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    struct backend_entry odd = {
+        .id = (char *)"odd",
+        .incarnation_start_ms = 1,
+        .pool = (char *)"p",
+        .address = (char *)"127.0.0.1:1",
+        .data_centre = (char *)"dc",
+        .capacity = {.cpu_milli = 10000000, .mem_mb = 100000000},
+    };
+    scheduler_backend_updated(f.sched, &odd);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REQUEST_REPORT, "odd"), 1);
+    struct run_report no_answer = {.outcome = REPORT_NO_ANSWER};
+    scheduler_on_report(f.sched, "odd", &no_answer);
+    fixture_tick(&f, f.now_ms + 3400);
+    CU_ASSERT(hosts_moved_at_peak(&f) >= 4);
     fixture_clear(&f);
 }
 
@@ -130,6 +167,8 @@
         {"a wave keeps its limit", test_wave_keeps_its_limit},
         {"spread keeps hosts in the pool", test_spread_keeps_hosts},
         {"a peak brings hosts", test_peak_brings_hosts},
+        {"an unanswered entry sizes no pool",
+         test_unanswered_entry_sizes_no_pool},
         {"single jobs move nothing", test_single_jobs_move_nothing},
     };
     return suite_main("jobs pools", tests, sizeof(tests) / sizeof(tests[0]));
