Let an entry of a pool that doesn't exist end no run of a host

An entry of a service that the configuration doesn't name was not used, but if it named a host in use and a later start, it passed for the host's new incarnation: the runs there were released and started a second time, and at each heartbeat of the true backend server again. After a takeover the entries were applied before the configuration, and the true backend server was taken for ended.

Change: such an entry is no incarnation of a host, and a new leader applies the configuration before the entries.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -138,12 +138,21 @@
     sched_host_find_or_add(sched, host_name)->commanded_before = true;
 }
 
+/* Before the configuration is known, every pool may be in it. */
+static bool
+pool_may_exist(const struct scheduler *sched, const struct backend *backend)
+{
+    return sched->config == NULL ||
+           sched_pool_config(sched, backend->pool) != NULL;
+}
+
 /* Entries of ended incarnations may stay in the list for a while; the one that
- * started last is the current one, and the others have ended. */
+ * started last is the current one, and the others have ended. An entry of a
+ * pool that doesn't exist says nothing of the host that it names. */
 void
 sched_host_incarnation(struct scheduler *sched, struct backend *backend)
 {
-    if (backend->entry.host == NULL) {
+    if (backend->entry.host == NULL || !pool_may_exist(sched, backend)) {
         return;
     }
     struct host *host = sched_host_find_or_add(sched, backend->entry.host);
@@ -152,8 +161,9 @@
     }
     const struct backend *current = sched_host_backend(sched, host);
     if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0 ||
-        (current != NULL && current->entry.incarnation_start_ms >
-                                backend->entry.incarnation_start_ms)) {
+        (current != NULL && pool_may_exist(sched, current) &&
+         current->entry.incarnation_start_ms >
+             backend->entry.incarnation_start_ms)) {
         end_incarnation(sched, backend);
         return;
     }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -172,6 +172,8 @@
 static void
 finish_load(struct leader *leader)
 {
+    /* Entries of pools that don't exist are told by it. */
+    leader_config_changed(leader);
     for (int stage = 0; stage < STAGE_READY; stage++) {
         struct record_range *range = &leader->ranges[stage];
         leader->stage = (enum leader_stage)stage;
--- a/tests/jobs/jobs_process_test.c
+++ b/tests/jobs/jobs_process_test.c
@@ -370,6 +370,30 @@
     g_free(deep);
 }
 
+enum {
+    /* Of the pool that the scenario uses. */
+    UNNAMED_POOL_HOSTS = 4,
+};
+
+/* Entries of a pool that the configuration doesn't name, which name hosts in
+ * use and later starts. */
+static void
+put_unnamed_pools(void)
+{
+    for (int i = 0; i < UNNAMED_POOL_HOSTS; i++) {
+        char *id = g_strdup_printf("unnamed-%d", i);
+        char *text = g_strdup_printf(
+            "{\"service\":\"unnamed\",\"address\":\"127.0.0.1:9\",\"zone\":"
+            "\"dc-a\",\"slots\":8,\"state\":\"ready\",\"machine\":\"m-%d\","
+            "\"room\":{\"cpu\":16000,\"mem_mb\":65536},\"born\":"
+            "%" G_GINT64_FORMAT ",\"seq\":1}",
+            i, g_get_real_time() / 1000 + 600000);
+        put_entry(id, text);
+        g_free(text);
+        g_free(id);
+    }
+}
+
 /* Odd entries lie among those of the backend servers before jobs are sent and
  * while the leader changes, and one takes the place of a sound entry until the
  * next heartbeat: every job completes, each is logged once by each leader, and
@@ -379,6 +403,7 @@
 {
     put_odd_entries(1);
     run_for(700, true);
+    put_unnamed_pools();
     /* The heartbeat that follows makes it usable again. */
     put_entry("i-1-0", "{\"service\":");
     run_for(400, true);
@@ -399,6 +424,8 @@
     run_until_finished();
     check_invariants();
     CU_ASSERT(caller_queue_quantile_ms(&fixture.quick, 0.5) < 2000);
+    CU_ASSERT_EQUAL(count_log_lines("\"host_incarnation\"", "unnamed-"), 0);
+    CU_ASSERT_EQUAL(count_log_lines("\"runs_lost\"", "new incarnation"), 0);
     uint32_t leaders = count_log_lines("\"leader_ready\"", "");
     CU_ASSERT(leaders >= 2);
     for (size_t i = 0; i < G_N_ELEMENTS(odd_ids); i++) {
--- a/tests/jobs/odd_entry_test.c
+++ b/tests/jobs/odd_entry_test.c
@@ -281,6 +281,63 @@
     fixture_clear(&f);
 }
 
+/* Lists an entry of a pool that the configuration doesn't name, on the host of
+ * a backend server and with a later start. */
+static void
+add_unnamed_pool(struct fleet_fixture *f, const char *host)
+{
+    f->incarnation_start_ms = 2;
+    fixture_add_backend(f, "odd", "unnamed", host);
+    f->incarnation_start_ms = 1;
+}
+
+/* Such an entry ends no run of the host that it names. */
+static void
+test_unnamed_pool_ends_no_run(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    fixture_add_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_START, "b0"), 1);
+    fixture_accept_starts(&f);
+    add_unnamed_pool(&f, "m0");
+    fixture_add_backend(&f, "b1", "p", "m1");
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
+/* A new leader reads the entries before it applies the configuration. The
+ * heartbeats that follow restore the host. */
+static void
+test_unnamed_pool_read_before_configuration(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    scheduler_configure(f.sched, NULL);
+    add_unnamed_pool(&f, "m0");
+    fixture_add_backend(&f, "b0", "p", "m0");
+    scheduler_configure(f.sched, f.config);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    fixture_add_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_START, "b0"), 1);
+    fixture_accept_starts(&f);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_add_backend(&f, "b1", "p", "m1");
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
 /* The entry of a backend server is replaced by one that can't be read, which
  * counts as missing. Its run goes on under its lease, and its completion
  * counts; nothing new starts there. */
@@ -429,6 +486,9 @@
         {"an id that no key takes", test_id_that_no_key_takes},
         {"a start time too large ends no run",
          test_start_time_too_large_ends_no_run},
+        {"an unnamed pool ends no run", test_unnamed_pool_ends_no_run},
+        {"an unnamed pool is read before the configuration",
+         test_unnamed_pool_read_before_configuration},
         {"an unusable entry keeps its runs", test_unusable_entry_keeps_runs},
         {"random changes of an entry", test_random_changes},
     };
