--- a/core/jobs/pool_index.c
+++ b/core/jobs/pool_index.c
@@ -41,7 +41,9 @@
 uint32_t
 pool_index_slot(const struct pool_index *index, int64_t free_milli)
 {
-    int64_t slot = free_milli * POOL_FREE_SLOT_COUNT / index->largest_milli;
+    /* The largest capacity may be nothing. */
+    int64_t slot =
+        free_milli * POOL_FREE_SLOT_COUNT / MAX(index->largest_milli, 1);
     return (uint32_t)CLAMP(slot, 0, POOL_FREE_SLOT_COUNT - 1);
 }
 
