Build the leader's transactions in a file of their own

No behaviour changes. The model can then apply the transactions that the leader sends, with their conditions, instead of a copy of their effects.

--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -7,12 +7,10 @@
 #include "egretjobd/config_feed.h"
 #include "egretjobd/leadership.h"
 #include "egretjobd/records.h"
+#include "egretjobd/store_txn.h"
 #include "platform/decode.h"
 
 enum {
-    /* Per transaction: a condition and a write for each job, and a condition
-     * on the leader's record. */
-    BATCH_CHANGES_MAX = 15,
     /* Changes that arrive while a transaction is open go into the next one.
      * Another transaction is opened only if the last one is this late. */
     NEXT_TXN_AFTER_MS = 30,
@@ -22,109 +20,6 @@
     STATUS_INTERVAL_MS = 250,
 };
 
-/** struct txn_builder - entries of one transaction; owns their keys and
- * values */
-struct txn_builder {
-    GPtrArray *texts;
-    GArray *conditions;
-    GArray *puts;
-    GPtrArray *deletes;
-};
-
-static struct txn_builder
-txn_builder_create(void)
-{
-    return (struct txn_builder){
-        .texts = g_ptr_array_new_with_free_func(g_free),
-        .conditions = g_array_new(FALSE, FALSE, sizeof(struct kv_condition)),
-        .puts = g_array_new(FALSE, FALSE, sizeof(struct kv_put)),
-        .deletes = g_ptr_array_new(),
-    };
-}
-
-static void
-txn_builder_clear(struct txn_builder *builder)
-{
-    g_ptr_array_unref(builder->texts);
-    g_array_unref(builder->conditions);
-    g_array_unref(builder->puts);
-    g_ptr_array_unref(builder->deletes);
-}
-
-static const char *
-add_key(struct txn_builder *builder, const char *prefix, const char *id)
-{
-    char *key = g_strconcat(prefix, id, NULL);
-    g_ptr_array_add(builder->texts, key);
-    return key;
-}
-
-static void
-add_condition(struct txn_builder *builder, const char *key, int64_t revision)
-{
-    struct kv_condition condition = {.key = key, .revision = revision};
-    g_array_append_val(builder->conditions, condition);
-}
-
-static void
-add_put(struct txn_builder *builder, const char *key, char *value)
-{
-    g_ptr_array_add(builder->texts, value);
-    struct kv_put put = {.key = key, .value = value};
-    g_array_append_val(builder->puts, put);
-}
-
-static struct kv_txn
-txn_of(const struct txn_builder *builder)
-{
-    return (struct kv_txn){
-        .conditions = (struct kv_condition *)builder->conditions->data,
-        .n_conditions = builder->conditions->len,
-        .puts = (struct kv_put *)builder->puts->data,
-        .n_puts = builder->puts->len,
-        .deletes = (const char *const *)builder->deletes->pdata,
-        .n_deletes = builder->deletes->len,
-    };
-}
-
-static void
-add_jobs(struct txn_builder *builder, const struct store_batch *batch)
-{
-    for (guint i = 0; i < batch->jobs->len; i++) {
-        const struct job *job = g_ptr_array_index(batch->jobs, i);
-        const char *key = add_key(builder, RECORD_PROGRESS_PREFIX, job->id);
-        add_condition(builder, key, job->revision);
-        add_put(builder, key, record_progress_encode(job));
-    }
-}
-
-static void
-add_registrations(struct leader *leader, struct txn_builder *builder,
-                  const struct store_batch *batch)
-{
-    for (guint i = 0; i < batch->register_ids->len; i++) {
-        const char *id = g_ptr_array_index(batch->register_ids, i);
-        const struct backend *backend =
-            scheduler_find_backend(leader->sched, id);
-        if (backend != NULL) {
-            add_put(builder, add_key(builder, RECORD_BACKEND_PREFIX, id),
-                    record_backend_encode(&backend->entry));
-        }
-    }
-    for (guint i = 0; i < batch->release_ids->len; i++) {
-        const char *id = g_ptr_array_index(batch->release_ids, i);
-        g_ptr_array_add(builder->deletes,
-                        (char *)add_key(builder, RECORD_BACKEND_PREFIX, id));
-    }
-    for (guint i = 0; i < batch->expire_ids->len; i++) {
-        const char *id = g_ptr_array_index(batch->expire_ids, i);
-        g_ptr_array_add(builder->deletes,
-                        (char *)add_key(builder, RECORD_JOB_PREFIX, id));
-        g_ptr_array_add(builder->deletes,
-                        (char *)add_key(builder, RECORD_PROGRESS_PREFIX, id));
-    }
-}
-
 /* Replies to callers whose cancel is stored. */
 static void
 answer_cancels(struct leader *leader)
@@ -143,33 +38,6 @@
     }
 }
 
-/* A conflict comes from a new leader, or from an earlier write of this process
- * whose answer was lost. For the latter, adopts the stored revisions and
- * returns true. */
-static bool
-handle_conflict(struct leader *leader, const struct store_batch *batch,
-                const struct kv_result *result)
-{
-    for (guint i = 0; i < result->items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(result->items, i);
-        if (strcmp(item->key, RECORD_LEADER_KEY) == 0 &&
-            item->revision != leader->token) {
-            return false;
-        }
-    }
-    for (guint i = 0; i < batch->jobs->len; i++) {
-        struct job *job = g_ptr_array_index(batch->jobs, i);
-        job->revision = 0;
-        for (guint k = 0; k < result->items->len; k++) {
-            const struct kv_item *item = g_ptr_array_index(result->items, k);
-            if (g_str_has_suffix(item->key, job->id)) {
-                job->revision = item->revision;
-            }
-        }
-    }
-    return true;
-}
-
 static void
 on_changes_stored(void *ctx, const struct kv_result *result)
 {
@@ -177,7 +45,7 @@
     struct leader *leader = slot->leader;
     struct store_batch *batch = slot->batch;
     if (result->outcome == KV_CONFLICT &&
-        !handle_conflict(leader, batch, result)) {
+        !store_txn_conflict(batch, result->items, leader->token)) {
         leadership_lose(leader->node->leadership, "another leader was found");
         return;
     }
@@ -199,11 +67,9 @@
 send_txn(struct progress_txn *slot)
 {
     struct leader *leader = slot->leader;
-    struct txn_builder builder = txn_builder_create();
-    add_condition(&builder, RECORD_LEADER_KEY, leader->token);
-    add_jobs(&builder, slot->batch);
-    add_registrations(leader, &builder, slot->batch);
-    struct kv_txn txn = txn_of(&builder);
+    struct txn_builder builder =
+        store_txn_build(leader->sched, slot->batch, leader->token);
+    struct kv_txn txn = txn_builder_txn(&builder);
     slot->sent_ms = node_now(leader->node);
     committer_commit(slot->committer, &txn,
                      (struct kv_done){.call = on_changes_stored, .ctx = slot});
@@ -276,12 +142,15 @@
     }
     g_hash_table_insert(leader->wave_status, g_strdup(number), report);
     struct txn_builder builder = txn_builder_create();
-    add_condition(&builder, RECORD_LEADER_KEY, leader->token);
-    add_put(&builder, add_key(&builder, PLATFORM_WAVE_STATUS_PREFIX, number),
-            encode_wave_status(done));
-    add_put(&builder, add_key(&builder, RECORD_WAVE_PREFIX, number),
-            started_hosts);
-    struct kv_txn txn = txn_of(&builder);
+    txn_builder_condition(&builder, RECORD_LEADER_KEY, leader->token);
+    txn_builder_put(
+        &builder,
+        txn_builder_key(&builder, PLATFORM_WAVE_STATUS_PREFIX, number),
+        encode_wave_status(done));
+    txn_builder_put(&builder,
+                    txn_builder_key(&builder, RECORD_WAVE_PREFIX, number),
+                    started_hosts);
+    struct kv_txn txn = txn_builder_txn(&builder);
     leader->wave_status_sent = number;
     kv_commit(leader->writes, &txn,
               (struct kv_done){.call = on_status_stored, .ctx = leader});
