Hand over what is left of inherited leases, not their whole time

Callers saw service tasks without a run for 8 s and more (LOST) while leaders were rolled and killed one after the other.

Cause: a leader that takes over waits for the leases of a backend server that gives no answer. Until 8.7 s after its own takeover it passed on the longest lease to the next leader in full, which did the same: three takeovers within 12 s kept the tasks of a pool waiting from 17.9 s to 38.0 s, although the last lease of the first leader was over at 26.6 s.

Change: what is left of the inherited leases is handed over.

Evidence: "inherited leases run out" in jobs-scheduler failed before (8,500 ms after 8 s instead of 3,000).

--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -221,11 +221,11 @@
     backend->unreconciled = true;
     sched->maybe_unreconciled = true;
     backend->registered = true;
-    sched->inherited_long_lease =
-        sched->inherited_long_lease || lease_ms > LEASE_MS;
     /* The previous leader granted its last lease before this term began. */
     int64_t open_ms = MIN(lease_ms, sched->timings.lease_max_ms);
     backend->leases_expire_ms = lease_over_ms(sched->takeover_ms, open_ms);
+    sched->inherited_leases_expire_ms =
+        MAX(sched->inherited_leases_expire_ms, backend->leases_expire_ms);
     sched_host_incarnation(sched, backend);
     sched_backend_changed(sched, backend);
 }
@@ -250,11 +250,9 @@
     bool recent =
         sched->outage || (sched->long_lease_granted_ms != 0 &&
                           now_ms - sched->long_lease_granted_ms < open_ms);
-    /* Leases of the previous leader may last just as long. */
-    bool inherited =
-        sched->inherited_long_lease && now_ms - sched->takeover_ms < open_ms;
-    return recent || inherited ? sched->timings.lease_max_ms
-                               : (int64_t)LEASE_MS;
+    int64_t own_ms = recent ? sched->timings.lease_max_ms : (int64_t)LEASE_MS;
+    int64_t inherited_ms = sched->inherited_leases_expire_ms - now_ms;
+    return MIN(MAX(own_ms, inherited_ms), sched->timings.lease_max_ms);
 }
 
 /* Whether nothing but the scheduler keeps @backend within its capacity, and
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -257,8 +257,8 @@
  * @outage: the store is unreachable; leases of the longest duration are used
  * @long_lease_granted_ms: when a lease of the longest duration was last
  *                         granted; 0: never
- * @inherited_long_lease: a previous leader may have granted longer leases than
- *                        LEASE_MS
+ * @inherited_leases_expire_ms: when all leases of previous leaders are over;
+ *                              0: none
  * @fenced: a newer scheduler was met; no more commands are sent
  * @takeover_ms: when this scheduler took over
  * @backends: struct backend by id
@@ -302,7 +302,7 @@
     bool leadership_valid;
     bool outage;
     int64_t long_lease_granted_ms;
-    bool inherited_long_lease;
+    int64_t inherited_leases_expire_ms;
     bool fenced;
     int64_t takeover_ms;
     uint64_t next_handle;
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -427,6 +427,32 @@
     fixture_clear(&f);
 }
 
+/* Leaders that are replaced one after the other pass on what is left of the
+ * leases that they have inherited; with the whole time each of them would wait
+ * anew for a backend server that gives no answer. */
+static void
+test_inherited_leases_run_out(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    struct backend_entry entry = {.id = (char *)"b1",
+                                  .incarnation_start_ms = 1,
+                                  .pool = (char *)"p",
+                                  .address = (char *)"127.0.0.1:1",
+                                  .data_centre = (char *)"dc"};
+    scheduler_backend_inherited(f.sched, &entry, 8500);
+    int64_t taken_over_ms = f.now_ms;
+    CU_ASSERT_EQUAL(scheduler_longest_lease_ms(f.sched), 8500);
+    f.now_ms = taken_over_ms + 4000;
+    int64_t left_ms = scheduler_longest_lease_ms(f.sched);
+    CU_ASSERT(left_ms >= 8500 * 102 / 100 - 4000);
+    CU_ASSERT(left_ms < 8500 - 3000);
+    /* Its own leases are of the usual duration. */
+    f.now_ms = taken_over_ms + 8000;
+    CU_ASSERT_EQUAL(scheduler_longest_lease_ms(f.sched), 3000);
+    fixture_clear(&f);
+}
+
 /* The operator moved the queue of an inherited job to another pool. Its runs
  * may still be on a backend server of the earlier pool that gives no answer.
  */
@@ -668,6 +694,7 @@
         {"no start without leadership", test_no_start_without_leadership},
         {"a data centre out of service", test_out_of_service_data_centre},
         {"a weak host waits each time", test_weak_host_waits_each_time},
+        {"inherited leases run out", test_inherited_leases_run_out},
         {"a wave needs a list requested after it",
          test_wave_needs_a_list_requested_after_it},
         {"a takeover waits for the earlier pool of a queue",
