Acknowledge completions once, and only after an answered call

Callers saw a task run again after it was done. Every report request repeated the highest completion number that is acknowledged. One that reached a new incarnation before its restart was seen made it forget its own completions up to that number, and the next report without them was taken as proof that their runs were lost.

A number is now acknowledged until a request with it is answered, and after a call without an answer the next request acknowledges nothing: its report shows the incarnation first.

The test failed before (57 in requests after the answer and after silence).

--- a/core/jobs/backend.c
+++ b/core/jobs/backend.c
@@ -116,6 +116,7 @@
     backend->last_completion = 0;
     backend->acked_completion = 0;
     backend->acked_sent = 0;
+    backend->acked_answered = 0;
 }
 
 void
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -323,6 +323,7 @@
     for (size_t i = 0; i < report->n_running; i++) {
         process_reported_run(sched, backend, &report->running[i]);
     }
+    backend->acked_answered = backend->acked_sent;
     if (backend->settled_ms == 0) {
         backend->settled_ms = now_ms + sched_stop_visible_after_ms(sched);
     }
@@ -396,9 +397,16 @@
     backend->report_in_flight = true;
     backend->report_requested_ms = now_ms;
     backend->report_incarnation = backend->incarnation;
-    backend->acked_sent = backend->acked_completion;
-    sched->ops.request_report(sched->ops.ctx, backend, until_ms,
-                              backend->acked_completion, wait_ms);
+    /* An incarnation that has started again unnoticed would forget completions
+     * that it listed to nobody. So after a call without an answer the next
+     * report shows the incarnation first, and no number is repeated. */
+    backend->acked_sent =
+        first ? backend->acked_answered : backend->acked_completion;
+    int64_t acked_now = backend->acked_sent > backend->acked_answered
+                            ? backend->acked_sent
+                            : 0;
+    sched->ops.request_report(sched->ops.ctx, backend, until_ms, acked_now,
+                              wait_ms);
 }
 
 void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -207,6 +207,7 @@
  * @acked_completion: highest completion number whose effect is stored, to be
  *                    acknowledged
  * @acked_sent: highest completion number acknowledged to the backend server
+ * @acked_answered: highest one acknowledged in a request that was answered
  * @report_in_flight: a report request is in flight
  * @report_requested_ms: when it was sent
  * @report_incarnation: incarnation that it was sent to
@@ -251,6 +252,7 @@
     int64_t last_completion;
     int64_t acked_completion;
     int64_t acked_sent;
+    int64_t acked_answered;
     bool report_in_flight;
     int64_t report_requested_ms;
     uint32_t report_incarnation;
--- a/tests/jobs/restarted_backend_test.c
+++ b/tests/jobs/restarted_backend_test.c
@@ -337,6 +337,40 @@
     fixture_clear(&f);
 }
 
+/* Every request repeated the highest number that is acknowledged. A new
+ * incarnation that carried one out before its restart was seen forgot its own
+ * completions up to there. */
+static void
+test_acknowledged_once(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    const struct recorded_command *start = fixture_last(&f, COMMAND_START);
+    struct run_completion done = {.number = 57,
+                                  .task = start->task,
+                                  .run = start->number,
+                                  .reason = END_DONE,
+                                  .saved = ""};
+    fixture_report(&f, "b1", NULL, 0, &done, 1);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL(last_request_to_b1(&f)->acked_completion, 57);
+    /* Without an answer it may have been lost, or the next one may reach a new
+     * incarnation. */
+    no_answer(&f);
+    fixture_tick(&f, f.now_ms + 500);
+    CU_ASSERT_EQUAL(last_request_to_b1(&f)->acked_completion, 0);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL(last_request_to_b1(&f)->acked_completion, 57);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    no_answer(&f);
+    int64_t answered_ms = f.now_ms;
+    fixture_tick(&f, f.now_ms + 1000);
+    CU_ASSERT(last_request_to_b1(&f)->at_ms > answered_ms);
+    CU_ASSERT_EQUAL(last_request_to_b1(&f)->acked_completion, 0);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -361,6 +395,8 @@
          test_completion_of_earlier_incarnation},
         {"the fencing token rises also after a removal",
          test_token_rises_after_removal},
+        {"a completion is acknowledged until that is answered",
+         test_acknowledged_once},
     };
     return suite_main("jobs restarted backend", tests,
                       sizeof(tests) / sizeof(tests[0]));
