--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -11,6 +11,8 @@
     BATCH = 15,
     HOSTS_MAX = 16,
     NAME_BYTES = 8,
+    BACKEND_CPU_MILLI = 16000,
+    START_MS = 100000,
 };
 
 static void
@@ -137,9 +139,15 @@
 
 void
 fixture_init(struct fleet_fixture *fixture, uint32_t term)
+{
+    fixture_init_at(fixture, term, START_MS);
+}
+
+void
+fixture_init_at(struct fleet_fixture *fixture, uint32_t term, int64_t now_ms)
 {
     *fixture =
-        (struct fleet_fixture){.now_ms = 100000, .incarnation_start_ms = 1};
+        (struct fleet_fixture){.now_ms = now_ms, .incarnation_start_ms = 1};
     fixture->commands = g_ptr_array_new_with_free_func(recorded_command_free);
     fixture->config = fleet_config_create();
     add_queue(fixture->config, "p");
@@ -200,7 +208,7 @@
 
 static void
 add_backend(struct fleet_fixture *fixture, const char *id, const char *pool,
-            const char *host, bool draining)
+            const char *host, int64_t cpu_milli, bool draining)
 {
     static char *labels[] = {(char *)"a", (char *)"r1", NULL};
     struct backend_entry entry = {
@@ -211,7 +219,7 @@
         .data_centre = (char *)"dc",
         .host = (char *)host,
         .labels = labels,
-        .capacity = {.cpu_milli = 16000, .mem_mb = 64000},
+        .capacity = {.cpu_milli = cpu_milli, .mem_mb = 64000},
         .draining = draining,
     };
     scheduler_backend_updated(fixture->sched, &entry);
@@ -221,14 +229,21 @@
 fixture_add_backend(struct fleet_fixture *fixture, const char *id,
                     const char *pool, const char *host)
 {
-    add_backend(fixture, id, pool, host, false);
+    add_backend(fixture, id, pool, host, BACKEND_CPU_MILLI, false);
+}
+
+void
+fixture_resize_backend(struct fleet_fixture *fixture, const char *id,
+                       const char *pool, const char *host, int64_t cpu_milli)
+{
+    add_backend(fixture, id, pool, host, cpu_milli, false);
 }
 
 void
 fixture_drain_backend(struct fleet_fixture *fixture, const char *id,
                       const char *pool, const char *host)
 {
-    add_backend(fixture, id, pool, host, true);
+    add_backend(fixture, id, pool, host, BACKEND_CPU_MILLI, true);
 }
 
 void
@@ -298,8 +313,8 @@
 }
 
 struct job *
-fixture_add_job(struct fleet_fixture *fixture, const char *id,
-                const char *pool, const char *steps)
+fixture_create_job(struct fleet_fixture *fixture, const char *id,
+                   const char *pool, const char *steps)
 {
     char *error = NULL;
     char *body = g_strdup_printf("{\"spec\":\"x\",\"steps\":%s}", steps);
@@ -311,6 +326,14 @@
     job->team = g_strdup("t");
     job->attempts = 3;
     job->accepted_unix_ms = unix_now(fixture);
+    return job;
+}
+
+struct job *
+fixture_add_job(struct fleet_fixture *fixture, const char *id,
+                const char *pool, const char *steps)
+{
+    struct job *job = fixture_create_job(fixture, id, pool, steps);
     scheduler_add_job(fixture->sched, job);
     job_unref(job);
     return job;
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -58,6 +58,9 @@
  * names, a spare pool "s", and a client account "t". */
 void
 fixture_init(struct fleet_fixture *fixture, uint32_t term);
+/** fixture_init_at() - the same, with the scheduler's clock at @now_ms. */
+void
+fixture_init_at(struct fleet_fixture *fixture, uint32_t term, int64_t now_ms);
 void
 fixture_clear(struct fleet_fixture *fixture);
 
@@ -72,6 +75,11 @@
 fixture_add_backend(struct fleet_fixture *fixture, const char *id,
                     const char *pool, const char *host);
 
+/** fixture_resize_backend() - list a backend server with another capacity. */
+void
+fixture_resize_backend(struct fleet_fixture *fixture, const char *id,
+                       const char *pool, const char *host, int64_t cpu_milli);
+
 /** fixture_drain_backend() - list a backend server as draining. */
 void
 fixture_drain_backend(struct fleet_fixture *fixture, const char *id,
@@ -87,6 +95,12 @@
 void
 fixture_reconcile(struct fleet_fixture *fixture);
 
+/** fixture_create_job() - a job of queue @pool that the scheduler does not
+ * know yet; @steps is JSON. */
+struct job *
+fixture_create_job(struct fleet_fixture *fixture, const char *id,
+                   const char *pool, const char *steps);
+
 /** fixture_add_job() - add a job of queue @pool; @steps is JSON. */
 struct job *
 fixture_add_job(struct fleet_fixture *fixture, const char *id,
