Isolate tasks that may crash their backend servers, and give up those that do

What callers saw: a job whose task crashes each backend server that starts it ran for ever, took a backend server down every 3.2 s and lost the runs beside it. They were packed beside it again, so that jobs that had nothing to do with it were late or never done.

Cause: a lost run was placed like any other, and nothing counted crashes.

The backend server is silent at once, its leases expire 3.1 s later, and the new incarnation of its host shows 0 to 0.6 s after that. 1 to 31 runs are lost with it, but only those that started since the last run report can be the cause: 4 to 8 in most losses.

Change: - A run whose backend server is lost before a report showed it working for 100 ms is a suspect. A suspect starts alone: on a backend server without other new runs, without any if there is one, and nothing starts beside it until a report shows it working. At most half of a pool is taken by them (a third where others run); one is kept free for them. - A loss counts as a crash only if a later incarnation of the host shows within 6 s and neither we nor a drain have ended the last one, and only for runs that had been confirmed. The second crash under a task, alone, is proof: its job fails. The other suspects of its first crash are cleared as soon as it falls silent alone. Runs that had worked for 0.1 to 3.5 s are counted if no other can be the cause, and need a third crash, alone. - A service task is never given up; from the third crash on it backs off. - Crashes and suspicion are stored with the job's progress before the task starts again; records without them have none.

What follows: each such task still costs two crashes, the first of which takes others along. After a takeover a crash that was not proved yet is not counted.

--- /dev/null
+++ b/core/jobs/crash_runs.c
@@ -0,0 +1,342 @@
+/* Finds the runs that may have crashed their backend server, and gives up
+ * those tasks that have. */
+#include "core/jobs/scheduler.h"
+
+#include "scheduler_state.h"
+
+enum {
+    /* A backend server that crashed is back some seconds after; one that is
+     * back later may have lost its runs to their leases first. */
+    PROOF_MAX_MS = 6000,
+    /* A task that would be given up, or back off, waits this long for the
+     * proof. */
+    PROOF_WAIT_MS = 2000,
+    /* Orders of a previous leader may end incarnations this long after a
+     * takeover. */
+    INHERITED_ORDER_MS = 10000,
+};
+
+static bool
+blamable(const struct run *run)
+{
+    return run->job->state == JOB_ACTIVE && !run_task(run)->done;
+}
+
+static enum crash_role
+role_of(const struct run *run)
+{
+    return crash_role_of(run->age_ms);
+}
+
+/* The members of a gang start together, so they are suspects together. */
+static bool
+same_suspect(const struct run *a, const struct run *b)
+{
+    return a->job == b->job && a->occurrence == b->occurrence &&
+           a->step == b->step && (run_step(a)->gang || a->index == b->index);
+}
+
+static void
+crash_case_destroy(struct crash_case *lost)
+{
+    if (lost == NULL) {
+        return;
+    }
+    for (guint i = 0; i < lost->suspects->len; i++) {
+        job_unref(g_array_index(lost->suspects, struct crash_suspect, i).job);
+    }
+    g_array_unref(lost->suspects);
+    g_free(lost->backend_id);
+    g_free(lost);
+}
+
+static struct crash_case *
+case_take(struct scheduler *sched, struct host *host)
+{
+    struct crash_case *lost = host->crash;
+    host->crash = NULL;
+    g_ptr_array_remove_fast(sched->crashed, host);
+    return lost;
+}
+
+void
+sched_crash_dropped(struct scheduler *sched, struct host *host)
+{
+    crash_case_destroy(case_take(sched, host));
+}
+
+uint32_t
+sched_crashed_isolated(const struct scheduler *sched,
+                       const struct pool_load *pool)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < sched->crashed->len; i++) {
+        const struct host *host = g_ptr_array_index(sched->crashed, i);
+        count += host->crash->isolated_in == pool &&
+                 sched_now(sched) - host->crash->lost_ms <= PROOF_MAX_MS;
+    }
+    return count;
+}
+
+static struct job_task *
+suspect_task(const struct crash_suspect *suspect)
+{
+    return &job_step_progress(suspect->job, suspect->occurrence, suspect->step)
+                ->tasks[suspect->index];
+}
+
+/* Lets the other suspects of the same loss start beside others. Those that run
+ * alone are left to it. @proved: the crash of that loss is not theirs. */
+static void
+clear_group(struct job *job, uint32_t group, bool proved)
+{
+    uint32_t n_progress = job->n_occurrences * job->n_steps;
+    for (uint32_t p = 0; p < n_progress; p++) {
+        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
+        for (uint32_t t = 0; t < n_tasks; t++) {
+            struct job_task *task = &job->progress[p].tasks[t];
+            if (task->crash_group == group) {
+                crash_record_clear(&task->crash, proved);
+                task->crash_group = proved ? 0 : group;
+            }
+        }
+    }
+}
+
+/* A run that was alone has most likely crashed its backend server, and the one
+ * before as well. */
+static void
+clear_others(struct scheduler *sched, struct job_task *cause, bool proved)
+{
+    uint32_t group = cause->crash_group;
+    if (group == 0) {
+        return;
+    }
+    struct crash_record record = cause->crash;
+    for (guint i = 0; i < sched->active->len; i++) {
+        clear_group(g_ptr_array_index(sched->active, i), group, proved);
+    }
+    cause->crash = record;
+    cause->crash_group = group;
+}
+
+void
+sched_crash_backend_silent(struct scheduler *sched,
+                           const struct backend *backend)
+{
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run->isolated && role_of(run) == CRASH_FRESH &&
+            run->confirmed_ms != 0) {
+            clear_others(sched, run_task(run), false);
+        }
+    }
+}
+
+/* Marks the suspects. Their next start waits until that is stored: a leader
+ * that took over without it would start them beside others. */
+static void
+mark_suspect(struct scheduler *sched, const struct run *run, uint32_t group)
+{
+    struct job_task *task = run_task(run);
+    /* The first loss says with whom it shares the suspicion. */
+    task->crash_group = task->crash_group == 0 ? group : task->crash_group;
+    if (crash_proof_matters(&task->crash, run_step(run)->long_running)) {
+        task->wait_until_ms = sched_now(sched) + PROOF_WAIT_MS;
+    }
+    task->crash.suspect = true;
+    sched_mark_dirty(sched, run->job);
+    task->crash_version = run->job->version;
+}
+
+static struct crash_case *
+collect_suspects(struct scheduler *sched, const struct backend *backend)
+{
+    enum crash_role role = CRASH_LATE;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (blamable(run) && role_of(run) == CRASH_FRESH) {
+            role = CRASH_FRESH;
+        }
+    }
+    uint32_t group = ++sched->crash_groups;
+    struct crash_case *lost = g_new0(struct crash_case, 1);
+    lost->backend_id = g_strdup(backend->entry.id);
+    lost->lost_ms = sched_now(sched);
+    lost->role = role;
+    lost->alone = backend->strays->len == 0;
+    lost->suspects = g_array_new(FALSE, FALSE, sizeof(struct crash_suspect));
+    const struct run *first = NULL;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (run->isolated) {
+            lost->isolated_in = run->isolated_in;
+        }
+        if (role_of(run) != role) {
+            continue;
+        }
+        first = first == NULL ? run : first;
+        lost->alone = lost->alone && same_suspect(first, run);
+        if (!blamable(run)) {
+            continue;
+        }
+        struct crash_suspect suspect = {
+            .job = job_ref(run->job),
+            .occurrence = run->occurrence,
+            .step = run->step,
+            .index = run->index,
+            .started = run->confirmed_ms != 0,
+        };
+        g_array_append_val(lost->suspects, suspect);
+        if (role == CRASH_FRESH) {
+            mark_suspect(sched, run, group);
+        }
+    }
+    return lost;
+}
+
+void
+sched_crash_suspected(struct scheduler *sched, struct backend *backend)
+{
+    if (backend->runs->len == 0 || backend->entry.host == NULL ||
+        backend->entry.draining) {
+        return;
+    }
+    struct host *host = sched_host_find_or_add(sched, backend->entry.host);
+    sched_crash_dropped(sched, host);
+    host->crash = collect_suspects(sched, backend);
+    g_ptr_array_add(sched->crashed, host);
+    sched_log_event(sched, "crash_suspected",
+                    "\"backend\":\"%s\",\"suspects\":%u,\"fresh\":%s,"
+                    "\"alone\":%s",
+                    backend->entry.id, host->crash->suspects->len,
+                    host->crash->role == CRASH_FRESH ? "true" : "false",
+                    host->crash->alone ? "true" : "false");
+}
+
+static void
+blame(struct scheduler *sched, const struct crash_case *lost,
+      const struct crash_suspect *suspect)
+{
+    struct job *job = suspect->job;
+    struct job_task *task = suspect_task(suspect);
+    /* A start without an answer may not have been carried out. */
+    if (job->state != JOB_ACTIVE || task->done || !suspect->started) {
+        return;
+    }
+    bool guilty = crash_record_crash(&task->crash, lost->role, lost->alone);
+    /* Every outage would write the records of all that it hits, for little. */
+    if (crash_isolated(&task->crash)) {
+        sched_mark_dirty(sched, job);
+        task->crash_version = job->version;
+    }
+    if (lost->alone) {
+        sched_log_event(sched, "crash_blamed",
+                        "\"task\":\"%s.%u.%u.%u\",\"backend\":\"%s\","
+                        "\"crashes\":%u",
+                        job->id, suspect->occurrence, suspect->step,
+                        suspect->index, lost->backend_id, task->crash.crashes);
+    }
+    if (job->steps[suspect->step].long_running) {
+        if (lost->alone && task->run == NULL) {
+            task->wait_until_ms =
+                sched_now(sched) + crash_service_backoff_ms(&task->crash);
+        }
+        return;
+    }
+    task->wait_until_ms = 0;
+    if (guilty) {
+        clear_others(sched, task, true);
+        sched_finish_job(sched, job, JOB_FAILED);
+    }
+}
+
+/* A host whose incarnation was ended by an order has not crashed. */
+static bool
+ended_by_order(const struct scheduler *sched, const struct host *host)
+{
+    return host->command_accepted || host->command_in_flight ||
+           (host->commanded_before &&
+            sched_now(sched) - sched->takeover_ms < INHERITED_ORDER_MS);
+}
+
+void
+sched_crash_proved(struct scheduler *sched, struct host *host)
+{
+    struct crash_case *lost = case_take(sched, host);
+    if (lost != NULL && !ended_by_order(sched, host) &&
+        sched_now(sched) - lost->lost_ms <= PROOF_MAX_MS) {
+        for (guint i = 0; i < lost->suspects->len; i++) {
+            blame(sched, lost,
+                  &g_array_index(lost->suspects, struct crash_suspect, i));
+        }
+    }
+    crash_case_destroy(lost);
+}
+
+void
+sched_crash_backend_answers(struct scheduler *sched,
+                            const struct backend *backend)
+{
+    struct host *host =
+        backend->entry.host == NULL
+            ? NULL
+            : g_hash_table_lookup(sched->hosts, backend->entry.host);
+    if (host != NULL && host->crash != NULL &&
+        g_strcmp0(host->crash->backend_id, backend->entry.id) == 0) {
+        sched_crash_dropped(sched, host);
+    }
+}
+
+static void
+count_isolated(struct run *run, int factor)
+{
+    run->backend->isolated_runs += (uint32_t)factor;
+    run->isolated_in->isolated_runs += (uint32_t)factor;
+}
+
+void
+sched_run_isolate(struct run *run)
+{
+    run->isolated = crash_isolated(&run_task(run)->crash);
+    if (run->isolated) {
+        run->isolated_in = run->backend->pool;
+        count_isolated(run, 1);
+    }
+}
+
+void
+sched_run_end_isolation(struct run *run)
+{
+    if (run->isolated) {
+        count_isolated(run, -1);
+        run->isolated = false;
+    }
+}
+
+void
+sched_run_worked_until(struct scheduler *sched, struct run *run,
+                       int64_t clock_ms)
+{
+    if (clock_ms == 0) {
+        return;
+    }
+    if (run->first_clock_ms == 0) {
+        run->first_clock_ms = clock_ms;
+    }
+    run->age_ms = MAX(run->age_ms, clock_ms - run->first_clock_ms);
+    struct crash_record *record = &run_task(run)->crash;
+    if (run->isolated && run->age_ms >= crash_isolation_ms(record)) {
+        crash_record_clear(record, true);
+        run_task(run)->crash_group = 0;
+        sched_run_end_isolation(run);
+        sched_backend_changed(sched, run->backend);
+    }
+}
+
+bool
+sched_start_recorded(const struct scheduler *sched, const struct job *job,
+                     const struct job_task *task)
+{
+    return job->stored_version >= task->crash_version || sched->outage;
+}
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -89,6 +89,7 @@
                         after == NULL ? 0 : after->entry.incarnation_start_ms);
     }
     end_incarnation(sched, sched_host_backend(sched, host));
+    sched_crash_proved(sched, host);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
     /* A reboot without an answer may still be carried out. */
@@ -165,6 +166,7 @@
          current->entry.incarnation_start_ms >
              backend->entry.incarnation_start_ms)) {
         end_incarnation(sched, backend);
+        sched_crash_proved(sched, host);
         return;
     }
     new_incarnation(sched, host, backend->entry.id, "entry");
@@ -207,6 +209,7 @@
         requested_unix_ms - current->entry.incarnation_start_ms >
             WALL_CLOCK_DIFFERENCE_MAX_MS) {
         end_incarnation(sched, current);
+        sched_crash_dropped(sched, host);
     }
     if (other_incarnation) {
         new_incarnation(sched, host, info->backend_id, "host list");
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -24,11 +24,25 @@
 /* Below that of any backend server with runs. */
 static const double EMPTY_SCORE = -1;
 
+enum {
+    /* Tasks that may crash their backend servers take at most this part of a
+     * pool, so that the others go on: a half where nothing else runs, a third
+     * where runs would be lost. */
+    ISOLATED_EMPTY_DIVISOR = 2,
+    ISOLATED_SHARED_DIVISOR = 3,
+    /* Some passes; renewed as long as the task waits. */
+    ISOLATION_RESERVED_MS = 250,
+    /* A tenth of the time in which a crashed backend server is back, with all
+     * that it could run meanwhile. */
+    ISOLATION_WAIT_MS = 300,
+};
+
 /**
  * struct placer - one pass over the waiting tasks of a pool
  * @pool: the pool
  * @failed_need: no backend server has the capacity for this; valid if
  *               @need_failed
+ * @isolation_failed: there is no backend server for a task that may crash it
  */
 struct placer {
     struct scheduler *sched;
@@ -37,6 +51,7 @@
     struct pool_load *pool;
     bool need_failed;
     struct resources failed_need;
+    bool isolation_failed;
 };
 
 /**
@@ -78,6 +93,13 @@
     return count;
 }
 
+static bool
+all_of_step(const struct backend *backend,
+            const struct placement_request *request)
+{
+    return count_of_step(backend, request) == backend->runs->len;
+}
+
 /* Whether best-effort and latency-sensitive tasks would share the server. */
 static bool
 would_mix_workloads(const struct backend *backend, const struct job_step *step)
@@ -105,6 +127,10 @@
     if (backend->suspect_until_ms > placer->now_ms && backend->runs->len > 0) {
         return false;
     }
+    if (backend->isolated_runs > 0 &&
+        !(step->gang && all_of_step(backend, request))) {
+        return false;
+    }
     if (step->required_label != NULL &&
         !backend_has_label(backend, step->required_label)) {
         return false;
@@ -124,7 +150,8 @@
               const struct placement_request *request)
 {
     return (request->step->long_running ||
-            !sched_backend_reserved(placer->sched, backend)) &&
+            (!sched_backend_reserved(placer->sched, backend) &&
+             backend->isolation_until_ms <= placer->now_ms)) &&
            has_capacity(backend, request->step) &&
            suitable(placer, backend, request);
 }
@@ -233,13 +260,20 @@
     return placer->need_failed && resources_fit(need, &placer->failed_need);
 }
 
+/* Whether more than its capacity tells if a backend server may run it. */
+static bool
+has_constraints(const struct placement_request *request)
+{
+    return request->rack != NULL || request->step->required_label != NULL ||
+           request->step->max_per_backend > 0 || request->needs_advice;
+}
+
 static void
 remember_failure(struct placer *placer,
                  const struct placement_request *request)
 {
     const struct job_step *step = request->step;
-    if (request->rack != NULL || step->required_label != NULL ||
-        step->max_per_backend > 0 || request->needs_advice) {
+    if (has_constraints(request)) {
         return;
     }
     struct resources need = job_step_backend_need(step);
@@ -272,6 +306,106 @@
     return best.backend;
 }
 
+/* Whether each run that the crash of @backend could be laid to is one of the
+ * gang of @request. */
+static bool
+crash_would_be_proof(const struct backend *backend,
+                     const struct placement_request *request)
+{
+    if (backend->strays->len > 0) {
+        return false;
+    }
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        bool of_gang = request->step->gang && run->job == request->job &&
+                       run->occurrence == request->occurrence &&
+                       run->step == request->step_index;
+        if (crash_role_of(run->age_ms) == CRASH_FRESH && !of_gang) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Whether runs that are isolated, or have crashed their backend servers a
+ * moment ago, take the part of the pool that they may. */
+static bool
+isolation_exhausted(const struct placer *placer, uint32_t divisor)
+{
+    const struct pool_load *pool = placer->pool;
+    uint32_t taken =
+        pool->isolated_runs + sched_crashed_isolated(placer->sched, pool);
+    uint32_t size = taken;
+    for (int slot = 0; slot < POOL_SLOT_COUNT; slot++) {
+        const GPtrArray *backends = pool->index.slots[slot];
+        for (guint i = 0; i < backends->len; i++) {
+            const struct backend *backend = g_ptr_array_index(backends, i);
+            size += backend->isolated_runs == 0;
+        }
+    }
+    return taken >= MAX(size / divisor, (uint32_t)1);
+}
+
+/* Backend server with the fewest runs that a crash would take along, one where
+ * a crash would be proof if there is any. */
+static struct backend *
+find_isolated(const struct placer *placer,
+              const struct placement_request *request, bool *ready)
+{
+    const struct pool_load *pool = placer->pool;
+    struct backend *best = NULL;
+    *ready = false;
+    for (int slot = 0; slot < POOL_SLOT_COUNT; slot++) {
+        const GPtrArray *backends = pool->index.slots[slot];
+        for (guint i = 0; i < backends->len; i++) {
+            struct backend *backend = g_ptr_array_index(backends, i);
+            if (!sched_backend_usable(placer->sched, backend) ||
+                !has_capacity(backend, request->step) ||
+                !suitable(placer, backend, request)) {
+                continue;
+            }
+            bool proof = crash_would_be_proof(backend, request);
+            if (best == NULL || (proof && !*ready) ||
+                (proof == *ready && backend->runs->len < best->runs->len)) {
+                best = backend;
+                *ready = proof;
+            }
+        }
+    }
+    return best;
+}
+
+/* A backend server without runs is worth a short wait, and one on which others
+ * have just started has to wait for a run report. */
+static struct backend *
+choose_isolated(struct placer *placer, const struct placement_request *request,
+                int64_t waits_ms)
+{
+    /* A gang starts whole, and a service task may not be away for long. */
+    bool at_once = request->step->gang || request->step->long_running;
+    if (!at_once && !placer->isolation_failed) {
+        placer->isolation_failed =
+            isolation_exhausted(placer, ISOLATED_EMPTY_DIVISOR);
+    }
+    if (!at_once && placer->isolation_failed) {
+        return NULL;
+    }
+    bool ready;
+    struct backend *best = find_isolated(placer, request, &ready);
+    if (best == NULL) {
+        return NULL;
+    }
+    bool wait = best->runs->len > 0 && !at_once &&
+                (waits_ms < ISOLATION_WAIT_MS ||
+                 isolation_exhausted(placer, ISOLATED_SHARED_DIVISOR));
+    if (ready && !wait) {
+        best->isolation_until_ms = 0;
+        return best;
+    }
+    best->isolation_until_ms = placer->now_ms + ISOLATION_RESERVED_MS;
+    return NULL;
+}
+
 bool
 sched_backend_can_run(struct scheduler *sched, const struct backend *backend,
                       const struct job *job, uint32_t occurrence,
@@ -389,6 +523,34 @@
     }
 }
 
+/* Starts a task that may crash its backend server. */
+static struct run *
+place_isolated(struct placer *placer, struct job *job,
+               const struct placement_request *request, uint32_t index,
+               uint32_t number)
+{
+    struct scheduler *sched = placer->sched;
+    struct job_task *task =
+        &job_step_progress(job, request->occurrence, request->step_index)
+             ->tasks[index];
+    if (!sched_start_recorded(sched, job, task)) {
+        return NULL;
+    }
+    if (task->isolation_since_ms == 0) {
+        task->isolation_since_ms = placer->now_ms;
+    }
+    struct backend *backend = choose_isolated(
+        placer, request, placer->now_ms - task->isolation_since_ms);
+    if (backend == NULL) {
+        placer->isolation_failed =
+            placer->isolation_failed || !has_constraints(request);
+        return NULL;
+    }
+    task->isolation_since_ms = 0;
+    return sched_run_create(sched, job, request->occurrence,
+                            request->step_index, index, number, backend);
+}
+
 static struct run *
 place_task(struct placer *placer, struct job *job,
            struct placement_request *request, uint32_t index, uint32_t number)
@@ -404,6 +566,9 @@
         return NULL;
     }
     request->avoid = task->avoid;
+    if (crash_isolated(&task->crash)) {
+        return place_isolated(placer, job, request, index, number);
+    }
     struct backend *backend = choose_backend(placer, request);
     if (backend == NULL) {
         remember_failure(placer, request);
@@ -514,6 +679,10 @@
         }
         struct run *run = place_task(placer, job, request, t,
                                      next_number(placer->sched, task));
+        if (run == NULL && crash_isolated(&task->crash)) {
+            complete = false;
+            continue;
+        }
         if (run == NULL) {
             return false;
         }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -109,6 +109,7 @@
     sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          pool_load_destroy);
     sched->draining = g_ptr_array_new();
+    sched->crashed = g_ptr_array_new();
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
     sched->report_deadlines = deadline_heap_create();
     g_queue_init(&sched->dirty);
@@ -128,6 +129,10 @@
         return;
     }
     sched_advice_clear(sched);
+    while (sched->crashed->len > 0) {
+        sched_crash_dropped(sched, g_ptr_array_index(sched->crashed, 0));
+    }
+    g_ptr_array_unref(sched->crashed);
     sched_strays_clear(sched);
     g_hash_table_unref(sched->runs);
     g_hash_table_unref(sched->backends);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -53,6 +53,7 @@
         run->stop_acked_ms = 0;
         run->stop_sent_ms = 0;
         run->stop_pending = false;
+        run->first_clock_ms = 0;
     }
 }
 
@@ -67,12 +68,17 @@
                     ",\"now\":%" G_GINT64_FORMAT ",\"runs\":%u",
                     backend->entry.id, previous_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
+    sched_crash_suspected(sched, backend);
     release_ended_runs(sched, backend);
     backend->seen_ms = sched_now(sched);
     backend->incarnation++;
     backend->settled_ms = 0;
     /* Its record names the earlier incarnation and what that served. */
     backend->registered = false;
+    if (backend->entry.host != NULL) {
+        sched_crash_proved(sched,
+                           sched_host_find_or_add(sched, backend->entry.host));
+    }
     backend->report_received = false;
     /* A previous leader may have started runs on the new one too, so it stays
      * unreconciled. */
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -59,12 +59,13 @@
 
 static void
 update_run(struct scheduler *sched, struct run *run,
-           const struct reported_run *reported)
+           const struct reported_run *reported, int64_t clock_ms)
 {
     int64_t now_ms = sched_now(sched);
     run->confirmed_ms = now_ms;
     run->incarnation = run->backend->incarnation;
     run->reported = true;
+    sched_run_worked_until(sched, run, clock_ms);
     run->job->started = true;
     run->load_metric = reported->load_metric;
     if (run->percent != reported->percent) {
@@ -84,7 +85,7 @@
 
 static void
 process_reported_run(struct scheduler *sched, struct backend *backend,
-                     const struct reported_run *reported)
+                     const struct reported_run *reported, int64_t clock_ms)
 {
     struct task_name name;
     struct job *job = find_task(sched, reported->task, &name);
@@ -97,7 +98,7 @@
     task->run_number = MAX(task->run_number, reported->number);
     if (task->run != NULL && task->run->backend == backend &&
         task->run->number == reported->number) {
-        update_run(sched, task->run, reported);
+        update_run(sched, task->run, reported, clock_ms);
         return;
     }
     if (task->run != NULL || task->done || job->state != JOB_ACTIVE ||
@@ -110,7 +111,7 @@
     run->state = RUN_WORKING;
     /* The previous leader may have throttled it. */
     run->cpu_limit_percent = -1;
-    update_run(sched, run, reported);
+    update_run(sched, run, reported, clock_ms);
     sched_log_event(sched, "run_adopted", "\"task\":\"%s\",\"backend\":\"%s\"",
                     reported->task, backend->entry.id);
 }
@@ -302,6 +303,7 @@
                 sched, "backend_silent",
                 "\"backend\":\"%s\",\"reason\":\"%s\"", backend->entry.id,
                 report->error == NULL ? "no answer" : report->error);
+            sched_crash_backend_silent(sched, backend);
         }
         backend->unresponsive = true;
         backend->report_due_ms = now_ms + REPORT_RETRY_MS;
@@ -314,6 +316,7 @@
     if (backend->unresponsive) {
         sched_log_event(sched, "backend_answers", "\"backend\":\"%s\"",
                         backend->entry.id);
+        sched_crash_backend_answers(sched, backend);
     }
     backend->unresponsive = false;
     backend_clock_sampled(backend, report->clock_ms, now_ms);
@@ -321,7 +324,8 @@
         process_completion(sched, backend, &report->completions[i]);
     }
     for (size_t i = 0; i < report->n_running; i++) {
-        process_reported_run(sched, backend, &report->running[i]);
+        process_reported_run(sched, backend, &report->running[i],
+                             report->clock_ms);
     }
     backend->acked_answered = backend->acked_sent;
     if (backend->settled_ms == 0) {
@@ -382,6 +386,9 @@
     if (wait && sched_backend_mixed(backend)) {
         wait_ms = REPORT_WAIT_MIXED_MS;
     }
+    if (wait && backend->isolated_runs > 0) {
+        wait_ms = MIN(wait_ms, (int64_t)REPORT_WAIT_ISOLATED_MS);
+    }
     for (guint i = 0; wait && i < backend->runs->len; i++) {
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (run->state == RUN_UNCERTAIN) {
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -65,6 +65,7 @@
     struct job_task *task = run_task(run);
     task->run = run;
     task->run_number = MAX(task->run_number, number);
+    sched_run_isolate(run);
     account_run(sched, run, 1);
     sched_schedule_report(sched, backend);
     return run;
@@ -76,6 +77,7 @@
     if (run->start_in_flight) {
         overload_not_sent(&sched->overload);
     }
+    sched_run_end_isolation(run);
     struct job_task *task = run_task(run);
     if (task->run == run) {
         task->run = NULL;
@@ -287,6 +289,7 @@
                         "\"backend\":\"%s\",\"why\":\"%s\",\"runs\":%u",
                         backend->entry.id, why, backend->runs->len);
     }
+    sched_crash_suspected(sched, backend);
     sched_backend_strays_lost(sched, backend);
     while (backend->runs->len > 0) {
         struct run *run = g_ptr_array_index(backend->runs, 0);
@@ -460,6 +463,7 @@
     }
     if (answer == START_DONE) {
         run->confirmed_ms = now_ms;
+        sched_run_worked_until(sched, run, clock_ms);
         run->job->started = true;
         if (run->state == RUN_STARTING) {
             run->state = RUN_WORKING;
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -26,6 +26,8 @@
      * latency-sensitive ones: each report is a sample of the tail
      * latencies. */
     REPORT_WAIT_MIXED_MS = 300,
+    /* The same where a run is isolated: others wait for the report. */
+    REPORT_WAIT_ISOLATED_MS = 130,
     /* Calls time out well before this, so an answer that is still missing will
      * never come. */
     ANSWER_TIMEOUT_MS = 5000,
@@ -62,6 +64,36 @@
     HOST_REBOOTS,
 };
 
+/**
+ * struct crash_suspect - a task that may have crashed a backend server
+ * @started: its run is known to have started there
+ */
+struct crash_suspect {
+    struct job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+    bool started;
+};
+
+/**
+ * struct crash_case - loss of the runs of a backend server that may have
+ * crashed
+ * @lost_ms: when its runs were lost
+ * @role: part of the suspects in it
+ * @alone: no run but that of the one suspect may be the cause
+ * @isolated_in: pool, if a run was isolated; NULL: none was
+ * @suspects: struct crash_suspect, with a reference to their jobs
+ */
+struct crash_case {
+    char *backend_id;
+    int64_t lost_ms;
+    enum crash_role role;
+    bool alone;
+    struct pool_load *isolated_in;
+    GArray *suspects;
+};
+
 /**
  * struct host - a host and the commands about it
  * @load: its pool, NULL: unknown
@@ -79,6 +111,8 @@
  * @commanded_incarnation: its backend server at the time of the command
  * @retry_ms: no command before this time
  * @commanded_before: a previous leader may have sent a command recently
+ * @crash: the last loss of its runs, until it proves to be a crash or not; or
+ *         NULL
  */
 struct host {
     char *name;
@@ -98,6 +132,7 @@
     char *commanded_incarnation;
     int64_t retry_ms;
     bool commanded_before;
+    struct crash_case *crash;
 };
 
 /**
@@ -177,6 +212,7 @@
  * @unplaced: its jobs that may have tasks to place
  * @unreconciled: some backend server of it is unreconciled, as of the last
  *                pass
+ * @isolated_runs: runs beside which nothing else starts yet
  */
 struct pool_load {
     char *pool;
@@ -200,6 +236,7 @@
     double backlog_millicore_ms;
     int64_t wanted_hosts;
     int64_t surplus_since_ms;
+    uint32_t isolated_runs;
 };
 
 /**
@@ -278,6 +315,8 @@
  * @backend_records: id of a backend server to the revision of its record, if
  *                   the store may have one; 0: not known yet
  * @finished: finished jobs, in the order of finishing
+ * @crash_groups: losses of runs that made tasks suspects
+ * @crashed: hosts with a crash case
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
  * @hosts_requested_ms: when the list that was read last was requested
@@ -322,6 +361,8 @@
     GPtrArray *to_release;
     GHashTable *backend_records;
     GQueue finished;
+    uint32_t crash_groups;
+    GPtrArray *crashed;
     int64_t spare_hosts;
     bool hosts_read;
     int64_t hosts_requested_ms;
@@ -471,6 +512,43 @@
 int64_t
 sched_stop_visible_after_ms(const struct scheduler *sched);
 
+/* crash_runs.c */
+/* Notes which runs of a lost backend server may have crashed it. */
+void
+sched_crash_suspected(struct scheduler *sched, struct backend *backend);
+/* A new incarnation of @host proves that its last one has crashed. */
+void
+sched_crash_proved(struct scheduler *sched, struct host *host);
+/* It gives no answer: whom that clears. */
+void
+sched_crash_backend_silent(struct scheduler *sched,
+                           const struct backend *backend);
+/* The incarnation that was lost still runs. */
+void
+sched_crash_backend_answers(struct scheduler *sched,
+                            const struct backend *backend);
+/* The last incarnation of @host has ended in another way. */
+void
+sched_crash_dropped(struct scheduler *sched, struct host *host);
+/* Backend servers of @pool that were lost with an isolated run and may be back
+ * soon. */
+uint32_t
+sched_crashed_isolated(const struct scheduler *sched,
+                       const struct pool_load *pool);
+/* Counts a new run as isolated if its task is a suspect. */
+void
+sched_run_isolate(struct run *run);
+void
+sched_run_end_isolation(struct run *run);
+/* Its backend server listed the run when its clock read @clock_ms. */
+void
+sched_run_worked_until(struct scheduler *sched, struct run *run,
+                       int64_t clock_ms);
+/* Whether what crashes say about @task is stored. */
+bool
+sched_start_recorded(const struct scheduler *sched, const struct job *job,
+                     const struct job_task *task);
+
 /* strays.c */
 struct stray *
 sched_find_stray(const struct backend *backend, const char *name,
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -102,6 +102,32 @@
     }
 }
 
+/* Rows of step progress index, task, counted crashes and whether the task is a
+ * suspect. */
+static void
+encode_crashes(GString *out, const struct job *job)
+{
+    uint32_t n_progress = job->n_occurrences * job->n_steps;
+    bool first = true;
+    for (uint32_t p = 0; p < n_progress; p++) {
+        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
+        for (uint32_t t = 0; t < n_tasks; t++) {
+            const struct crash_record *crash =
+                &job->progress[p].tasks[t].crash;
+            if (crash->crashes == 0 && !crash->suspect) {
+                continue;
+            }
+            g_string_append_printf(out, "%s[%u,%u,%u,%d]",
+                                   first ? ",\"crashes\":[" : ",", p, t,
+                                   crash->crashes, crash->suspect ? 1 : 0);
+            first = false;
+        }
+    }
+    if (!first) {
+        g_string_append_c(out, ']');
+    }
+}
+
 char *
 record_progress_encode(const struct job *job)
 {
@@ -116,6 +142,7 @@
         g_string_append(out, "],\"tasks\":[");
         encode_tasks(out, job);
         g_string_append_c(out, ']');
+        encode_crashes(out, job);
     }
     g_string_append_c(out, '}');
     return g_string_free(out, FALSE);
@@ -171,6 +198,30 @@
     }
 }
 
+static int64_t
+row_number(const cJSON *row, int column)
+{
+    const cJSON *item = cJSON_GetArrayItem(row, column);
+    return cJSON_IsNumber(item) ? item->valueint : -1;
+}
+
+static void
+apply_crash_record(struct job *job, const cJSON *row)
+{
+    int64_t p = row_number(row, 0);
+    int64_t t = row_number(row, 1);
+    int64_t crashes = row_number(row, 2);
+    if (p < 0 || t < 0 || crashes < 0 ||
+        p >= (int64_t)job->n_occurrences * job->n_steps ||
+        t >= (int64_t)job->steps[p % job->n_steps].task_count) {
+        return;
+    }
+    job->progress[p].tasks[t].crash = (struct crash_record){
+        .suspect = row_number(row, 3) == 1,
+        .crashes = (uint32_t)crashes,
+    };
+}
+
 bool
 record_progress_apply(struct job *job, const char *value, size_t bytes)
 {
@@ -190,6 +241,11 @@
     {
         apply_task_record(job, item);
     }
+    cJSON_ArrayForEach(item,
+                       cJSON_GetObjectItemCaseSensitive(record, "crashes"))
+    {
+        apply_crash_record(job, item);
+    }
     cJSON_Delete(record);
     return known;
 }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -88,6 +88,11 @@
  * @cpu_limit_percent: CPU limit in percent of full speed; -1: unknown
  * @throttle_sent_ms: when a throttle command was last sent; 0: never
  * @throttle_pending: a throttle command is in flight
+ * @first_clock_ms: clock of the backend server when it first confirmed the
+ *                  run; 0: it has not
+ * @age_ms: how long the run is known to have worked, on that clock
+ * @isolated: nothing else starts beside it yet, see crash_blame.h
+ * @isolated_in: pool that counts it as isolated
  */
 struct run {
     uint64_t handle;
@@ -114,6 +119,10 @@
     int32_t cpu_limit_percent;
     int64_t throttle_sent_ms;
     bool throttle_pending;
+    int64_t first_clock_ms;
+    int64_t age_ms;
+    bool isolated;
+    struct pool_load *isolated_in;
 };
 
 /** run_step() - the step that @run belongs to. */
@@ -218,6 +227,8 @@
  * @failures: runs of different tasks that failed in a row
  * @suspect_until_ms: takes at most one run at a time until then
  * @empty_since_ms: when its last run ended
+ * @isolated_runs: runs beside which nothing else starts yet
+ * @isolation_until_ms: kept for such a run until then
  */
 struct backend {
     struct backend_entry entry;
@@ -263,6 +274,8 @@
     uint32_t failures;
     int64_t suspect_until_ms;
     int64_t empty_since_ms;
+    uint32_t isolated_runs;
+    int64_t isolation_until_ms;
 };
 
 struct backend *
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/jobs/crash_blame.h"
 #include "core/jobs/step_advice.h"
 
 struct run;
@@ -100,6 +101,13 @@
  * @strays: runs of it that are being stopped as strays; it does not start
  * while there are any
  * @avoid: id of the backend server where the last run failed, or NULL
+ * @crash: what crashes of backend servers say about it
+ * @crash_version: version of the job's progress that contains @crash; it does
+ *                 not start before that is stored
+ * @crash_group: the loss that made it a suspect; 0: none, or a previous
+ *               leader's
+ * @isolation_since_ms: since when it has waited for a backend server to
+ * itself; 0: it has not
  */
 struct job_task {
     struct run *run;
@@ -111,6 +119,10 @@
     int64_t wait_until_ms;
     uint32_t strays;
     char *avoid;
+    struct crash_record crash;
+    uint64_t crash_version;
+    uint32_t crash_group;
+    int64_t isolation_since_ms;
 };
 
 /**
