Store where a suspect starts, and let no suspect wait for ever

Cause, from the logs: a crash in the 3.1 s before a takeover was known to nobody. For 10 s after a takeover no crash counted on hosts that the previous leader might have commanded. Suspects were isolated in the order of their jobs, so that late ones starved. A culprit cleared others of its first loss that were culprits too, with the crashes that they had had alone.

Change: - Where a suspect starts alone is stored with its crashes before the start is sent. The next leader counts the crash of that backend server; it takes three such, as the start may not have been sent. - An incarnation that comes back in the same pool has crashed, whatever the previous leader may have commanded. - A crash alone is kept apart and is not cleared by another culprit; a task that was lost again isn't cleared by one that falls silent; one that works alone is cleared altogether. - A third crash beside others that had just started counts as proof as well: two starts more are allowed after it. - Starts without an answer are no suspects if others had one. - The suspect that has waited longest is next. After 3 s one that has not crashed alone starts beside others. Up to three quarters of a pool may be taken while nothing else lacks capacity.

--- a/core/jobs/crash_blame.c
+++ b/core/jobs/crash_blame.c
@@ -17,6 +17,9 @@
     /* Longer than the lease, so that a crash after the start of the task shows
      * as such while it is isolated. */
     LATE_MAX_MS = 3500,
+    /* A suspicion alone must not keep a task from running for as long as a
+     * crash does. */
+    JOIN_AFTER_MS = 3000,
     /* More than the time in which a crashed backend server is back, so that a
      * pool isn't short of one all the time. */
     SERVICE_BACKOFF_MS = 15000,
@@ -35,7 +38,8 @@
 bool
 crash_isolated(const struct crash_record *record)
 {
-    return record->suspect || record->crashes >= CRASHES_MAX;
+    return record->suspect || record->alone > 0 ||
+           record->crashes >= CRASHES_MAX;
 }
 
 int64_t
@@ -49,9 +53,22 @@
                    bool alone)
 {
     record->crashes++;
+    record->alone += alone && role == CRASH_FRESH;
     record->suspect = record->suspect || role == CRASH_FRESH;
-    uint32_t most = role == CRASH_FRESH ? CRASHES_MAX : LATE_CRASHES_MAX;
-    return alone && record->crashes >= most;
+    if (role == CRASH_FRESH && alone) {
+        return record->crashes >= CRASHES_MAX;
+    }
+    return (role == CRASH_FRESH || alone) &&
+           record->crashes >= SHARED_CRASHES_MAX;
+}
+
+bool
+crash_record_inherited(struct crash_record *record)
+{
+    record->crashes++;
+    record->alone++;
+    return record->alone >= CRASHES_MAX &&
+           record->crashes >= SHARED_CRASHES_MAX;
 }
 
 bool
@@ -62,14 +79,30 @@
 }
 
 void
-crash_record_clear(struct crash_record *record, bool proved)
+crash_record_other(struct crash_record *record, bool proved)
 {
+    if (record->alone > 0) {
+        return;
+    }
     record->suspect = false;
-    if (proved && record->crashes < CRASHES_MAX) {
+    if (proved) {
         record->crashes = 0;
     }
 }
 
+void
+crash_record_worked(struct crash_record *record)
+{
+    *record = (struct crash_record){0};
+}
+
+bool
+crash_may_join(const struct crash_record *record, int64_t waits_ms)
+{
+    return record->alone == 0 && record->crashes < CRASHES_MAX &&
+           waits_ms >= JOIN_AFTER_MS;
+}
+
 int64_t
 crash_service_backoff_ms(const struct crash_record *record)
 {
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -11,11 +11,25 @@
     /* A task that would be given up, or back off, waits this long for the
      * proof. */
     PROOF_WAIT_MS = 2000,
-    /* Orders of a previous leader may end incarnations this long after a
-     * takeover. */
-    INHERITED_ORDER_MS = 10000,
+    /* Crashes around a takeover have shown by then. */
+    INHERITED_MAX_MS = 8000,
 };
 
+/* Stores where a suspect starts, before it does: the next leader has to know
+ * which crash may be its doing. */
+static void
+record_attempt(struct scheduler *sched, struct job *job, struct job_task *task,
+               const char *backend_id)
+{
+    if (g_strcmp0(task->crash_backend, backend_id) == 0) {
+        return;
+    }
+    g_free(task->crash_backend);
+    task->crash_backend = g_strdup(backend_id);
+    sched_mark_dirty(sched, job);
+    task->crash_version = job->version;
+}
+
 static bool
 blamable(const struct run *run)
 {
@@ -95,8 +109,9 @@
         uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
         for (uint32_t t = 0; t < n_tasks; t++) {
             struct job_task *task = &job->progress[p].tasks[t];
-            if (task->crash_group == group) {
-                crash_record_clear(&task->crash, proved);
+            /* One that was lost again has not been cleared by that. */
+            if (task->crash_group == group && task->crash_losses <= 1) {
+                crash_record_other(&task->crash, proved);
                 task->crash_group = proved ? 0 : group;
             }
         }
@@ -141,10 +156,13 @@
     struct job_task *task = run_task(run);
     /* The first loss says with whom it shares the suspicion. */
     task->crash_group = task->crash_group == 0 ? group : task->crash_group;
-    if (crash_proof_matters(&task->crash, run_step(run)->long_running)) {
+    bool service = run_step(run)->long_running;
+    if ((run->isolated && !service) ||
+        crash_proof_matters(&task->crash, service)) {
         task->wait_until_ms = sched_now(sched) + PROOF_WAIT_MS;
     }
     task->crash.suspect = true;
+    task->crash_losses++;
     sched_mark_dirty(sched, run->job);
     task->crash_version = run->job->version;
 }
@@ -153,18 +171,22 @@
 collect_suspects(struct scheduler *sched, const struct backend *backend)
 {
     enum crash_role role = CRASH_LATE;
+    bool confirmed = false;
     for (guint i = 0; i < backend->runs->len; i++) {
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (blamable(run) && role_of(run) == CRASH_FRESH) {
             role = CRASH_FRESH;
+            confirmed = confirmed || run->confirmed_ms != 0;
         }
     }
     uint32_t group = ++sched->crash_groups;
     struct crash_case *lost = g_new0(struct crash_case, 1);
     lost->backend_id = g_strdup(backend->entry.id);
+    lost->pool = backend->pool;
     lost->lost_ms = sched_now(sched);
     lost->role = role;
-    lost->alone = backend->strays->len == 0;
+    /* A stray beside an isolated run has come after it. */
+    lost->alone = backend->strays->len == 0 || backend->isolated_runs > 0;
     lost->suspects = g_array_new(FALSE, FALSE, sizeof(struct crash_suspect));
     const struct run *first = NULL;
     for (guint i = 0; i < backend->runs->len; i++) {
@@ -172,7 +194,8 @@
         if (run->isolated) {
             lost->isolated_in = run->isolated_in;
         }
-        if (role_of(run) != role) {
+        /* Most starts without an answer were sent after the crash. */
+        if (role_of(run) != role || (confirmed && run->confirmed_ms == 0)) {
             continue;
         }
         first = first == NULL ? run : first;
@@ -251,20 +274,22 @@
     }
 }
 
-/* A host whose incarnation was ended by an order has not crashed. */
+/* An incarnation that was ended by an order has not crashed; one that moves to
+ * another pool was ended by an order of a previous leader. */
 static bool
-ended_by_order(const struct scheduler *sched, const struct host *host)
+ended_by_order(const struct host *host, const struct pool_load *before,
+               const struct backend *after)
 {
     return host->command_accepted || host->command_in_flight ||
-           (host->commanded_before &&
-            sched_now(sched) - sched->takeover_ms < INHERITED_ORDER_MS);
+           (after != NULL && after->pool != before);
 }
 
 void
-sched_crash_proved(struct scheduler *sched, struct host *host)
+sched_crash_proved(struct scheduler *sched, struct host *host,
+                   const struct backend *after)
 {
     struct crash_case *lost = case_take(sched, host);
-    if (lost != NULL && !ended_by_order(sched, host) &&
+    if (lost != NULL && !ended_by_order(host, lost->pool, after) &&
         sched_now(sched) - lost->lost_ms <= PROOF_MAX_MS) {
         for (guint i = 0; i < lost->suspects->len; i++) {
             blame(sched, lost,
@@ -274,6 +299,58 @@
     crash_case_destroy(lost);
 }
 
+void
+sched_crash_inherited(struct scheduler *sched, const struct host *host,
+                      const struct backend *before,
+                      const struct backend *after)
+{
+    if (before != NULL && before->registered && !before->entry.draining &&
+        sched_now(sched) - sched->takeover_ms < INHERITED_MAX_MS &&
+        !ended_by_order(host, before->pool, after)) {
+        g_hash_table_add(sched->crashed_ids, g_strdup(before->entry.id));
+    }
+}
+
+bool
+sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
+                             uint32_t occurrence, uint32_t step,
+                             uint32_t index)
+{
+    struct job_task *task =
+        &job_step_progress(job, occurrence, step)->tasks[index];
+    if (task->crash_backend == NULL || task->crash_version != 0) {
+        return true;
+    }
+    bool crashed =
+        g_hash_table_contains(sched->crashed_ids, task->crash_backend);
+    const struct backend *backend =
+        scheduler_find_backend(sched, task->crash_backend);
+    bool lives =
+        backend != NULL && backend->report_received && !backend->unresponsive;
+    if (!crashed && !lives &&
+        sched_now(sched) - sched->takeover_ms < INHERITED_MAX_MS) {
+        return false;
+    }
+    bool service = job->steps[step].long_running;
+    if (crashed && crash_record_inherited(&task->crash) && !service) {
+        sched_finish_job(sched, job, JOB_FAILED);
+        return false;
+    }
+    record_attempt(sched, job, task, NULL);
+    return true;
+}
+
+bool
+sched_start_recorded(struct scheduler *sched, struct job *job,
+                     struct job_task *task, const char *backend_id)
+{
+    if (sched->outage) {
+        return true;
+    }
+    record_attempt(sched, job, task, backend_id);
+    return job->stored_version >= task->crash_version;
+}
+
 void
 sched_crash_backend_answers(struct scheduler *sched,
                             const struct backend *backend)
@@ -327,16 +404,11 @@
     run->age_ms = MAX(run->age_ms, clock_ms - run->first_clock_ms);
     struct crash_record *record = &run_task(run)->crash;
     if (run->isolated && run->age_ms >= crash_isolation_ms(record)) {
-        crash_record_clear(record, true);
+        crash_record_worked(record);
         run_task(run)->crash_group = 0;
+        run_task(run)->crash_losses = 0;
+        record_attempt(sched, run->job, run_task(run), NULL);
         sched_run_end_isolation(run);
         sched_backend_changed(sched, run->backend);
     }
 }
-
-bool
-sched_start_recorded(const struct scheduler *sched, const struct job *job,
-                     const struct job_task *task)
-{
-    return job->stored_version >= task->crash_version || sched->outage;
-}
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -89,7 +89,8 @@
                         after == NULL ? 0 : after->entry.incarnation_start_ms);
     }
     end_incarnation(sched, sched_host_backend(sched, host));
-    sched_crash_proved(sched, host);
+    sched_crash_inherited(sched, host, before, after);
+    sched_crash_proved(sched, host, after);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
     /* A reboot without an answer may still be carried out. */
@@ -166,7 +167,8 @@
          current->entry.incarnation_start_ms >
              backend->entry.incarnation_start_ms)) {
         end_incarnation(sched, backend);
-        sched_crash_proved(sched, host);
+        sched_crash_inherited(sched, host, backend, current);
+        sched_crash_proved(sched, host, current);
         return;
     }
     new_incarnation(sched, host, backend->entry.id, "entry");
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -56,6 +56,7 @@
         for (uint32_t t = 0; t < n_tasks; t++) {
             g_free(job->progress[i].tasks[t].saved);
             g_free(job->progress[i].tasks[t].avoid);
+            g_free(job->progress[i].tasks[t].crash_backend);
         }
         g_free(job->progress[i].tasks);
         step_advice_destroy(job->progress[i].advice);
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -25,11 +25,12 @@
 static const double EMPTY_SCORE = -1;
 
 enum {
-    /* Tasks that may crash their backend servers take at most this part of a
-     * pool, so that the others go on: a half where nothing else runs, a third
-     * where runs would be lost. */
-    ISOLATED_EMPTY_DIVISOR = 2,
-    ISOLATED_SHARED_DIVISOR = 3,
+    /* Tasks that may crash their backend servers take at most these quarters
+     * of a pool: fewer if others find no capacity, still fewer where runs
+     * would be lost. */
+    ISOLATED_IDLE_QUARTERS = 3,
+    ISOLATED_EMPTY_QUARTERS = 2,
+    ISOLATED_SHARED_QUARTERS = 1,
     /* Some passes; renewed as long as the task waits. */
     ISOLATION_RESERVED_MS = 250,
     /* A tenth of the time in which a crashed backend server is back, with all
@@ -59,6 +60,7 @@
  * @avoid: backend server of its last failure, or NULL
  * @rack: only backend servers in this rack, NULL: any
  * @data_rack: rack of its data, NULL: none
+ * @isolated: the task, to find the backend server that is kept for it
  */
 struct placement_request {
     const struct job *job;
@@ -70,6 +72,7 @@
     const GPtrArray *data_rack;
     bool needs_advice;
     const struct step_advice *advice;
+    const struct job_task *isolated;
 };
 
 /** struct candidate - best backend server so far, NULL: none */
@@ -328,9 +331,11 @@
 }
 
 /* Whether runs that are isolated, or have crashed their backend servers a
- * moment ago, take the part of the pool that they may. */
+ * moment ago, take the part of the pool that they may. The task that has
+ * waited longest comes first. */
 static bool
-isolation_exhausted(const struct placer *placer, uint32_t divisor)
+isolation_exhausted(const struct placer *placer,
+                    const struct placement_request *request, uint32_t quarters)
 {
     const struct pool_load *pool = placer->pool;
     uint32_t taken =
@@ -343,7 +348,27 @@
             size += backend->isolated_runs == 0;
         }
     }
-    return taken >= MAX(size / divisor, (uint32_t)1);
+    bool others = pool->isolation_first != NULL &&
+                  pool->isolation_first != request->isolated;
+    return taken + others >= MAX(size * quarters / 4, (uint32_t)1);
+}
+
+/* Keeps track of the task that has waited longest. */
+static void
+isolation_waits(struct placer *placer, const struct job_task *task)
+{
+    struct pool_load *pool = placer->pool;
+    if (pool->isolation_pass != placer->sched->pass) {
+        bool recent = pool->isolation_pass + 1 == placer->sched->pass;
+        pool->isolation_first = recent ? pool->isolation_next : NULL;
+        pool->isolation_next = NULL;
+        pool->isolation_pass = placer->sched->pass;
+    }
+    if (pool->isolation_next == NULL ||
+        task->isolation_since_ms < pool->isolation_next_ms) {
+        pool->isolation_next = task;
+        pool->isolation_next_ms = task->isolation_since_ms;
+    }
 }
 
 /* Backend server with the fewest runs that a crash would take along, one where
@@ -361,12 +386,17 @@
             struct backend *backend = g_ptr_array_index(backends, i);
             if (!sched_backend_usable(placer->sched, backend) ||
                 !has_capacity(backend, request->step) ||
-                !suitable(placer, backend, request)) {
+                !suitable(placer, backend, request) ||
+                (backend->isolation_owner != NULL &&
+                 backend->isolation_owner != request->isolated &&
+                 backend->isolation_until_ms > placer->now_ms)) {
                 continue;
             }
             bool proof = crash_would_be_proof(backend, request);
             if (best == NULL || (proof && !*ready) ||
-                (proof == *ready && backend->runs->len < best->runs->len)) {
+                (proof == *ready && backend->runs->len < best->runs->len) ||
+                (proof && backend->runs->len == best->runs->len &&
+                 backend->isolation_owner == request->isolated)) {
                 best = backend;
                 *ready = proof;
             }
@@ -383,26 +413,31 @@
 {
     /* A gang starts whole, and a service task may not be away for long. */
     bool at_once = request->step->gang || request->step->long_running;
-    if (!at_once && !placer->isolation_failed) {
-        placer->isolation_failed =
-            isolation_exhausted(placer, ISOLATED_EMPTY_DIVISOR);
-    }
-    if (!at_once && placer->isolation_failed) {
+    uint32_t quarters =
+        placer->need_failed ? ISOLATED_EMPTY_QUARTERS : ISOLATED_IDLE_QUARTERS;
+    bool first = placer->pool->isolation_first == request->isolated;
+    if (!at_once && ((placer->isolation_failed && !first) ||
+                     isolation_exhausted(placer, request, quarters))) {
         return NULL;
     }
     bool ready;
     struct backend *best = find_isolated(placer, request, &ready);
     if (best == NULL) {
+        /* Another one may find a backend server. */
+        if (first) {
+            placer->pool->isolation_first = NULL;
+        }
         return NULL;
     }
-    bool wait = best->runs->len > 0 && !at_once &&
-                (waits_ms < ISOLATION_WAIT_MS ||
-                 isolation_exhausted(placer, ISOLATED_SHARED_DIVISOR));
+    bool wait =
+        best->runs->len > 0 && !at_once &&
+        (waits_ms < ISOLATION_WAIT_MS ||
+         isolation_exhausted(placer, request, ISOLATED_SHARED_QUARTERS));
     if (ready && !wait) {
-        best->isolation_until_ms = 0;
         return best;
     }
     best->isolation_until_ms = placer->now_ms + ISOLATION_RESERVED_MS;
+    best->isolation_owner = NULL;
     return NULL;
 }
 
@@ -533,12 +568,14 @@
     struct job_task *task =
         &job_step_progress(job, request->occurrence, request->step_index)
              ->tasks[index];
-    if (!sched_start_recorded(sched, job, task)) {
+    if (!sched_crash_settle_inherited(sched, job, request->occurrence,
+                                      request->step_index, index)) {
         return NULL;
     }
     if (task->isolation_since_ms == 0) {
         task->isolation_since_ms = placer->now_ms;
     }
+    isolation_waits(placer, task);
     struct backend *backend = choose_isolated(
         placer, request, placer->now_ms - task->isolation_since_ms);
     if (backend == NULL) {
@@ -546,7 +583,13 @@
             placer->isolation_failed || !has_constraints(request);
         return NULL;
     }
+    if (!sched_start_recorded(sched, job, task, backend->entry.id)) {
+        backend->isolation_until_ms = placer->now_ms + ISOLATION_RESERVED_MS;
+        backend->isolation_owner = task;
+        return NULL;
+    }
     task->isolation_since_ms = 0;
+    backend->isolation_until_ms = 0;
     return sched_run_create(sched, job, request->occurrence,
                             request->step_index, index, number, backend);
 }
@@ -566,7 +609,11 @@
         return NULL;
     }
     request->avoid = task->avoid;
-    if (crash_isolated(&task->crash)) {
+    request->isolated = task;
+    if (crash_isolated(&task->crash) &&
+        !(task->isolation_since_ms != 0 &&
+          crash_may_join(&task->crash,
+                         placer->now_ms - task->isolation_since_ms))) {
         return place_isolated(placer, job, request, index, number);
     }
     struct backend *backend = choose_backend(placer, request);
@@ -577,6 +624,7 @@
         }
         return NULL;
     }
+    task->isolation_since_ms = 0;
     return sched_run_create(sched, job, request->occurrence,
                             request->step_index, index, number, backend);
 }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -110,6 +110,8 @@
                                          pool_load_destroy);
     sched->draining = g_ptr_array_new();
     sched->crashed = g_ptr_array_new();
+    sched->crashed_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
     sched->report_deadlines = deadline_heap_create();
     g_queue_init(&sched->dirty);
@@ -133,6 +135,7 @@
         sched_crash_dropped(sched, g_ptr_array_index(sched->crashed, 0));
     }
     g_ptr_array_unref(sched->crashed);
+    g_hash_table_unref(sched->crashed_ids);
     sched_strays_clear(sched);
     g_hash_table_unref(sched->runs);
     g_hash_table_unref(sched->backends);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -77,7 +77,8 @@
     backend->registered = false;
     if (backend->entry.host != NULL) {
         sched_crash_proved(sched,
-                           sched_host_find_or_add(sched, backend->entry.host));
+                           sched_host_find_or_add(sched, backend->entry.host),
+                           backend);
     }
     backend->report_received = false;
     /* A previous leader may have started runs on the new one too, so it stays
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -79,6 +79,7 @@
 /**
  * struct crash_case - loss of the runs of a backend server that may have
  * crashed
+ * @pool: pool that it served
  * @lost_ms: when its runs were lost
  * @role: part of the suspects in it
  * @alone: no run but that of the one suspect may be the cause
@@ -87,6 +88,7 @@
  */
 struct crash_case {
     char *backend_id;
+    const struct pool_load *pool;
     int64_t lost_ms;
     enum crash_role role;
     bool alone;
@@ -213,6 +215,11 @@
  * @unreconciled: some backend server of it is unreconciled, as of the last
  *                pass
  * @isolated_runs: runs beside which nothing else starts yet
+ * @isolation_first: task that has waited longest for a backend server to
+ *                   itself, as of the last pass; only compared
+ * @isolation_next: the same of this pass
+ * @isolation_next_ms: since when that waits
+ * @isolation_pass: the pass that @isolation_next is of
  */
 struct pool_load {
     char *pool;
@@ -237,6 +244,10 @@
     int64_t wanted_hosts;
     int64_t surplus_since_ms;
     uint32_t isolated_runs;
+    const struct job_task *isolation_first;
+    const struct job_task *isolation_next;
+    int64_t isolation_next_ms;
+    uint64_t isolation_pass;
 };
 
 /**
@@ -317,6 +328,7 @@
  * @finished: finished jobs, in the order of finishing
  * @crash_groups: losses of runs that made tasks suspects
  * @crashed: hosts with a crash case
+ * @crashed_ids: ids of backend servers of a previous leader that have crashed
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
  * @hosts_requested_ms: when the list that was read last was requested
@@ -363,6 +375,7 @@
     GQueue finished;
     uint32_t crash_groups;
     GPtrArray *crashed;
+    GHashTable *crashed_ids;
     int64_t spare_hosts;
     bool hosts_read;
     int64_t hosts_requested_ms;
@@ -516,9 +529,21 @@
 /* Notes which runs of a lost backend server may have crashed it. */
 void
 sched_crash_suspected(struct scheduler *sched, struct backend *backend);
-/* A new incarnation of @host proves that its last one has crashed. */
+/* The new incarnation @after of @host proves that its last one has crashed. */
 void
-sched_crash_proved(struct scheduler *sched, struct host *host);
+sched_crash_proved(struct scheduler *sched, struct host *host,
+                   const struct backend *after);
+/* The same for runs of a previous leader. */
+void
+sched_crash_inherited(struct scheduler *sched, const struct host *host,
+                      const struct backend *before,
+                      const struct backend *after);
+/* Whether it is clear what became of the last start of a suspect, and it may
+ * start again. */
+bool
+sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
+                             uint32_t occurrence, uint32_t step,
+                             uint32_t index);
 /* It gives no answer: whom that clears. */
 void
 sched_crash_backend_silent(struct scheduler *sched,
@@ -544,10 +569,11 @@
 void
 sched_run_worked_until(struct scheduler *sched, struct run *run,
                        int64_t clock_ms);
-/* Whether what crashes say about @task is stored. */
+/* Whether what crashes say about @task, and that it starts on @backend_id, is
+ * stored. */
 bool
-sched_start_recorded(const struct scheduler *sched, const struct job *job,
-                     const struct job_task *task);
+sched_start_recorded(struct scheduler *sched, struct job *job,
+                     struct job_task *task, const char *backend_id);
 
 /* strays.c */
 struct stray *
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -102,8 +102,8 @@
     }
 }
 
-/* Rows of step progress index, task, counted crashes and whether the task is a
- * suspect. */
+/* Rows of step progress index, task, counted crashes, those alone, whether the
+ * task is a suspect, and where it starts alone. */
 static void
 encode_crashes(GString *out, const struct job *job)
 {
@@ -117,9 +117,12 @@
             if (crash->crashes == 0 && !crash->suspect) {
                 continue;
             }
-            g_string_append_printf(out, "%s[%u,%u,%u,%d]",
-                                   first ? ",\"crashes\":[" : ",", p, t,
-                                   crash->crashes, crash->suspect ? 1 : 0);
+            g_string_append_printf(
+                out, "%s[%u,%u,%u,%u,%d,", first ? ",\"crashes\":[" : ",", p,
+                t, crash->crashes, crash->alone, crash->suspect ? 1 : 0);
+            const char *backend = job->progress[p].tasks[t].crash_backend;
+            json_text_add(out, backend == NULL ? "" : backend);
+            g_string_append_c(out, ']');
             first = false;
         }
     }
@@ -216,10 +219,16 @@
         t >= (int64_t)job->steps[p % job->n_steps].task_count) {
         return;
     }
-    job->progress[p].tasks[t].crash = (struct crash_record){
-        .suspect = row_number(row, 3) == 1,
+    struct job_task *task = &job->progress[p].tasks[t];
+    task->crash = (struct crash_record){
+        .suspect = row_number(row, 4) == 1,
         .crashes = (uint32_t)crashes,
+        .alone = (uint32_t)MAX(row_number(row, 3), 0),
     };
+    const char *backend = cJSON_GetStringValue(cJSON_GetArrayItem(row, 5));
+    if (backend != NULL && backend[0] != '\0') {
+        task->crash_backend = g_strdup(backend);
+    }
 }
 
 bool
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -229,6 +229,7 @@
  * @empty_since_ms: when its last run ended
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_until_ms: kept for such a run until then
+ * @isolation_owner: task that it is kept for, only compared; NULL: any
  */
 struct backend {
     struct backend_entry entry;
@@ -276,6 +277,7 @@
     int64_t empty_since_ms;
     uint32_t isolated_runs;
     int64_t isolation_until_ms;
+    const struct job_task *isolation_owner;
 };
 
 struct backend *
--- a/include/core/jobs/crash_blame.h
+++ b/include/core/jobs/crash_blame.h
@@ -9,8 +9,10 @@
 enum {
     /* Two crashes suffice to give a task up. */
     CRASHES_MAX = 2,
-    /* Crashes of long-running runs say less, so one more is required. */
-    LATE_CRASHES_MAX = 3,
+    /* Crashes long after a start, beside others that had just started, or
+     * after a start that may not have been sent say less. One more is
+     * required; two starts more are allowed after a third crash. */
+    SHARED_CRASHES_MAX = 3,
     /* Limit of starts of a service task after which they back off. */
     SERVICE_CRASHES_MAX = 3,
 };
@@ -20,10 +22,13 @@
  * @suspect: a backend server was lost just after it had started there; it is
  *           isolated at its next start
  * @crashes: crashes of backend servers that it may have caused
+ * @alone: those of them that followed its start and that no other run may have
+ *         caused
  */
 struct crash_record {
     bool suspect;
     uint32_t crashes;
+    uint32_t alone;
 };
 
 /**
@@ -70,6 +75,15 @@
 crash_record_crash(struct crash_record *record, enum crash_role role,
                    bool alone);
 
+/**
+ * crash_record_inherited() - count a crash where a previous leader was about
+ * to start the task alone, or had
+ *
+ * Return: whether the task is the cause, so that it is to be given up.
+ */
+bool
+crash_record_inherited(struct crash_record *record);
+
 /**
  * crash_proof_matters() - whether one more crash would have the task given up,
  * or would have the next start of a service task back off.
@@ -78,11 +92,26 @@
 crash_proof_matters(const struct crash_record *record, bool service);
 
 /**
- * crash_record_clear() - the task may start beside others again
- * @proved: it hasn't caused the crash that made it a suspect
+ * crash_record_other() - another task has most likely caused the crash that
+ * made this one a suspect
+ * @proved: it certainly has
+ */
+void
+crash_record_other(struct crash_record *record, bool proved);
+
+/**
+ * crash_record_worked() - the task has worked alone for
+ * crash_isolation_ms().
  */
 void
-crash_record_clear(struct crash_record *record, bool proved);
+crash_record_worked(struct crash_record *record);
+
+/**
+ * crash_may_join() - whether a suspect that has waited for a backend server to
+ * itself may start beside others after all.
+ */
+bool
+crash_may_join(const struct crash_record *record, int64_t waits_ms);
 
 /**
  * crash_service_backoff_ms() - delay before a service task that crashes
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -106,6 +106,9 @@
  *                 not start before that is stored
  * @crash_group: the loss that made it a suspect; 0: none, or a previous
  *               leader's
+ * @crash_losses: losses that made it a suspect since it last worked alone
+ * @crash_backend: backend server of its last isolated start, unless it has
+ *                 worked there; or NULL
  * @isolation_since_ms: since when it has waited for a backend server to
  * itself; 0: it has not
  */
@@ -122,6 +125,8 @@
     struct crash_record crash;
     uint64_t crash_version;
     uint32_t crash_group;
+    uint32_t crash_losses;
+    char *crash_backend;
     int64_t isolation_since_ms;
 };
 
