Don't lay the crashes of an outage to the tasks that had just started

Cause: the second crash under a task that is alone counted as proof, whatever else crashed at that moment.

Change: a backend server on which nothing has just started can't have been crashed by a start. Where two or more such fall silent within 150 ms of a crash (1 s if the silence took that long to notice), that crash is an outage and is not counted.

Evidence: the new test fails without the rule (seen with the least number set out of reach).

--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -8,6 +8,13 @@
     /* A backend server that crashed is back some seconds after; one that is
      * back later may have lost its runs to their leases first. */
     PROOF_MAX_MS = 6000,
+    /* Connections to backend servers that crash together break together. Where
+     * none breaks, the next report request has to time out first. */
+    OUTAGE_WINDOW_MS = 150,
+    NOTICED_LATE_MS = 1000,
+    OUTAGE_LATE_WINDOW_MS = 1000,
+    /* One may fall silent by chance. */
+    OUTAGE_OTHERS_MIN = 2,
     /* A task that would be given up, or back off, waits this long for the
      * proof. */
     PROOF_WAIT_MS = 2000,
@@ -136,9 +143,18 @@
 }
 
 void
-sched_crash_backend_silent(struct scheduler *sched,
-                           const struct backend *backend)
+sched_crash_backend_silent(struct scheduler *sched, struct backend *backend)
 {
+    backend->silent_ms = sched_now(sched);
+    bool fresh = false;
+    for (guint i = 0; i < backend->runs->len; i++) {
+        fresh = fresh ||
+                role_of(g_ptr_array_index(backend->runs, i)) == CRASH_FRESH;
+    }
+    if (!fresh) {
+        sched->silences[sched->silence_count++ % SILENCES_KEPT] =
+            backend->silent_ms;
+    }
     for (guint i = 0; i < backend->runs->len; i++) {
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (run->isolated && role_of(run) == CRASH_FRESH &&
@@ -183,6 +199,7 @@
     struct crash_case *lost = g_new0(struct crash_case, 1);
     lost->backend_id = g_strdup(backend->entry.id);
     lost->pool = backend->pool;
+    lost->silent_ms = backend->silent_ms;
     lost->lost_ms = sched_now(sched);
     lost->role = role;
     /* A stray beside an isolated run has come after it. */
@@ -199,6 +216,9 @@
             continue;
         }
         first = first == NULL ? run : first;
+        lost->noticed_late =
+            lost->noticed_late ||
+            backend->silent_ms - run->started_ms > NOTICED_LATE_MS;
         lost->alone = lost->alone && same_suspect(first, run);
         if (!blamable(run)) {
             continue;
@@ -237,6 +257,22 @@
                     host->crash->alone ? "true" : "false");
 }
 
+/* Whether other backend servers, on which no run can be the cause, fell silent
+ * at the same time: an outage. */
+static bool
+in_outage(const struct scheduler *sched, const struct crash_case *lost)
+{
+    int64_t window_ms =
+        lost->noticed_late ? OUTAGE_LATE_WINDOW_MS : OUTAGE_WINDOW_MS;
+    uint32_t others = 0;
+    for (uint32_t i = 0;
+         lost->silent_ms != 0 && i < MIN(sched->silence_count, SILENCES_KEPT);
+         i++) {
+        others += ABS(sched->silences[i] - lost->silent_ms) <= window_ms;
+    }
+    return others >= OUTAGE_OTHERS_MIN;
+}
+
 static void
 blame(struct scheduler *sched, const struct crash_case *lost,
       const struct crash_suspect *suspect)
@@ -289,7 +325,8 @@
                    const struct backend *after)
 {
     struct crash_case *lost = case_take(sched, host);
-    if (lost != NULL && !ended_by_order(host, lost->pool, after) &&
+    if (lost != NULL && !in_outage(sched, lost) &&
+        !ended_by_order(host, lost->pool, after) &&
         sched_now(sched) - lost->lost_ms <= PROOF_MAX_MS) {
         for (guint i = 0; i < lost->suspects->len; i++) {
             blame(sched, lost,
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -52,6 +52,9 @@
     /* Failed runs in a row after which a backend server is suspect. */
     SUSPECT_FAILURE_COUNT = 3,
     SUSPECT_DURATION_MS = 4000,
+    /* More than fall silent in an outage in the time that it takes to prove a
+     * crash; fewer only make an outage harder to tell. */
+    SILENCES_KEPT = 64,
     /* Run numbers that one term may use; no leader starts a task this
      * often. */
     TERM_RUN_NUMBERS_MAX = 1000,
@@ -80,6 +83,8 @@
  * struct crash_case - loss of the runs of a backend server that may have
  * crashed
  * @pool: pool that it served
+ * @silent_ms: since when it gave no answer; 0: unknown
+ * @noticed_late: that was long after the start of the suspects
  * @lost_ms: when its runs were lost
  * @role: part of the suspects in it
  * @alone: no run but that of the one suspect may be the cause
@@ -89,6 +94,8 @@
 struct crash_case {
     char *backend_id;
     const struct pool_load *pool;
+    int64_t silent_ms;
+    bool noticed_late;
     int64_t lost_ms;
     enum crash_role role;
     bool alone;
@@ -328,6 +335,9 @@
  * @finished: finished jobs, in the order of finishing
  * @crash_groups: losses of runs that made tasks suspects
  * @crashed: hosts with a crash case
+ * @silences: times at which backend servers fell silent on which nothing had
+ *            just started, the oldest overwritten first
+ * @silence_count: number of such times
  * @crashed_ids: ids of backend servers of a previous leader that have crashed
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
@@ -375,6 +385,8 @@
     GQueue finished;
     uint32_t crash_groups;
     GPtrArray *crashed;
+    int64_t silences[SILENCES_KEPT];
+    uint32_t silence_count;
     GHashTable *crashed_ids;
     int64_t spare_hosts;
     bool hosts_read;
@@ -546,8 +558,7 @@
                              uint32_t index);
 /* It gives no answer: whom that clears. */
 void
-sched_crash_backend_silent(struct scheduler *sched,
-                           const struct backend *backend);
+sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
 /* The incarnation that was lost still runs. */
 void
 sched_crash_backend_answers(struct scheduler *sched,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -204,6 +204,7 @@
  * @reconcile_due_ms: when a stop command of that leader must have taken
  *                    effect; 0: no run report was read yet
  * @unresponsive: its last call got no answer
+ * @silent_ms: when a call first got no answer; 0: never
  * @leaving: its host is about to be moved or rebooted
  * @clock_ms: its clock at the last sample
  * @clock_sampled_ms: the scheduler's clock at that sample
@@ -255,6 +256,7 @@
     bool unreconciled;
     int64_t reconcile_due_ms;
     bool unresponsive;
+    int64_t silent_ms;
     bool leaving;
     int64_t clock_ms;
     int64_t clock_sampled_ms;
--- a/tests/jobs/poison_task_test.c
+++ b/tests/jobs/poison_task_test.c
@@ -179,6 +179,48 @@
     world_clear(&world);
 }
 
+static uint32_t
+starts_of(const struct world *world, uint32_t first)
+{
+    uint32_t starts = 0;
+    for (uint32_t i = first; i < world->n_jobs; i++) {
+        starts += world->jobs[i].starts;
+    }
+    return starts;
+}
+
+/* The second outage comes just as the lost runs are started again, each alone.
+ * Backend servers on which nothing has just started are lost at the same time.
+ */
+static void
+test_outage_of_isolated_runs(void)
+{
+    struct world world;
+    world_init(&world, 10);
+    for (uint32_t i = 0; i < 10; i++) {
+        world_add_job(&world, service, false, 0);
+    }
+    world_run(&world, 6000);
+    add_innocent_jobs(&world, INNOCENT_JOBS);
+    uint32_t n_jobs = world.n_jobs;
+    for (uint32_t outage = 0; outage < 3; outage++) {
+        for (uint32_t i = 0; i < world.n_backends; i++) {
+            if (world.backends[i].down_until_ms == 0) {
+                world_crash(&world, i);
+            }
+        }
+        uint32_t before = starts_of(&world, 10);
+        for (uint32_t i = 0; i < 400 && starts_of(&world, 10) == before; i++) {
+            world_run(&world, 20);
+        }
+    }
+    world_run(&world, 30000);
+    for (uint32_t i = 10; i < n_jobs; i++) {
+        CU_ASSERT_EQUAL(world.jobs[i].job->state, JOB_COMPLETED);
+    }
+    world_clear(&world);
+}
+
 /* Runs whose leases expire behind a cut have not crashed anything. */
 static void
 test_cut_gives_up_nothing(void)
@@ -273,6 +315,8 @@
         {"several of them do not take the pool down", test_pool_goes_on},
         {"an outage of a data centre gives up nothing",
          test_outage_gives_up_nothing},
+        {"an outage that meets isolated runs gives up nothing",
+         test_outage_of_isolated_runs},
         {"a cut-off backend server gives up nothing",
          test_cut_gives_up_nothing},
         {"a service task is never given up", test_service_is_never_given_up},
