--- a/tests/jobs/poison_task_test.c
+++ b/tests/jobs/poison_task_test.c
@@ -300,6 +300,33 @@
     world_clear(&world);
 }
 
+/* Each backend server crashes 2 s after the service task has started there, as
+ * servers do that go down and up by turns. */
+static void
+test_service_on_crashing_servers(void)
+{
+    struct world world;
+    world_init(&world, 6);
+    const struct world_job *job = world_add_job(&world, service, false, 0);
+    for (uint32_t crash = 0; crash < 6; crash++) {
+        uint32_t starts = job->starts;
+        for (int i = 0; i < 300 && (crash > 0 && job->starts == starts); i++) {
+            world_run(&world, 100);
+        }
+        world_run(&world, 2000);
+        for (uint32_t i = 0; i < world.n_backends; i++) {
+            if (world.backends[i].runs->len > 0) {
+                world_crash(&world, i);
+            }
+        }
+    }
+    world_run(&world, 8000);
+    CU_ASSERT_EQUAL(job->job->state, JOB_ACTIVE);
+    CU_ASSERT_EQUAL(job->starts, 7);
+    CU_ASSERT(job->longest_away_ms <= SERVICE_AWAY_MAX_MS);
+    world_clear(&world);
+}
+
 int
 main(void)
 {
@@ -322,6 +349,8 @@
         {"a service task is never given up", test_service_is_never_given_up},
         {"a service task is restarted at once",
          test_service_is_restarted_at_once},
+        {"a service task on servers that crash in turn",
+         test_service_on_crashing_servers},
         {"a start without an answer is not blamed",
          test_unanswered_start_is_not_blamed},
     };
