Let a list end the incarnation that an accepted command has ended

Since lists no longer decide which incarnation is the newer one, a host that was moved to the spare pool, where it has no entry, counted as under way until its old backend server was forgotten, some 3 s, and was missing at the next peak.

Change: where the known incarnation is the one that an accepted command ended, a list that was requested after that may name the next one.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -182,6 +182,14 @@
     }
 }
 
+/* Whether the known incarnation was ended by an accepted command. */
+static bool
+ended_by_command(const struct host *host)
+{
+    return host->command_accepted &&
+           g_strcmp0(host->commanded_incarnation, host->backend_id) == 0;
+}
+
 /* Applies the row of a list that was requested at @requested_ms. A list may
  * arrive long after that, and it doesn't say when an incarnation started. */
 static void
@@ -202,7 +210,7 @@
     bool other_incarnation =
         info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0;
-    if (current != NULL && other_incarnation) {
+    if (current != NULL && other_incarnation && !ended_by_command(host)) {
         /* Only entries tell which of two incarnations is the newer one. */
         return;
     }
--- a/tests/jobs/host_list_test.c
+++ b/tests/jobs/host_list_test.c
@@ -178,6 +178,40 @@
     fixture_clear(&f);
 }
 
+/* A host that was moved to the spare pool has no entry there. The list shows
+ * it under another id, so it can be moved again at the next peak. */
+static void
+test_list_shows_accepted_move(void)
+{
+    static const char *const pools[] = {"p", "q", "q", "q", "q", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    for (int i = 0; i < 300 && fixture_last(&f, COMMAND_MOVE) == NULL; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    const struct recorded_command *move = fixture_last(&f, COMMAND_MOVE);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(move);
+    CU_ASSERT_STRING_EQUAL(move->task, "s");
+    scheduler_on_host_command(f.sched, move->target, 0, HOST_COMMAND_DONE);
+    fixture_tick(&f, f.now_ms + 2100);
+    read_list(&f,
+              &(struct host_info){.host = move->target,
+                                  .pool = "s",
+                                  .backend_id = "spare",
+                                  .data_centre = "dc",
+                                  .up = true},
+              f.now_ms);
+    fixture_add_job(&f, JOB_A, "p",
+                    "[{\"count\":64,\"cpu\":1000,\"mem_mb\":100,"
+                    "\"estimate_ms\":1000}]");
+    fixture_tick(&f, f.now_ms + 100);
+    fixture_tick(&f, f.now_ms + 100);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_MOVE, move->target), 2);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -188,6 +222,8 @@
         {"a late list shows a host whose clock is behind",
          test_late_list_shows_host_with_clock_behind},
         {"a late list undoes no command", test_late_list_undoes_no_command},
+        {"a list shows the effect of an accepted move",
+         test_list_shows_accepted_move},
         {"a late entry shows the earlier incarnation",
          test_late_entry_of_earlier_incarnation},
     };
