Forget a loss of runs that can no longer be proved a crash

Finished jobs stayed in the store and in memory for ever after a host with runs had left for good: the loss kept a reference to each suspect's job, and jobs leave in the order in which they finished, so one such job held up all later ones.

Found by review of the handling of tasks that crash their backend servers.

--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -86,6 +86,17 @@
     crash_case_destroy(case_take(sched, host));
 }
 
+void
+sched_crash_expire(struct scheduler *sched)
+{
+    for (guint i = sched->crashed->len; i > 0; i--) {
+        struct host *host = g_ptr_array_index(sched->crashed, i - 1);
+        if (sched_now(sched) - host->crash->lost_ms > PROOF_MAX_MS) {
+            sched_crash_dropped(sched, host);
+        }
+    }
+}
+
 uint32_t
 sched_crashed_isolated(const struct scheduler *sched,
                        const struct pool_load *pool)
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -291,6 +291,7 @@
 sched_expire_backends(struct scheduler *sched)
 {
     int64_t now_ms = sched_now(sched);
+    sched_crash_expire(sched);
     g_hash_table_foreach_remove(sched->former_backends, former_backend_expired,
                                 sched);
     GHashTableIter iter;
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -566,6 +566,9 @@
 /* The last incarnation of @host has ended in another way. */
 void
 sched_crash_dropped(struct scheduler *sched, struct host *host);
+/* Drops what can no longer be proved; it refers to jobs. */
+void
+sched_crash_expire(struct scheduler *sched);
 /* Backend servers of @pool that were lost with an isolated run and may be back
  * soon. */
 uint32_t
