Start nothing of a job that was given up in the same pass

After a takeover a job can be given up for one of its tasks in the middle of a pass; the pass went on and ordered a start of the next one, which was dropped only right before it was sent.

Found by review.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -727,6 +727,10 @@
         }
         struct run *run = place_task(placer, job, request, t,
                                      next_number(placer->sched, task));
+        if (job->state != JOB_ACTIVE) {
+            /* Given up for what is known of this task. */
+            return true;
+        }
         if (run == NULL && crash_isolated(&task->crash)) {
             complete = false;
             continue;
