Count a crash only for a run that is known to have started there

Callers could see a job fail after one crash under its task, or none, and a service task that crashes its backend servers was started without end. Both mostly where a backend server restarts under the same id.

Cause: what had been known of a run before the restart was taken for the incarnation after it. A run that is kept over a restart was counted again at the next; whether the server was drained or moved was read from its new entry; a run that the new incarnation had confirmed was laid to the crash before; an entry of an earlier incarnation proved the loss of the current one; a crash counted by one leader was counted by the next again; a start that was recorded and never sent counted like one that was. On the other side a kept run hid the crash, the next loss overwrote the delay of a service task, a crash before the answer to the start was never counted, and a service task inherited with a server that is gone waited 8 s.

Change: a run counts if the incarnation that it is known to have started on is the one that was lost. What the server was before its new entry decides whether its end was a crash. Recorded or unanswered starts alone count apart, three of them are proof. A crash is counted once. A service task backs off for crashes just after its start only: servers that go down and up by turns look the same later.

--- a/core/jobs/crash_blame.c
+++ b/core/jobs/crash_blame.c
@@ -35,6 +35,14 @@
     return age_ms < LATE_MAX_MS ? CRASH_LATE : CRASH_BYSTANDER;
 }
 
+/* A crash after a start that may not have been sent counts among those alone
+ * only. */
+static uint32_t
+likely_crashes(const struct crash_record *record)
+{
+    return MAX(record->crashes, record->alone);
+}
+
 bool
 crash_isolated(const struct crash_record *record)
 {
@@ -56,7 +64,8 @@
     record->alone += alone && role == CRASH_FRESH;
     record->suspect = record->suspect || role == CRASH_FRESH;
     if (role == CRASH_FRESH && alone) {
-        return record->crashes >= CRASHES_MAX;
+        return record->crashes >= CRASHES_MAX ||
+               record->alone >= SHARED_CRASHES_MAX;
     }
     return (role == CRASH_FRESH || alone) &&
            record->crashes >= SHARED_CRASHES_MAX;
@@ -65,17 +74,15 @@
 bool
 crash_record_inherited(struct crash_record *record)
 {
-    record->crashes++;
     record->alone++;
-    return record->alone >= CRASHES_MAX &&
-           record->crashes >= SHARED_CRASHES_MAX;
+    return record->alone >= SHARED_CRASHES_MAX;
 }
 
 bool
 crash_proof_matters(const struct crash_record *record, bool service)
 {
     uint32_t most = service ? SERVICE_CRASHES_MAX : CRASHES_MAX;
-    return record->crashes + 1 >= most;
+    return likely_crashes(record) + 1 >= most;
 }
 
 void
@@ -106,10 +113,11 @@
 int64_t
 crash_service_backoff_ms(const struct crash_record *record)
 {
-    if (record->crashes < SERVICE_CRASHES_MAX) {
+    uint32_t crashes = likely_crashes(record);
+    if (crashes < SERVICE_CRASHES_MAX) {
         return 0;
     }
-    uint32_t quadruplings = record->crashes - SERVICE_CRASHES_MAX;
+    uint32_t quadruplings = crashes - SERVICE_CRASHES_MAX;
     return (int64_t)SERVICE_BACKOFF_MS
            << 2 * MIN(quadruplings,
                       (uint32_t)SERVICE_BACKOFF_QUADRUPLINGS_MAX);
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -43,6 +43,14 @@
     return run->job->state == JOB_ACTIVE && !run_task(run)->done;
 }
 
+/* Whether it is known to have started on the current incarnation. */
+static bool
+has_started(const struct run *run)
+{
+    return run->confirmed_ms != 0 && !run->other_clock &&
+           run->incarnation == run->backend->incarnation;
+}
+
 static enum crash_role
 role_of(const struct run *run)
 {
@@ -186,7 +194,8 @@
     bool service = run_step(run)->long_running;
     if ((run->isolated && !service) ||
         crash_proof_matters(&task->crash, service)) {
-        task->wait_until_ms = sched_now(sched) + PROOF_WAIT_MS;
+        task->wait_until_ms =
+            MAX(task->wait_until_ms, sched_now(sched) + PROOF_WAIT_MS);
     }
     task->crash.suspect = true;
     task->crash_losses++;
@@ -203,7 +212,7 @@
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (blamable(run) && role_of(run) == CRASH_FRESH) {
             role = CRASH_FRESH;
-            confirmed = confirmed || run->confirmed_ms != 0;
+            confirmed = confirmed || has_started(run);
         }
     }
     uint32_t group = ++sched->crash_groups;
@@ -223,7 +232,7 @@
             lost->isolated_in = run->isolated_in;
         }
         /* Most starts without an answer were sent after the crash. */
-        if (role_of(run) != role || (confirmed && run->confirmed_ms == 0)) {
+        if (role_of(run) != role || (confirmed && !has_started(run))) {
             continue;
         }
         first = first == NULL ? run : first;
@@ -239,7 +248,8 @@
             .occurrence = run->occurrence,
             .step = run->step,
             .index = run->index,
-            .started = run->confirmed_ms != 0,
+            .started = has_started(run),
+            .isolated = run->isolated,
         };
         g_array_append_val(lost->suspects, suspect);
         if (role == CRASH_FRESH) {
@@ -291,10 +301,24 @@
     struct job *job = suspect->job;
     struct job_task *task = suspect_task(suspect);
     /* A start without an answer may not have been carried out. */
-    if (job->state != JOB_ACTIVE || task->done || !suspect->started) {
+    bool unsure = !suspect->started;
+    if (job->state != JOB_ACTIVE || task->done ||
+        (unsure && !(suspect->isolated && lost->alone))) {
         return;
     }
-    bool guilty = crash_record_crash(&task->crash, lost->role, lost->alone);
+    bool service = job->steps[suspect->step].long_running;
+    /* Backend servers that go down and up by turns look the same to a task
+     * that has worked on them for a while. */
+    if (service && lost->role != CRASH_FRESH) {
+        return;
+    }
+    bool guilty =
+        unsure ? crash_record_inherited(&task->crash)
+               : crash_record_crash(&task->crash, lost->role, lost->alone);
+    /* The next leader must not count it again. */
+    if (g_strcmp0(task->crash_backend, lost->backend_id) == 0) {
+        g_clear_pointer(&task->crash_backend, g_free);
+    }
     /* Every outage would write the records of all that it hits, for little. */
     if (crash_isolated(&task->crash)) {
         sched_mark_dirty(sched, job);
@@ -307,8 +331,8 @@
                         job->id, suspect->occurrence, suspect->step,
                         suspect->index, lost->backend_id, task->crash.crashes);
     }
-    if (job->steps[suspect->step].long_running) {
-        if (lost->alone && task->run == NULL) {
+    if (service) {
+        if (lost->alone) {
             task->wait_until_ms =
                 sched_now(sched) + crash_service_backoff_ms(&task->crash);
         }
@@ -347,6 +371,16 @@
     crash_case_destroy(lost);
 }
 
+void
+sched_crash_proved_of(struct scheduler *sched, struct host *host,
+                      const char *backend_id, const struct backend *after)
+{
+    if (host->crash != NULL &&
+        g_strcmp0(host->crash->backend_id, backend_id) == 0) {
+        sched_crash_proved(sched, host, after);
+    }
+}
+
 void
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
                       const struct backend *before,
@@ -366,6 +400,12 @@
 {
     struct job_task *task =
         &job_step_progress(job, occurrence, step)->tasks[index];
+    bool service = job->steps[step].long_running;
+    if (service && task->crash_version == 0 &&
+        sched_now(sched) <
+            sched->takeover_ms + crash_service_backoff_ms(&task->crash)) {
+        return false;
+    }
     if (task->crash_backend == NULL || task->crash_version != 0) {
         return true;
     }
@@ -375,11 +415,10 @@
         scheduler_find_backend(sched, task->crash_backend);
     bool lives =
         backend != NULL && backend->report_received && !backend->unresponsive;
-    if (!crashed && !lives &&
+    if (!crashed && !lives && !service &&
         sched_now(sched) - sched->takeover_ms < INHERITED_MAX_MS) {
         return false;
     }
-    bool service = job->steps[step].long_running;
     if (crashed && crash_record_inherited(&task->crash) && !service) {
         sched_finish_job(sched, job, JOB_FAILED);
         return false;
@@ -455,6 +494,7 @@
         crash_record_worked(record);
         run_task(run)->crash_group = 0;
         run_task(run)->crash_losses = 0;
+        run_task(run)->wait_until_ms = 0;
         record_attempt(sched, run->job, run_task(run), NULL);
         sched_run_end_isolation(run);
         sched_backend_changed(sched, run->backend);
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -168,7 +168,8 @@
              backend->entry.incarnation_start_ms)) {
         end_incarnation(sched, backend);
         sched_crash_inherited(sched, host, backend, current);
-        sched_crash_proved(sched, host, current);
+        /* A loss of the current incarnation is not proved by an older one. */
+        sched_crash_proved_of(sched, host, backend->entry.id, current);
         return;
     }
     new_incarnation(sched, host, backend->entry.id, "entry");
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -57,6 +57,26 @@
     }
 }
 
+/* What it was before @entry: that says whether its end was a crash. */
+static void
+suspect_restart(struct scheduler *sched, struct backend *backend,
+                const struct backend_entry *entry)
+{
+    if (backend->entry.host == NULL) {
+        return;
+    }
+    struct host *host = sched_host_find_or_add(sched, backend->entry.host);
+    if (strcmp(entry->pool, backend->entry.pool) != 0) {
+        /* Ended by an order of a previous leader. */
+        if (host->crash != NULL) {
+            sched_crash_dropped(sched, host);
+        }
+        return;
+    }
+    sched_crash_suspected(sched, backend);
+    sched_crash_inherited(sched, host, backend, backend);
+}
+
 /* The host list has another incarnation under the same id, so the old one has
  * ended. */
 static void
@@ -68,7 +88,6 @@
                     ",\"now\":%" G_GINT64_FORMAT ",\"runs\":%u",
                     backend->entry.id, previous_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
-    sched_crash_suspected(sched, backend);
     release_ended_runs(sched, backend);
     backend->seen_ms = sched_now(sched);
     backend->incarnation++;
@@ -184,11 +203,16 @@
             sched_log_event(sched, "backend_draining", "\"backend\":\"%s\"",
                             entry->id);
         }
+        bool restarted = previous_start_ms != 0 &&
+                         entry->incarnation_start_ms != 0 &&
+                         previous_start_ms != entry->incarnation_start_ms;
+        if (restarted) {
+            suspect_restart(sched, backend, entry);
+        }
         if (!backend_entry_equal(&backend->entry, entry)) {
             update_entry(sched, backend, entry);
         }
-        if (previous_start_ms != 0 && entry->incarnation_start_ms != 0 &&
-            previous_start_ms != entry->incarnation_start_ms) {
+        if (restarted) {
             renew_incarnation(sched, backend, previous_start_ms);
         }
     }
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -65,6 +65,7 @@
     run->confirmed_ms = now_ms;
     run->incarnation = run->backend->incarnation;
     run->reported = true;
+    run->other_clock = false;
     sched_run_worked_until(sched, run, clock_ms);
     run->job->started = true;
     run->load_metric = reported->load_metric;
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -7,6 +7,12 @@
 
 #include "scheduler_state.h"
 
+enum {
+    /* Samples of one clock that were taken up to the time-out of an answer
+     * apart, read backwards, differ by less. */
+    CLOCK_MARGIN_MS = 300,
+};
+
 void
 sched_log_run(struct scheduler *sched, const char *event,
               const struct run *run)
@@ -458,6 +464,12 @@
         sched_run_free(sched, run);
         return;
     }
+    if (clock_ms != 0 && run->incarnation == backend->incarnation &&
+        backend->clock_sampled_ms != 0 &&
+        clock_ms + CLOCK_MARGIN_MS <
+            backend_clock_at_least_ms(backend, run->started_ms)) {
+        run->other_clock = true;
+    }
     if (clock_ms != 0 && run->incarnation == backend->incarnation) {
         backend_clock_sampled(backend, clock_ms, now_ms);
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -70,6 +70,7 @@
 /**
  * struct crash_suspect - a task that may have crashed a backend server
  * @started: its run is known to have started there
+ * @isolated: it was the only one that may have started there
  */
 struct crash_suspect {
     struct job *job;
@@ -77,6 +78,7 @@
     uint32_t step;
     uint32_t index;
     bool started;
+    bool isolated;
 };
 
 /**
@@ -545,6 +547,10 @@
 void
 sched_crash_proved(struct scheduler *sched, struct host *host,
                    const struct backend *after);
+/* The same if the last loss was that of @backend_id. */
+void
+sched_crash_proved_of(struct scheduler *sched, struct host *host,
+                      const char *backend_id, const struct backend *after);
 /* The same for runs of a previous leader. */
 void
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -76,6 +76,8 @@
  * @incarnation: of @backend, that which its start was sent to, or that a
  *               report has shown to run it
  * @reported: a report of that incarnation has shown it
+ * @other_clock: the clock in the answer to its start is that of a later
+ *               incarnation than @incarnation
  * @confirmed_ms: when the backend server last confirmed it; 0: never
  * @stop_sent_ms: when a stop command was last sent; 0: never
  * @stop_acked_ms: when a stop command was acknowledged; 0: never
@@ -108,6 +110,7 @@
     int64_t answer_missed_ms;
     uint32_t incarnation;
     bool reported;
+    bool other_clock;
     int64_t confirmed_ms;
     int64_t stop_sent_ms;
     int64_t stop_acked_ms;
--- a/tests/jobs/crash_world.c
+++ b/tests/jobs/crash_world.c
@@ -42,10 +42,10 @@
     char before[WORLD_ID_BYTES];
     g_strlcpy(before, backend->id, sizeof(before));
     snprintf(backend->id, sizeof(backend->id), "%s-%u", backend->host,
-             backend->incarnation);
+             world->same_id ? 1 : backend->incarnation);
     world->f.incarnation_start_ms = backend->incarnation_start_ms;
     fixture_add_backend(&world->f, backend->id, "p", backend->host);
-    if (before[0] != '\0') {
+    if (before[0] != '\0' && strcmp(before, backend->id) != 0) {
         scheduler_backend_removed(world->f.sched, before);
     }
 }
@@ -54,7 +54,8 @@
 world_init(struct world *world, uint32_t n_backends)
 {
     *world = (struct world){.n_backends = n_backends,
-                            .crash_delay_ms = CRASH_DELAY_MS};
+                            .crash_delay_ms = CRASH_DELAY_MS,
+                            .restart_ms = RESTART_MS};
     fixture_init(&world->f, 0);
     for (uint32_t i = 0; i < n_backends; i++) {
         struct world_backend *backend = &world->backends[i];
@@ -173,6 +174,10 @@
         MAX(job->longest_away_ms, world->f.now_ms - job->last_start_ms);
     if (job->poison && is_first_task(command->task)) {
         backend->crash_ms = world->f.now_ms + world->crash_delay_ms;
+        if (world->answers_lost) {
+            scheduler_on_start(world->f.sched, handle, START_NO_ANSWER, 0);
+            return;
+        }
     }
     scheduler_on_start(world->f.sched, handle, START_DONE,
                        world->f.now_ms + 5000);
@@ -261,7 +266,7 @@
     g_ptr_array_set_size(backend->runs, 0);
     g_array_set_size(backend->completions, 0);
     backend->crash_ms = 0;
-    backend->down_until_ms = world->f.now_ms + RESTART_MS;
+    backend->down_until_ms = world->f.now_ms + world->restart_ms;
     if (backend->report_due_ms != 0) {
         backend->report_due_ms = 0;
         struct run_report none = {.outcome = REPORT_NO_ANSWER};
--- a/tests/jobs/crash_world.h
+++ b/tests/jobs/crash_world.h
@@ -67,6 +67,9 @@
  * struct world - a fleet with one pool "p"
  * @processed: commands that were carried out
  * @crash_delay_ms: time between the start of a poison task and the crash
+ * @restart_ms: time after which a crashed backend server is back
+ * @same_id: it is back under the id that it had
+ * @answers_lost: starts of poison tasks get no answer
  */
 struct world {
     struct fleet_fixture f;
@@ -77,6 +80,9 @@
     guint processed;
     uint32_t term;
     int64_t crash_delay_ms;
+    int64_t restart_ms;
+    bool same_id;
+    bool answers_lost;
     uint32_t down_most;
 };
 
--- a/tests/jobs/poison_task_test.c
+++ b/tests/jobs/poison_task_test.c
@@ -300,6 +300,70 @@
     world_clear(&world);
 }
 
+static void
+expect_few_starts(struct world *world, const char *steps)
+{
+    const struct world_job *job = world_add_job(world, steps, true, 0);
+    world_run(world, 60000);
+    CU_ASSERT(job->crashes >= 2);
+    CU_ASSERT(job->starts_after_third_crash <= STARTS_AFTER_THIRD_CRASH_MAX);
+    world_clear(world);
+}
+
+/* The run that is kept over a restart under the same id, since the new
+ * incarnation may have carried out its start, hid the crash. */
+static void
+test_restart_under_the_same_id(void)
+{
+    struct world world;
+    world_init(&world, 6);
+    world.same_id = true;
+    expect_few_starts(&world, service);
+    world_init(&world, 6);
+    world.same_id = true;
+    world.restart_ms = 2000;
+    expect_few_starts(&world, service);
+}
+
+/* The service task has started again before the crash is proved. */
+static void
+test_service_with_late_proof(void)
+{
+    struct world world;
+    world_init(&world, 6);
+    world.restart_ms = 5600;
+    expect_few_starts(&world, service);
+}
+
+/* The backend server crashes before it answers the start. */
+static void
+test_crash_before_the_answer(void)
+{
+    struct world world;
+    world_init(&world, 6);
+    world.crash_delay_ms = 0;
+    world.answers_lost = true;
+    expect_few_starts(&world, one_task);
+}
+
+static void
+test_service_over_takeovers(void)
+{
+    struct world world;
+    world_init(&world, 6);
+    const struct world_job *job = world_add_job(&world, service, true, 0);
+    for (int i = 0; i < 600 && job->crashes < 3; i++) {
+        world_run(&world, 100);
+    }
+    world_run(&world, 6000);
+    for (int i = 0; i < 4; i++) {
+        world_take_over(&world);
+        world_run(&world, 9000);
+    }
+    CU_ASSERT(job->starts_after_third_crash <= STARTS_AFTER_THIRD_CRASH_MAX);
+    world_clear(&world);
+}
+
 /* Each backend server crashes 2 s after the service task has started there, as
  * servers do that go down and up by turns. */
 static void
@@ -349,6 +413,11 @@
         {"a service task is never given up", test_service_is_never_given_up},
         {"a service task is restarted at once",
          test_service_is_restarted_at_once},
+        {"a restart under the same id hides no crash",
+         test_restart_under_the_same_id},
+        {"a service task with late proof", test_service_with_late_proof},
+        {"a crash before the start is answered", test_crash_before_the_answer},
+        {"a service task over takeovers", test_service_over_takeovers},
         {"a service task on servers that crash in turn",
          test_service_on_crashing_servers},
         {"a start without an answer is not blamed",
