--- a/core/jobs/crash_blame.c
+++ b/core/jobs/crash_blame.c
@@ -1,10 +1,10 @@
 /*
  * A poison task crashes each backend server that starts it, and the runs
- * beside it are lost as well. Whoever is packed beside it again dies with it
- * again. So only runs that had just started are suspects. A suspect starts
- * alone, and a second crash under it is proof. Outages and cuts look alike
- * until the backend server is back as a new incarnation; only that counts as a
- * crash.
+ * beside it are lost as well. Only runs that had just started are suspects.
+ * Suspects start alone, since packing would place the same tasks beside each
+ * other again, and a second crash under one that is alone is proof. Outages
+ * and cuts look the same until the backend server is back as a new
+ * incarnation, so only that counts as a crash.
  */
 #include "core/jobs/crash_blame.h"
 
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -1,5 +1,5 @@
 /* Finds the runs that may have crashed their backend server, and gives up
- * those tasks that have. */
+ * those tasks that have. What counts as proof is in crash_blame.h. */
 #include "core/jobs/scheduler.h"
 
 #include "scheduler_state.h"
--- a/include/core/jobs/crash_blame.h
+++ b/include/core/jobs/crash_blame.h
@@ -22,8 +22,9 @@
  * @suspect: a backend server was lost just after it had started there; it is
  *           isolated at its next start
  * @crashes: crashes of backend servers that it may have caused
- * @alone: those of them that followed its start and that no other run may have
- *         caused
+ * @alone: crashes that followed its start and that no other run may have
+ *         caused, also those after a start that may not have been sent, which
+ *         aren't among @crashes
  */
 struct crash_record {
     bool suspect;
