--- /dev/null
+++ b/core/jobs/placer.h
@@ -0,0 +1,80 @@
+/* One pass over the waiting tasks of a pool; shared by the files that place
+ * them. */
+#ifndef CORE_JOBS_PLACER_H
+#define CORE_JOBS_PLACER_H
+
+#include "scheduler_state.h"
+
+/**
+ * struct placer - one pass over the waiting tasks of a pool
+ * @pool: the pool
+ * @failed_need: no backend server has the capacity for this; valid if
+ *               @need_failed
+ * @isolation_failed: there is no backend server for a task that may crash it
+ */
+struct placer {
+    struct scheduler *sched;
+    int64_t now_ms;
+    int64_t unix_ms;
+    struct pool_load *pool;
+    bool need_failed;
+    struct resources failed_need;
+    bool isolation_failed;
+};
+
+/**
+ * struct placement_request - what a task requires of its backend server
+ * @avoid: backend server of its last failure, or NULL
+ * @rack: only backend servers in this rack, NULL: any
+ * @data_rack: rack of its data, NULL: none
+ * @isolated: the task, to find the backend server that is kept for it
+ */
+struct placement_request {
+    const struct job *job;
+    const struct job_step *step;
+    uint32_t occurrence;
+    uint32_t step_index;
+    const char *avoid;
+    const GPtrArray *rack;
+    const GPtrArray *data_rack;
+    bool needs_advice;
+    const struct step_advice *advice;
+    const struct job_task *isolated;
+};
+
+/** placer_has_capacity() - whether a task of @step fits what is free there. */
+bool
+placer_has_capacity(const struct backend *backend,
+                    const struct job_step *step);
+
+/**
+ * placer_suitable() - whether @backend satisfies the constraints of the task,
+ * regardless of its capacity.
+ */
+bool
+placer_suitable(const struct placer *placer, const struct backend *backend,
+                const struct placement_request *request);
+
+/**
+ * placer_has_constraints() - whether more than its capacity tells if a backend
+ * server may run the task.
+ */
+bool
+placer_has_constraints(const struct placement_request *request);
+
+/** placer_choose_backend() - best backend server for a task, or NULL. */
+struct backend *
+placer_choose_backend(const struct placer *placer,
+                      const struct placement_request *request);
+
+/**
+ * placer_place_isolated() - start a task that may crash its backend server
+ *
+ * Return: its run, the start of which is not sent yet, or NULL if it waits.
+ */
+struct run *
+placer_place_isolated(struct placer *placer, struct job *job,
+                      const struct placement_request *request, uint32_t index,
+                      uint32_t number);
+
+#endif
