Split what crashes say about tasks by what each file owns

It keeps the search for the runs that may have crashed a lost backend server; crash_proof.c has what proves a crash and gives tasks up, crash_attempt.c the stored starts of suspects and what the next leader makes of them, run_isolation.c the runs beside which nothing starts. crash_state.h holds what they share.

Nothing but the places has changed; two functions that are shared now have the prefix of the scheduler.

--- /dev/null
+++ b/core/jobs/crash_proof.c
@@ -0,0 +1,206 @@
+/* Proves that a backend server has crashed, and gives up those tasks that have
+ * crashed several. */
+#include "core/jobs/scheduler.h"
+
+#include "crash_state.h"
+
+enum {
+    /* A backend server that crashed is back some seconds after; one that is
+     * back later may have lost its runs to their leases first. */
+    PROOF_MAX_MS = 6000,
+    /* Connections to backend servers that crash together break together. Where
+     * none breaks, the next report request has to time out first. */
+    OUTAGE_WINDOW_MS = 150,
+    OUTAGE_LATE_WINDOW_MS = 1000,
+    /* One may fall silent by chance. */
+    OUTAGE_OTHERS_MIN = 2,
+};
+
+static void
+crash_case_destroy(struct crash_case *lost)
+{
+    if (lost == NULL) {
+        return;
+    }
+    for (guint i = 0; i < lost->suspects->len; i++) {
+        job_unref(g_array_index(lost->suspects, struct crash_suspect, i).job);
+    }
+    g_array_unref(lost->suspects);
+    g_free(lost->backend_id);
+    g_free(lost);
+}
+
+static struct crash_case *
+case_take(struct scheduler *sched, struct host *host)
+{
+    struct crash_case *lost = host->crash;
+    host->crash = NULL;
+    g_ptr_array_remove_fast(sched->crashed, host);
+    return lost;
+}
+
+void
+sched_crash_dropped(struct scheduler *sched, struct host *host)
+{
+    crash_case_destroy(case_take(sched, host));
+}
+
+void
+sched_crash_expire(struct scheduler *sched)
+{
+    for (guint i = sched->crashed->len; i > 0; i--) {
+        struct host *host = g_ptr_array_index(sched->crashed, i - 1);
+        if (sched_now(sched) - host->crash->lost_ms > PROOF_MAX_MS) {
+            sched_crash_dropped(sched, host);
+        }
+    }
+}
+
+uint32_t
+sched_crashed_isolated(const struct scheduler *sched,
+                       const struct pool_load *pool)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < sched->crashed->len; i++) {
+        const struct host *host = g_ptr_array_index(sched->crashed, i);
+        count += host->crash->isolated_in == pool &&
+                 sched_now(sched) - host->crash->lost_ms <= PROOF_MAX_MS;
+    }
+    return count;
+}
+
+static struct job_task *
+suspect_task(const struct crash_suspect *suspect)
+{
+    return &job_step_progress(suspect->job, suspect->occurrence, suspect->step)
+                ->tasks[suspect->index];
+}
+
+/* Whether other backend servers, on which no run can be the cause, fell silent
+ * at the same time: an outage. */
+static bool
+in_outage(const struct scheduler *sched, const struct crash_case *lost)
+{
+    int64_t window_ms =
+        lost->noticed_late ? OUTAGE_LATE_WINDOW_MS : OUTAGE_WINDOW_MS;
+    uint32_t others = 0;
+    for (uint32_t i = 0;
+         lost->silent_ms != 0 && i < MIN(sched->silence_count, SILENCES_KEPT);
+         i++) {
+        others += ABS(sched->silences[i] - lost->silent_ms) <= window_ms;
+    }
+    return others >= OUTAGE_OTHERS_MIN;
+}
+
+static void
+blame(struct scheduler *sched, const struct crash_case *lost,
+      const struct crash_suspect *suspect)
+{
+    struct job *job = suspect->job;
+    struct job_task *task = suspect_task(suspect);
+    /* A start without an answer may not have been carried out. */
+    bool unsure = !suspect->started;
+    if (job->state != JOB_ACTIVE || task->done ||
+        (unsure && !(suspect->isolated && lost->alone))) {
+        return;
+    }
+    bool service = job->steps[suspect->step].long_running;
+    /* Backend servers that go down and up by turns look the same to a task
+     * that has worked on them for a while. */
+    if (service && lost->role != CRASH_FRESH) {
+        return;
+    }
+    bool guilty =
+        unsure ? crash_record_inherited(&task->crash)
+               : crash_record_crash(&task->crash, lost->role, lost->alone);
+    /* The next leader must not count it again. */
+    if (g_strcmp0(task->crash_backend, lost->backend_id) == 0) {
+        g_clear_pointer(&task->crash_backend, g_free);
+    }
+    /* Every outage would write the records of all that it hits, for little. */
+    if (crash_isolated(&task->crash)) {
+        sched_mark_dirty(sched, job);
+        task->crash_version = job->version;
+    }
+    if (lost->alone) {
+        sched_log_event(sched, "crash_blamed",
+                        "\"task\":\"%s.%u.%u.%u\",\"backend\":\"%s\","
+                        "\"crashes\":%u",
+                        job->id, suspect->occurrence, suspect->step,
+                        suspect->index, lost->backend_id, task->crash.crashes);
+    }
+    if (service) {
+        if (lost->alone) {
+            task->wait_until_ms =
+                sched_now(sched) + crash_service_backoff_ms(&task->crash);
+        }
+        return;
+    }
+    task->wait_until_ms = 0;
+    if (guilty) {
+        sched_crash_clear_others(sched, task, true);
+        sched_finish_job(sched, job, JOB_FAILED);
+    }
+}
+
+/* An incarnation that was ended by an order has not crashed; one that moves to
+ * another pool was ended by an order of a previous leader. */
+static bool
+ended_by_order(const struct host *host, const struct pool_load *before,
+               const struct backend *after)
+{
+    return host->command_accepted || host->command_in_flight ||
+           (after != NULL && after->pool != before);
+}
+
+void
+sched_crash_proved(struct scheduler *sched, struct host *host,
+                   const struct backend *after)
+{
+    struct crash_case *lost = case_take(sched, host);
+    if (lost != NULL && !in_outage(sched, lost) &&
+        !ended_by_order(host, lost->pool, after) &&
+        sched_now(sched) - lost->lost_ms <= PROOF_MAX_MS) {
+        for (guint i = 0; i < lost->suspects->len; i++) {
+            blame(sched, lost,
+                  &g_array_index(lost->suspects, struct crash_suspect, i));
+        }
+    }
+    crash_case_destroy(lost);
+}
+
+void
+sched_crash_proved_of(struct scheduler *sched, struct host *host,
+                      const char *backend_id, const struct backend *after)
+{
+    if (host->crash != NULL &&
+        g_strcmp0(host->crash->backend_id, backend_id) == 0) {
+        sched_crash_proved(sched, host, after);
+    }
+}
+
+void
+sched_crash_inherited(struct scheduler *sched, const struct host *host,
+                      const struct backend *before,
+                      const struct backend *after)
+{
+    if (before != NULL && before->registered && !before->entry.draining &&
+        sched_now(sched) - sched->takeover_ms < CRASH_INHERITED_MAX_MS &&
+        !ended_by_order(host, before->pool, after)) {
+        g_hash_table_add(sched->crashed_ids, g_strdup(before->entry.id));
+    }
+}
+
+void
+sched_crash_backend_answers(struct scheduler *sched,
+                            const struct backend *backend)
+{
+    struct host *host =
+        backend->entry.host == NULL
+            ? NULL
+            : g_hash_table_lookup(sched->hosts, backend->entry.host);
+    if (host != NULL && host->crash != NULL &&
+        g_strcmp0(host->crash->backend_id, backend->entry.id) == 0) {
+        sched_crash_dropped(sched, host);
+    }
+}
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -543,6 +543,11 @@
 /* Notes which runs of a lost backend server may have crashed it. */
 void
 sched_crash_suspected(struct scheduler *sched, struct backend *backend);
+/* It gives no answer: whom that clears. */
+void
+sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
+
+/* crash_proof.c */
 /* The new incarnation @after of @host proves that its last one has crashed. */
 void
 sched_crash_proved(struct scheduler *sched, struct host *host,
@@ -556,15 +561,6 @@
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
                       const struct backend *before,
                       const struct backend *after);
-/* Whether it is clear what became of the last start of a suspect, and it may
- * start again. */
-bool
-sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
-                             uint32_t occurrence, uint32_t step,
-                             uint32_t index);
-/* It gives no answer: whom that clears. */
-void
-sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
 /* The incarnation that was lost still runs. */
 void
 sched_crash_backend_answers(struct scheduler *sched,
@@ -580,6 +576,21 @@
 uint32_t
 sched_crashed_isolated(const struct scheduler *sched,
                        const struct pool_load *pool);
+
+/* crash_attempt.c */
+/* Whether it is clear what became of the last start of a suspect, and it may
+ * start again. */
+bool
+sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
+                             uint32_t occurrence, uint32_t step,
+                             uint32_t index);
+/* Whether what crashes say about @task, and that it starts on @backend_id, is
+ * stored. */
+bool
+sched_start_recorded(struct scheduler *sched, struct job *job,
+                     struct job_task *task, const char *backend_id);
+
+/* run_isolation.c */
 /* Counts a new run as isolated if its task is a suspect. */
 void
 sched_run_isolate(struct run *run);
@@ -589,11 +600,6 @@
 void
 sched_run_worked_until(struct scheduler *sched, struct run *run,
                        int64_t clock_ms);
-/* Whether what crashes say about @task, and that it starts on @backend_id, is
- * stored. */
-bool
-sched_start_recorded(struct scheduler *sched, struct job *job,
-                     struct job_task *task, const char *backend_id);
 
 /* strays.c */
 struct stray *
