Require a third crash while backend servers crash by themselves

Callers saw a job fail that had done nothing: backend servers crashed by themselves, one after the other, and twice one did so just after the same task had started, the second time alone (jobs-hosts-crash fails now and then).

Two crashes count as proof because nothing else crashes servers as a rule. That is wrong while others crash on which nothing has just started. The scheduler now remembers when the new incarnation of a host shows a crash that no run explains (not after a drain, an order or a move, also where the backend server was removed before or is back under its id), and for twice the time of a proof a task is given up only at the third crash. The limit of starts after the third crash holds all the same.

Backend servers of a previous leader whose runs aren't all known, runs that nobody wants any more and losses that are never proved count as explained, so that tasks that crash servers are given up as before.

jobs-independent-crash: 4 of its 8 cases failed before (two crashes beside an idle one, the same with the server removed, under the same id, and the number of crashes of a real culprit beside independent ones).

--- a/core/jobs/crash_blame.c
+++ b/core/jobs/crash_blame.c
@@ -4,7 +4,9 @@
  * Suspects start alone, since packing would place the same tasks beside each
  * other again, and a second crash under one that is alone is proof. Outages
  * and cuts look the same until the backend server is back as a new
- * incarnation, so only that counts as a crash.
+ * incarnation, so only that counts as a crash. While backend servers also
+ * crash without such runs, one that crashes just after a start may do so by
+ * chance, so that takes one crash more.
  */
 #include "core/jobs/crash_blame.h"
 
@@ -58,13 +60,14 @@
 
 bool
 crash_record_crash(struct crash_record *record, enum crash_role role,
-                   bool alone)
+                   bool alone, bool unexplained)
 {
     record->crashes++;
     record->alone += alone && role == CRASH_FRESH;
     record->suspect = record->suspect || role == CRASH_FRESH;
     if (role == CRASH_FRESH && alone) {
-        return record->crashes >= CRASHES_MAX ||
+        return record->crashes >=
+                   (unexplained ? SHARED_CRASHES_MAX : CRASHES_MAX) ||
                record->alone >= SHARED_CRASHES_MAX;
     }
     return (role == CRASH_FRESH || alone) &&
--- a/core/jobs/crash_proof.c
+++ b/core/jobs/crash_proof.c
@@ -14,6 +14,9 @@
     OUTAGE_LATE_WINDOW_MS = 1000,
     /* One may fall silent by chance. */
     OUTAGE_OTHERS_MIN = 2,
+    /* Covers crashes up to PROOF_MAX_MS before the one that is judged, the
+     * proof of which comes up to PROOF_MAX_MS after it. */
+    UNEXPLAINED_RECENT_MS = 2 * PROOF_MAX_MS,
 };
 
 static void
@@ -92,6 +95,15 @@
     return others >= OUTAGE_OTHERS_MIN;
 }
 
+/* Whether backend servers crash by themselves just now. */
+static bool
+unexplained_recently(const struct scheduler *sched)
+{
+    return sched->unexplained_crash_ms != 0 &&
+           sched_now(sched) - sched->unexplained_crash_ms <=
+               UNEXPLAINED_RECENT_MS;
+}
+
 static void
 blame(struct scheduler *sched, const struct crash_case *lost,
       const struct crash_suspect *suspect)
@@ -112,7 +124,8 @@
     }
     bool guilty =
         unsure ? crash_record_inherited(&task->crash)
-               : crash_record_crash(&task->crash, lost->role, lost->alone);
+               : crash_record_crash(&task->crash, lost->role, lost->alone,
+                                    unexplained_recently(sched));
     /* The next leader must not count it again. */
     if (g_strcmp0(task->crash_backend, lost->backend_id) == 0) {
         g_clear_pointer(&task->crash_backend, g_free);
@@ -179,6 +192,28 @@
     }
 }
 
+void
+sched_crash_unexplained(struct scheduler *sched, const struct host *host,
+                        const struct former_backend *before,
+                        const struct backend *after)
+{
+    /* Without an entry it isn't known which pool it serves now. */
+    if (after == NULL ||
+        after->entry.incarnation_start_ms <= before->incarnation_start_ms ||
+        before->incarnation_start_ms == 0 || before->draining ||
+        before->end_explained || host->commanded_before ||
+        sched_now(sched) - before->removed_ms > PROOF_MAX_MS ||
+        ended_by_order(host, before->pool, after) ||
+        (host->commanded_incarnation != NULL &&
+         g_strcmp0(host->commanded_incarnation, host->backend_id) == 0)) {
+        return;
+    }
+    sched->unexplained_crash_ms = sched_now(sched);
+    sched_log_event(sched, "crash_unexplained",
+                    "\"host\":\"%s\",\"now\":\"%s\"", host->name,
+                    after->entry.id);
+}
+
 void
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
                       const struct backend *before,
@@ -192,9 +227,9 @@
 }
 
 void
-sched_crash_backend_answers(struct scheduler *sched,
-                            const struct backend *backend)
+sched_crash_backend_answers(struct scheduler *sched, struct backend *backend)
 {
+    backend->end_explained = false;
     struct host *host =
         backend->entry.host == NULL
             ? NULL
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -78,16 +78,22 @@
     cause->crash_group = group;
 }
 
+static bool
+has_fresh_run(const struct backend *backend)
+{
+    for (guint i = 0; i < backend->runs->len; i++) {
+        if (role_of(g_ptr_array_index(backend->runs, i)) == CRASH_FRESH) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 sched_crash_backend_silent(struct scheduler *sched, struct backend *backend)
 {
     backend->silent_ms = sched_now(sched);
-    bool fresh = false;
-    for (guint i = 0; i < backend->runs->len; i++) {
-        fresh = fresh ||
-                role_of(g_ptr_array_index(backend->runs, i)) == CRASH_FRESH;
-    }
-    if (!fresh) {
+    if (!has_fresh_run(backend)) {
         sched->silences[sched->silence_count++ % SILENCES_KEPT] =
             backend->silent_ms;
     }
@@ -179,6 +185,12 @@
 void
 sched_crash_suspected(struct scheduler *sched, struct backend *backend)
 {
+    /* Also a run that nobody wants any more may have crashed it, or one of a
+     * previous leader. */
+    if (backend->unreconciled || backend->strays->len > 0 ||
+        has_fresh_run(backend)) {
+        backend->end_explained = true;
+    }
     if (backend->runs->len == 0 || backend->entry.host == NULL ||
         backend->entry.draining) {
         return;
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -72,6 +72,26 @@
     scheduler_backend_removed(sched, backend->entry.id);
 }
 
+/* Looks at the incarnation that ended; its backend server may have been
+ * removed before. */
+static void
+explain_end(struct scheduler *sched, const struct host *host,
+            const struct backend *before, const struct backend *after)
+{
+    if (before != NULL) {
+        struct former_backend ended = sched_former_backend(sched, before);
+        sched_crash_unexplained(sched, host, &ended, after);
+        return;
+    }
+    const struct former_backend *former =
+        host->backend_id == NULL
+            ? NULL
+            : g_hash_table_lookup(sched->former_backends, host->backend_id);
+    if (former != NULL) {
+        sched_crash_unexplained(sched, host, former, after);
+    }
+}
+
 /* The host is back after a command, or has restarted by itself. */
 static void
 new_incarnation(struct scheduler *sched, struct host *host,
@@ -90,6 +110,7 @@
     }
     end_incarnation(sched, sched_host_backend(sched, host));
     sched_crash_inherited(sched, host, before, after);
+    explain_end(sched, host, before, after);
     sched_crash_proved(sched, host, after);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -81,12 +81,12 @@
  * ended. */
 static void
 renew_incarnation(struct scheduler *sched, struct backend *backend,
-                  int64_t previous_start_ms)
+                  const struct former_backend *before)
 {
     sched_log_event(sched, "backend_restarted",
                     "\"backend\":\"%s\",\"before\":%" G_GINT64_FORMAT
                     ",\"now\":%" G_GINT64_FORMAT ",\"runs\":%u",
-                    backend->entry.id, previous_start_ms,
+                    backend->entry.id, before->incarnation_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
     release_ended_runs(sched, backend);
     backend->seen_ms = sched_now(sched);
@@ -95,9 +95,9 @@
     /* Its record names the earlier incarnation and what that served. */
     backend->registered = false;
     if (backend->entry.host != NULL) {
-        sched_crash_proved(sched,
-                           sched_host_find_or_add(sched, backend->entry.host),
-                           backend);
+        struct host *host = sched_host_find_or_add(sched, backend->entry.host);
+        sched_crash_unexplained(sched, host, before, backend);
+        sched_crash_proved(sched, host, backend);
     }
     backend->report_received = false;
     /* A previous leader may have started runs on the new one too, so it stays
@@ -112,6 +112,21 @@
         sched_now(sched) + LATE_COMMAND_MS, sched->lease_accepted_max_ms);
     backend_forget_completions(backend);
     backend->unresponsive = false;
+    backend->end_explained = false;
+}
+
+struct former_backend
+sched_former_backend(const struct scheduler *sched,
+                     const struct backend *backend)
+{
+    return (struct former_backend){
+        .incarnation = backend->incarnation,
+        .removed_ms = sched_now(sched),
+        .incarnation_start_ms = backend->entry.incarnation_start_ms,
+        .pool = backend->pool,
+        .draining = backend->entry.draining,
+        .end_explained = backend->end_explained,
+    };
 }
 
 /* It may come back under its id while commands to it are still on their way,
@@ -120,8 +135,7 @@
 remember_backend(struct scheduler *sched, const struct backend *backend)
 {
     struct former_backend *former = g_new0(struct former_backend, 1);
-    former->incarnation = backend->incarnation;
-    former->removed_ms = sched_now(sched);
+    *former = sched_former_backend(sched, backend);
     g_hash_table_replace(sched->former_backends, g_strdup(backend->entry.id),
                          former);
 }
@@ -139,16 +153,21 @@
 add_backend(struct scheduler *sched, const struct backend_entry *entry)
 {
     struct backend *backend = backend_create(entry);
+    backend->empty_since_ms = sched_now(sched);
+    backend->seen_ms = sched_now(sched);
+    g_hash_table_insert(sched->backends, backend->entry.id, backend);
+    sched_backend_refs(sched, backend);
     const struct former_backend *former =
         g_hash_table_lookup(sched->former_backends, entry->id);
     if (former != NULL) {
         backend->incarnation = former->incarnation + 1;
+        if (entry->host != NULL) {
+            sched_crash_unexplained(sched,
+                                    sched_host_find_or_add(sched, entry->host),
+                                    former, backend);
+        }
         g_hash_table_remove(sched->former_backends, entry->id);
     }
-    backend->empty_since_ms = sched_now(sched);
-    backend->seen_ms = sched_now(sched);
-    g_hash_table_insert(sched->backends, backend->entry.id, backend);
-    sched_backend_refs(sched, backend);
     return backend;
 }
 
@@ -209,11 +228,12 @@
         if (restarted) {
             suspect_restart(sched, backend, entry);
         }
+        struct former_backend before = sched_former_backend(sched, backend);
         if (!backend_entry_equal(&backend->entry, entry)) {
             update_entry(sched, backend, entry);
         }
         if (restarted) {
-            renew_incarnation(sched, backend, previous_start_ms);
+            renew_incarnation(sched, backend, &before);
         }
     }
     backend->listed = true;
@@ -329,6 +349,8 @@
             sched_backend_lost(sched, backend, "lapsed");
         }
         if (expired && backend->unresponsive) {
+            backend->end_explained =
+                backend->end_explained || backend->unreconciled;
             backend->unreconciled = false;
         }
         if (backend->listed || !expired || backend->runs->len > 0 ||
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -290,10 +290,18 @@
  * struct former_backend - a backend server that was removed
  * @incarnation: its last, see struct backend
  * @removed_ms: when it was removed
+ * @incarnation_start_ms: Unix time of the start of that incarnation
+ * @pool: pool that it served
+ * @draining: it was about to leave
+ * @end_explained: see struct backend
  */
 struct former_backend {
     uint32_t incarnation;
     int64_t removed_ms;
+    int64_t incarnation_start_ms;
+    const struct pool_load *pool;
+    bool draining;
+    bool end_explained;
 };
 
 /**
@@ -340,6 +348,8 @@
  * @silences: times at which backend servers fell silent on which nothing had
  *            just started, the oldest overwritten first
  * @silence_count: number of such times
+ * @unexplained_crash_ms: when a crash was last seen that no task has caused;
+ * 0: never
  * @crashed_ids: ids of backend servers of a previous leader that have crashed
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
@@ -389,6 +399,7 @@
     GPtrArray *crashed;
     int64_t silences[SILENCES_KEPT];
     uint32_t silence_count;
+    int64_t unexplained_crash_ms;
     GHashTable *crashed_ids;
     int64_t spare_hosts;
     bool hosts_read;
@@ -471,6 +482,9 @@
 sched_job_unplaced(struct scheduler *sched, struct job *job);
 
 /* scheduler_backends.c */
+struct former_backend
+sched_former_backend(const struct scheduler *sched,
+                     const struct backend *backend);
 int64_t
 sched_lease_ms(struct scheduler *sched);
 void
@@ -561,10 +575,15 @@
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
                       const struct backend *before,
                       const struct backend *after);
+/* The new incarnation @after of @host ended @before: whether that was a crash
+ * which no task has caused. */
+void
+sched_crash_unexplained(struct scheduler *sched, const struct host *host,
+                        const struct former_backend *before,
+                        const struct backend *after);
 /* The incarnation that was lost still runs. */
 void
-sched_crash_backend_answers(struct scheduler *sched,
-                            const struct backend *backend);
+sched_crash_backend_answers(struct scheduler *sched, struct backend *backend);
 /* The last incarnation of @host has ended in another way. */
 void
 sched_crash_dropped(struct scheduler *sched, struct host *host);
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -208,6 +208,8 @@
  *                    effect; 0: no run report was read yet
  * @unresponsive: its last call got no answer
  * @silent_ms: when a call first got no answer; 0: never
+ * @end_explained: when its current incarnation was lost, there may have been a
+ *                 run that has crashed it
  * @leaving: its host is about to be moved or rebooted
  * @clock_ms: its clock at the last sample
  * @clock_sampled_ms: the scheduler's clock at that sample
@@ -260,6 +262,7 @@
     int64_t reconcile_due_ms;
     bool unresponsive;
     int64_t silent_ms;
+    bool end_explained;
     bool leaving;
     int64_t clock_ms;
     int64_t clock_sampled_ms;
--- a/include/core/jobs/crash_blame.h
+++ b/include/core/jobs/crash_blame.h
@@ -69,12 +69,14 @@
  * crash_record_crash() - count a crash that certainly took place
  * @role: part of the task's run in it, not CRASH_BYSTANDER
  * @alone: no other run may be the cause
+ * @unexplained: backend servers have crashed by themselves a moment ago, so
+ *               that one more crash is required
  *
  * Return: whether the task is the cause, so that it is to be given up.
  */
 bool
 crash_record_crash(struct crash_record *record, enum crash_role role,
-                   bool alone);
+                   bool alone, bool unexplained);
 
 /**
  * crash_record_inherited() - count a crash where a previous leader was about
