Require a third crash while the cause of another one isn't known

A crash that is shared says that one of several tasks may be the cause, or none. As long as another such crash of the last seconds has no cause that was found, and the task was not in it, servers may well crash by themselves; a shared crash and one alone are no proof then, the third one is. Two crashes alone are proof as before.

jobs-independent-crash, "a shared crash and one alone beside a shared one of others": the job failed before.

What it costs: tasks that crash servers and come several at a time need a third crash.

--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -109,7 +109,7 @@
     sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          pool_load_destroy);
     sched->draining = g_ptr_array_new();
-    sched->crashed = g_ptr_array_new();
+    sched_crash_init(sched);
     sched->crashed_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
@@ -131,10 +131,7 @@
         return;
     }
     sched_advice_clear(sched);
-    while (sched->crashed->len > 0) {
-        sched_crash_dropped(sched, g_ptr_array_index(sched->crashed, 0));
-    }
-    g_ptr_array_unref(sched->crashed);
+    sched_crash_clear(sched);
     g_hash_table_unref(sched->crashed_ids);
     sched_strays_clear(sched);
     g_hash_table_unref(sched->runs);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -88,6 +88,7 @@
  * @silent_ms: since when it gave no answer; 0: unknown
  * @noticed_late: that was long after the start of the suspects
  * @lost_ms: when its runs were lost
+ * @proved_ms: when that proved to be a crash; 0: not yet
  * @role: part of the suspects in it
  * @alone: no run but that of the one suspect may be the cause
  * @isolated_in: pool, if a run was isolated; NULL: none was
@@ -99,6 +100,7 @@
     int64_t silent_ms;
     bool noticed_late;
     int64_t lost_ms;
+    int64_t proved_ms;
     enum crash_role role;
     bool alone;
     struct pool_load *isolated_in;
@@ -350,6 +352,8 @@
  * @silence_count: number of such times
  * @unexplained_crash_ms: when a crash was last seen that no task has caused;
  * 0: never
+ * @open_crashes: struct crash_case, crashes that one of several tasks may have
+ *                caused, or none
  * @crashed_ids: ids of backend servers of a previous leader that have crashed
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
@@ -400,6 +404,7 @@
     int64_t silences[SILENCES_KEPT];
     uint32_t silence_count;
     int64_t unexplained_crash_ms;
+    GPtrArray *open_crashes;
     GHashTable *crashed_ids;
     int64_t spare_hosts;
     bool hosts_read;
@@ -587,7 +592,12 @@
 /* The last incarnation of @host has ended in another way. */
 void
 sched_crash_dropped(struct scheduler *sched, struct host *host);
-/* Drops what can no longer be proved; it refers to jobs. */
+void
+sched_crash_init(struct scheduler *sched);
+void
+sched_crash_clear(struct scheduler *sched);
+/* Drops what can no longer be proved, or says nothing any more; it refers to
+ * jobs. */
 void
 sched_crash_expire(struct scheduler *sched);
 /* Backend servers of @pool that were lost with an isolated run and may be back
--- a/tests/jobs/independent_crash_test.c
+++ b/tests/jobs/independent_crash_test.c
@@ -7,6 +7,7 @@
     BACKENDS = 8,
     /* Less than a crashed one takes to be back. */
     BETWEEN_CRASHES_MS = 700,
+    SHARED_JOBS = 3,
     START_WAIT_STEPS = 1000,
     STEP_MS = 20,
 };
@@ -59,6 +60,79 @@
     world_clear(&world);
 }
 
+/* Several jobs that start together, and are lost together. */
+static struct world_job *
+crash_shared(struct world *world)
+{
+    struct world_job *first = world_add_job(world, one_task, false, 1500);
+    for (int i = 1; i < SHARED_JOBS; i++) {
+        world_add_job(world, one_task, false, 1500);
+    }
+    world_run(world, STEP_MS);
+    CU_ASSERT_EQUAL_FATAL(first->starts, 1);
+    for (uint32_t i = 0; i < world->n_backends; i++) {
+        if (world->backends[i].runs->len > 0) {
+            CU_ASSERT_EQUAL(world->backends[i].runs->len, SHARED_JOBS);
+            world_crash(world, i);
+        }
+    }
+    return first;
+}
+
+/* Nobody can say what caused the crash of the others, so it says little that
+ * this one was among the runs of its first one. */
+static void
+test_shared_crash_beside_another(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    const struct world_job *job = crash_shared(&world);
+    world_run(&world, BETWEEN_CRASHES_MS);
+    crash_shared(&world);
+    while (job->starts < 2) {
+        world_run(&world, STEP_MS);
+    }
+    /* The second crash has proved to be one by the time of the third. */
+    for (uint32_t i = 0; i < world.n_backends; i++) {
+        const struct world_backend *backend = &world.backends[i];
+        for (guint r = 0; r < backend->runs->len; r++) {
+            const struct world_run *run = g_ptr_array_index(backend->runs, r);
+            if (g_str_has_prefix(run->task, job->id)) {
+                world_crash(&world, i);
+                break;
+            }
+        }
+    }
+    world_run(&world, 20000);
+    CU_ASSERT_EQUAL(job->crashes, 2);
+    for (uint32_t i = 0; i < world.n_jobs; i++) {
+        CU_ASSERT_EQUAL(world.jobs[i].job->state, JOB_COMPLETED);
+    }
+    world_clear(&world);
+}
+
+/* The other crash has a cause of its own, which was found. */
+static void
+test_shared_crash_beside_an_explained_one(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    for (int i = 0; i < 2; i++) {
+        const struct world_job *job = world_add_job(&world, one_task, true, 0);
+        world_add_job(&world, one_task, false, 1500);
+        CU_ASSERT_PTR_NOT_NULL(job);
+        world_run(&world, 15000 * (1 - i));
+    }
+    world_run(&world, 30000);
+    for (uint32_t i = 0; i < world.n_jobs; i++) {
+        const struct world_job *job = &world.jobs[i];
+        CU_ASSERT_EQUAL(job->job->state,
+                        job->poison ? JOB_FAILED : JOB_COMPLETED);
+        CU_ASSERT_EQUAL(job->crashes, job->poison ? 2 : 1);
+    }
+    world_clear(&world);
+}
+
 /* Its entry expires and it is forgotten before its host is back. */
 static void
 test_also_where_the_server_was_removed(void)
@@ -189,6 +263,10 @@
         {"two crashes by chance give up no task while backend servers crash "
          "by themselves",
          test_crashes_by_chance_give_up_nothing},
+        {"a shared crash and one alone beside a shared one of others",
+         test_shared_crash_beside_another},
+        {"the same where that one is explained",
+         test_shared_crash_beside_an_explained_one},
         {"also where the server was removed before",
          test_also_where_the_server_was_removed},
         {"also under the same id", test_also_under_the_same_id},
