Judge the answer to a stop by its own command

A run of a cancelled job could go on: its stop was acknowledged by one incarnation of a backend server, and the answer was read after the restart under the same id had been seen. It was taken for the answer to the stop that was sent to the new incarnation, so that if this one got lost, no other followed, and the run counted as stopped stop_ms later, whether that was true or not.

Cause: all stops of a run share its handle, so an answer didn't say which of them it belongs to.

Stops are numbered per run, and the number comes back with the answer. Answers to stops that an earlier incarnation was sent don't count, and only that to the latest one ends its wait.

Test: jobs-restarted-backend, "a stop that the earlier incarnation acknowledged is repeated"; it fails without the comparison (2 stops, none repeated in 2 s). jobs-backend-client checks that numbers come back.

--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -85,6 +85,7 @@
 struct event {
     enum event_kind kind;
     uint64_t handle;
+    uint32_t attempt;
     struct sim_backend *backend;
     struct sim_run *run;
     uint64_t report_number;
@@ -176,7 +177,9 @@
 static void
 op_stop(void *ctx, const struct stop_command *command)
 {
-    event_add(ctx, EVENT_STOP_ANSWER, ANSWER_MS)->handle = command->handle;
+    struct event *event = event_add(ctx, EVENT_STOP_ANSWER, ANSWER_MS);
+    event->handle = command->handle;
+    event->attempt = command->attempt;
 }
 
 static void
@@ -320,7 +323,7 @@
         end(bench, TIME_START, begin_us);
         break;
     case EVENT_STOP_ANSWER:
-        scheduler_on_stop(bench->sched, event->handle, true);
+        scheduler_on_stop(bench->sched, event->handle, event->attempt, true);
         break;
     case EVENT_TASK_END:
         end_task(bench, event->backend, event->run);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -53,6 +53,7 @@
         run->stop_acked_ms = 0;
         run->stop_sent_ms = 0;
         run->stop_pending = false;
+        run->stop_count_before = run->stop_count;
         run->first_clock_ms = 0;
     }
 }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -111,6 +111,7 @@
     struct stop_command command = {
         .backend = run->backend,
         .handle = run->handle,
+        .attempt = run->stop_count,
         .task = name,
         .number = run->number,
     };
@@ -131,14 +132,20 @@
 }
 
 void
-scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked)
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, uint32_t attempt,
+                  bool acked)
 {
     struct run *run = g_hash_table_lookup(sched->runs, &handle);
     if (run == NULL) {
-        sched_stray_stop_answered(sched, handle, acked);
+        sched_stray_stop_answered(sched, handle, attempt, acked);
         return;
     }
-    run->stop_pending = false;
+    if (attempt <= run->stop_count_before) {
+        return;
+    }
+    if (attempt == run->stop_count) {
+        run->stop_pending = false;
+    }
     if (acked) {
         run->stop_acked_ms = sched_now(sched);
         /* This report shows the completion, or its absence. */
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -612,7 +612,7 @@
 /* False if @handle is not that of a stray. */
 bool
 sched_stray_stop_answered(struct scheduler *sched, uint64_t handle,
-                          bool acked);
+                          uint32_t attempt, bool acked);
 void
 sched_drop_absent_strays(struct scheduler *sched, struct backend *backend,
                          int64_t requested_ms);
--- a/core/jobs/strays.c
+++ b/core/jobs/strays.c
@@ -59,6 +59,7 @@
     struct stop_command command = {
         .backend = stray->backend,
         .handle = stray->handle,
+        .attempt = stray->stop_count,
         .task = stray->name,
         .number = stray->number,
     };
@@ -135,13 +136,16 @@
 }
 
 bool
-sched_stray_stop_answered(struct scheduler *sched, uint64_t handle, bool acked)
+sched_stray_stop_answered(struct scheduler *sched, uint64_t handle,
+                          uint32_t attempt, bool acked)
 {
     struct stray *stray = g_hash_table_lookup(sched->strays, &handle);
     if (stray == NULL) {
         return false;
     }
-    stray->stop_pending = false;
+    if (attempt == stray->stop_count) {
+        stray->stop_pending = false;
+    }
     if (acked) {
         stray->stop_acked_ms = sched_now(sched);
         sched_report_at_once(sched, stray->backend);
--- a/egretjobd/leader_commands.c
+++ b/egretjobd/leader_commands.c
@@ -48,11 +48,11 @@
 }
 
 static void
-on_stop(void *ctx, uint64_t handle, bool acked)
+on_stop(void *ctx, uint64_t handle, uint32_t attempt, bool acked)
 {
     struct leader *leader = ctx;
     leader_update_validity(leader);
-    scheduler_on_stop(leader->sched, handle, acked);
+    scheduler_on_stop(leader->sched, handle, attempt, acked);
     leader_schedule_tick(leader);
 }
 
@@ -147,8 +147,7 @@
     event_log("task_stop", "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"",
               command->task, command->number, command->backend->entry.id);
     backend_client_stop(
-        client_of(leader, command->backend), command->handle, command->task,
-        command->number,
+        client_of(leader, command->backend), command,
         backend_fencing_token(command->backend, leader->token));
 }
 
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -83,6 +83,7 @@
  * @stop_acked_ms: when a stop command was acknowledged; 0: never
  * @stop_pending: a stop command is in flight
  * @stop_count: stop commands sent
+ * @stop_count_before: those that were sent to an earlier incarnation
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
  *           yet
  * @percent_at_ms: when @percent last changed
@@ -116,6 +117,7 @@
     int64_t stop_acked_ms;
     bool stop_pending;
     uint32_t stop_count;
+    uint32_t stop_count_before;
     int32_t percent;
     int64_t percent_at_ms;
     int64_t load_metric;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -55,12 +55,14 @@
  * struct stop_command - a run to stop
  * @backend: backend server that it runs on
  * @handle: handle of the run; 0: a run that is not tracked
+ * @attempt: counts the stop commands of the run; handed back with the answer
  * @task: name of the task, JOB.OCCURRENCE.STEP.INDEX
  * @number: number of the run
  */
 struct stop_command {
     struct backend *backend;
     uint64_t handle;
+    uint32_t attempt;
     const char *task;
     uint32_t number;
 };
@@ -322,8 +324,10 @@
 bool
 scheduler_may_start(const struct scheduler *sched, uint64_t handle);
 
+/** scheduler_on_stop() - answer to stop command @attempt of a run. */
 void
-scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked);
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, uint32_t attempt,
+                  bool acked);
 void
 scheduler_on_throttle(struct scheduler *sched, uint64_t handle,
                       int32_t percent, bool acked);
--- a/include/platform/backend_client.h
+++ b/include/platform/backend_client.h
@@ -17,7 +17,7 @@
  *             otherwise it is answered with START_NOT_SENT
  * @on_start: answer to a start; @clock_ms is the backend server's clock, 0:
  * not given
- * @on_stop: answer to a stop
+ * @on_stop: answer to stop command @attempt of a run
  * @on_fenced: it has seen the higher fencing token of another leader; a
  *             command that one of our own refuses was not carried out
  * @on_throttle: answer to a throttle command
@@ -28,7 +28,7 @@
     bool (*may_start)(void *ctx, uint64_t handle);
     void (*on_start)(void *ctx, uint64_t handle, enum start_answer answer,
                      int64_t clock_ms);
-    void (*on_stop)(void *ctx, uint64_t handle, bool acked);
+    void (*on_stop)(void *ctx, uint64_t handle, uint32_t attempt, bool acked);
     void (*on_fenced)(void *ctx);
     void (*on_throttle)(void *ctx, uint64_t handle, int32_t percent,
                         bool acked);
@@ -74,8 +74,8 @@
 backend_client_start(struct backend_client *client,
                      const struct start_call *call);
 void
-backend_client_stop(struct backend_client *client, uint64_t handle,
-                    const char *task, uint32_t number, int64_t token);
+backend_client_stop(struct backend_client *client,
+                    const struct stop_command *command, int64_t token);
 
 void
 backend_client_throttle(struct backend_client *client,
--- a/tests/jobs/backend_client_test.c
+++ b/tests/jobs/backend_client_test.c
@@ -143,10 +143,11 @@
 }
 
 static void
-on_stop(void *ctx, uint64_t handle, bool acked)
+on_stop(void *ctx, uint64_t handle, uint32_t attempt, bool acked)
 {
     struct stop_answers *answers = ctx;
     CU_ASSERT_EQUAL(handle, STOP_HANDLE + answers->count);
+    CU_ASSERT_EQUAL(attempt, answers->count + 1);
     CU_ASSERT_FALSE(acked);
     answers->count++;
     backend_client_destroy(answers->client);
@@ -169,7 +170,9 @@
     struct backend_client *client =
         backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
     for (uint64_t i = 0; i < STOP_COUNT; i++) {
-        backend_client_stop(client, STOP_HANDLE + i, "a.0.0.0", 1, 1);
+        struct stop_command stop = {
+            .handle = STOP_HANDLE + i, .attempt = i + 1, .task = "a.0.0.0"};
+        backend_client_stop(client, &stop, 1);
         CU_ASSERT_EQUAL(answers.count, 0);
     }
     for (int i = 0; i < POLLS_MAX && answers.count < STOP_COUNT; i++) {
@@ -195,7 +198,9 @@
     };
     struct backend_client *client =
         backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
-    backend_client_stop(client, STOP_HANDLE, "a.0.0.0", 1, 1);
+    struct stop_command stop = {
+        .handle = STOP_HANDLE, .attempt = 1, .task = "a.0.0.0"};
+    backend_client_stop(client, &stop, 1);
     backend_client_destroy(client);
     for (int i = 0; i < POLLS_AFTER_END; i++) {
         event_base_loop(base, EVLOOP_NONBLOCK);
@@ -220,7 +225,9 @@
         backend_client_create(base, "b0", NO_ROUTE_ADDRESS, &callbacks);
     struct backend_client *client = answers.client;
     for (uint64_t i = 0; i < STOP_COUNT; i++) {
-        backend_client_stop(client, STOP_HANDLE + i, "a.0.0.0", 1, 1);
+        struct stop_command stop = {
+            .handle = STOP_HANDLE + i, .attempt = i + 1, .task = "a.0.0.0"};
+        backend_client_stop(client, &stop, 1);
     }
     for (int i = 0; i < POLLS_AFTER_END; i++) {
         event_base_loop(base, EVLOOP_NONBLOCK);
--- a/tests/jobs/crash_world.c
+++ b/tests/jobs/crash_world.c
@@ -188,6 +188,7 @@
 {
     struct world_backend *backend = backend_of(world, command->target);
     uint64_t handle = command->handle;
+    uint32_t attempt = command->attempt;
     bool acked = reachable(world, backend);
     for (guint i = 0; acked && i < backend->runs->len; i++) {
         const struct world_run *run = g_ptr_array_index(backend->runs, i);
@@ -197,7 +198,7 @@
             break;
         }
     }
-    scheduler_on_stop(world->f.sched, handle, acked);
+    scheduler_on_stop(world->f.sched, handle, attempt, acked);
 }
 
 static void
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -57,6 +57,7 @@
     struct recorded_command *recorded =
         record(ctx, COMMAND_STOP, command->backend->entry.id);
     recorded->handle = command->handle;
+    recorded->attempt = command->attempt;
     recorded->number = command->number;
     recorded->token = backend_fencing_token(command->backend, LEADER_TOKEN);
     recorded->task = g_strdup(command->task);
@@ -382,6 +383,13 @@
     return last;
 }
 
+void
+fixture_answer_stop(struct fleet_fixture *fixture, bool acked)
+{
+    const struct recorded_command *stop = fixture_last(fixture, COMMAND_STOP);
+    scheduler_on_stop(fixture->sched, stop->handle, stop->attempt, acked);
+}
+
 void
 fixture_accept_starts(struct fleet_fixture *fixture)
 {
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -24,6 +24,7 @@
  * @task: task, pool of a move, or the step that advice is requested for
  * @ticket: ticket of a start, or NULL
  * @number: number of the run, wave of a reboot, or CPU limit in percent
+ * @attempt: of a stop
  * @acked_completion: of a request for a report
  * @request: of a request for a report, its identity
  * @token: fencing token of a start, a stop or a request for a report
@@ -36,6 +37,7 @@
     char *task;
     char *ticket;
     uint32_t number;
+    uint32_t attempt;
     int64_t acked_completion;
     struct report_request request;
     int64_t token;
@@ -126,6 +128,10 @@
                struct reported_run *running, size_t n_running,
                struct run_completion *completions, size_t n_completions);
 
+/** fixture_answer_stop() - answer the last stop command. */
+void
+fixture_answer_stop(struct fleet_fixture *fixture, bool acked);
+
 /** fixture_count() - number of commands of a kind, to @target if not NULL. */
 uint32_t
 fixture_count(const struct fleet_fixture *fixture, enum command_kind kind,
--- a/tests/jobs/late_report_test.c
+++ b/tests/jobs/late_report_test.c
@@ -128,7 +128,7 @@
     struct fleet_fixture f;
     init_with_request(&f);
     scheduler_cancel(f.sched, JOB_A);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     struct report_request given_up = stand_still(&f);
     answer(&f, given_up, NULL, 0, NULL, 0);
     only_run(&f);
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -128,6 +128,7 @@
         answer->answered_kind = command.kind;
         answer->backend = command.backend;
         answer->handle = command.handle;
+        answer->attempt = command.attempt;
         answer->request = command.request;
         answer->answer = START_NO_ANSWER;
     }
--- a/tests/jobs/model_deliver.c
+++ b/tests/jobs/model_deliver.c
@@ -112,6 +112,7 @@
                                : command->kind;
     reply->backend = command->backend;
     reply->handle = command->handle;
+    reply->attempt = command->attempt;
     reply->request = command->request;
     reply->token = command->token;
     reply->answer = answer;
@@ -226,7 +227,7 @@
                            reply->clock_ms);
         break;
     case MESSAGE_STOP:
-        scheduler_on_stop(leader->sched, reply->handle,
+        scheduler_on_stop(leader->sched, reply->handle, reply->attempt,
                           reply->acked && reply->answer != START_NO_ANSWER);
         break;
     default:
--- a/tests/jobs/model_leader.c
+++ b/tests/jobs/model_leader.c
@@ -46,6 +46,7 @@
             .kind = MESSAGE_STOP,
             .backend = backend_index(command->backend),
             .handle = command->handle,
+            .attempt = command->attempt,
             .task = g_strdup(command->task),
             .number = command->number,
             .token = backend_fencing_token(command->backend, leader->token),
--- a/tests/jobs/model_state.h
+++ b/tests/jobs/model_state.h
@@ -96,6 +96,7 @@
  * @leader: leader that sent it, or gets the answer
  * @backend: index of the backend server
  * @number: number of the run; of a report request its wait in ms
+ * @attempt: of a stop, and of its answer, which of its run it is
  * @answer_lost: the answer to the command gets lost
  * @answered_kind: of an answer, kind of the command
  * @batch: changes to store; NULL for a late copy
@@ -114,6 +115,7 @@
     uint64_t handle;
     char *task;
     uint32_t number;
+    uint32_t attempt;
     int64_t until_ms;
     int64_t acked_completion;
     int64_t token;
--- a/tests/jobs/own_token_test.c
+++ b/tests/jobs/own_token_test.c
@@ -62,7 +62,7 @@
 }
 
 static void
-on_stop(void *ctx, uint64_t handle, bool acked)
+on_stop(void *ctx, uint64_t handle, uint32_t attempt, bool acked)
 {
     (void)handle;
     CU_ASSERT_FALSE(acked);
@@ -136,7 +136,9 @@
                               .until_ms = 1000,
                               .token = FIRST_TOKEN};
     backend_client_start(client, &call);
-    backend_client_stop(client, 2, call.task, 1, FIRST_TOKEN);
+    struct stop_command stop = {
+        .handle = 2, .attempt = 1, .task = call.task, .number = 1};
+    backend_client_stop(client, &stop, FIRST_TOKEN);
     struct report_request request = {.number = 1};
     backend_client_request_report(client, &request, 0, report_token, 0, 0);
     struct timeval timeout = {.tv_sec = TEST_TIMEOUT_MS / 1000};
--- a/tests/jobs/restarted_backend_test.c
+++ b/tests/jobs/restarted_backend_test.c
@@ -226,7 +226,7 @@
     init_with_start(&f);
     fixture_accept_starts(&f);
     scheduler_cancel(f.sched, JOB_A);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     fixture_tick(&f, f.now_ms + 1000);
     list_b1(&f, SECOND_START_MS);
     report_empty_twice(&f);
@@ -242,6 +242,31 @@
     fixture_clear(&f);
 }
 
+/* The earlier incarnation has acknowledged a stop, and the answer is read
+ * after its restart was seen. It was read as that to the stop that was sent to
+ * the new incarnation, which ran the task on and was never told again. */
+static void
+test_stop_of_earlier_incarnation(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    fixture_accept_starts(&f);
+    scheduler_cancel(f.sched, JOB_A);
+    struct recorded_command before = *fixture_last(&f, COMMAND_STOP);
+    list_b1(&f, SECOND_START_MS);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
+    scheduler_on_stop(f.sched, before.handle, before.attempt, true);
+    fixture_answer_stop(&f, false);
+    report_running(&f);
+    for (int i = 0; i < 20; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        report_running(&f);
+    }
+    CU_ASSERT(fixture_count(&f, COMMAND_STOP, "b1") > 2);
+    fixture_clear(&f);
+}
+
 static const struct recorded_command *
 last_request_to_b1(const struct fleet_fixture *f)
 {
@@ -390,6 +415,8 @@
          test_report_requested_before},
         {"a stop may be under way on the new incarnation",
          test_stop_of_new_incarnation},
+        {"a stop that the earlier incarnation acknowledged is repeated",
+         test_stop_of_earlier_incarnation},
         {"the fencing token rises with a restart", test_token_rises},
         {"a refusal of an earlier token ends no leadership",
          test_own_earlier_token_refused},
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -89,7 +89,7 @@
                           requested + 1);
     fixture_report(&f, where, NULL, 0, NULL, 0);
     CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_STOP, NULL), 1);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     fixture_tick(&f, f.now_ms + 20);
     fixture_report(&f, where, NULL, 0, NULL, 0);
     fixture_tick(&f, f.now_ms + 10);
@@ -239,8 +239,7 @@
     scheduler_cancel(f.sched, JOB_A);
     int64_t begin_ms = f.now_ms;
     while (f.now_ms < begin_ms + 4000) {
-        const struct recorded_command *stop = fixture_last(&f, COMMAND_STOP);
-        scheduler_on_stop(f.sched, stop->handle, false);
+        fixture_answer_stop(&f, false);
         fixture_tick(&f, f.now_ms + 100);
     }
     uint32_t stops = fixture_count(&f, COMMAND_STOP, "b1");
--- a/tests/jobs/strays_test.c
+++ b/tests/jobs/strays_test.c
@@ -41,7 +41,7 @@
     fixture_tick(&f, f.now_ms + 30);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 1);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 1);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     fixture_tick(&f, f.now_ms + 30);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 1);
     fixture_accept_starts(&f);
@@ -70,7 +70,7 @@
     fixture_add_job(&f, JOB_B, "p", half_task);
     fixture_tick(&f, f.now_ms + 30);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 0);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     report_running(&f, JOB_A ".0.0.0", 7);
     /* Missing from a report that was requested after the longest time of a
      * stop: it has ended. */
@@ -95,7 +95,7 @@
         fixture_tick(&f, f.now_ms + 25);
     }
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 1);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, false);
+    fixture_answer_stop(&f, false);
     fixture_tick(&f, f.now_ms + 500);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
     fixture_clear(&f);
