--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -111,6 +111,7 @@
     struct stop_command command = {
         .backend = run->backend,
         .handle = run->handle,
+        .attempt = run->stop_count,
         .task = name,
         .number = run->number,
     };
@@ -131,14 +132,20 @@
 }
 
 void
-scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked)
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, uint32_t attempt,
+                  bool acked)
 {
     struct run *run = g_hash_table_lookup(sched->runs, &handle);
     if (run == NULL) {
-        sched_stray_stop_answered(sched, handle, acked);
+        sched_stray_stop_answered(sched, handle, attempt, acked);
         return;
     }
-    run->stop_pending = false;
+    if (attempt <= run->stop_count_before) {
+        return;
+    }
+    if (attempt == run->stop_count) {
+        run->stop_pending = false;
+    }
     if (acked) {
         run->stop_acked_ms = sched_now(sched);
         /* This report shows the completion, or its absence. */
@@ -356,7 +363,8 @@
 }
 
 void
-sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend)
+sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend,
+                       int64_t requested_ms)
 {
     for (guint i = 0; i < backend->runs->len; i++) {
         struct run *run = g_ptr_array_index(backend->runs, i);
@@ -364,8 +372,7 @@
         int64_t shown_by_ms = run_step(run)->long_running
                                   ? run->started_ms + SERVICE_START_VISIBLE_MS
                                   : run->answer_missed_ms;
-        if (run->state == RUN_UNCERTAIN &&
-            backend->report_requested_ms >= shown_by_ms) {
+        if (run->state == RUN_UNCERTAIN && requested_ms >= shown_by_ms) {
             sched_run_stop(sched, run);
         }
     }
--- a/core/jobs/strays.c
+++ b/core/jobs/strays.c
@@ -59,6 +59,7 @@
     struct stop_command command = {
         .backend = stray->backend,
         .handle = stray->handle,
+        .attempt = stray->stop_count,
         .task = stray->name,
         .number = stray->number,
     };
@@ -135,13 +136,16 @@
 }
 
 bool
-sched_stray_stop_answered(struct scheduler *sched, uint64_t handle, bool acked)
+sched_stray_stop_answered(struct scheduler *sched, uint64_t handle,
+                          uint32_t attempt, bool acked)
 {
     struct stray *stray = g_hash_table_lookup(sched->strays, &handle);
     if (stray == NULL) {
         return false;
     }
-    stray->stop_pending = false;
+    if (attempt == stray->stop_count) {
+        stray->stop_pending = false;
+    }
     if (acked) {
         stray->stop_acked_ms = sched_now(sched);
         sched_report_at_once(sched, stray->backend);
@@ -149,17 +153,18 @@
     return true;
 }
 
-/* A stray is gone if it is missing from a report that was requested after its
- * stop must have taken effect. */
+/* A stray is gone if it is missing from a report that was requested, at
+ * @requested_ms, after its stop must have taken effect. */
 void
-sched_drop_absent_strays(struct scheduler *sched, struct backend *backend)
+sched_drop_absent_strays(struct scheduler *sched, struct backend *backend,
+                         int64_t requested_ms)
 {
     int64_t now_ms = sched_now(sched);
     for (guint i = backend->strays->len; i > 0; i--) {
         struct stray *stray = g_ptr_array_index(backend->strays, i - 1);
         if (stray->reported_ms != now_ms && stray->stop_acked_ms != 0 &&
             stray->stop_acked_ms + sched_stop_visible_after_ms(sched) <
-                backend->report_requested_ms) {
+                requested_ms) {
             stray_free(sched, stray);
         }
     }
--- a/egretjobd/leader_commands.c
+++ b/egretjobd/leader_commands.c
@@ -48,11 +48,11 @@
 }
 
 static void
-on_stop(void *ctx, uint64_t handle, bool acked)
+on_stop(void *ctx, uint64_t handle, uint32_t attempt, bool acked)
 {
     struct leader *leader = ctx;
     leader_update_validity(leader);
-    scheduler_on_stop(leader->sched, handle, acked);
+    scheduler_on_stop(leader->sched, handle, attempt, acked);
     leader_schedule_tick(leader);
 }
 
@@ -147,8 +147,7 @@
     event_log("task_stop", "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"",
               command->task, command->number, command->backend->entry.id);
     backend_client_stop(
-        client_of(leader, command->backend), command->handle, command->task,
-        command->number,
+        client_of(leader, command->backend), command,
         backend_fencing_token(command->backend, leader->token));
 }
 
@@ -162,12 +161,13 @@
 }
 
 static void
-op_request_report(void *ctx, struct backend *backend, int64_t until_ms,
+op_request_report(void *ctx, struct backend *backend,
+                  const struct report_request *request, int64_t until_ms,
                   int64_t acked_completion, int64_t wait_ms)
 {
     struct leader *leader = ctx;
     backend_client_request_report(
-        client_of(leader, backend), until_ms,
+        client_of(leader, backend), request, until_ms,
         backend_fencing_token(backend, leader->token), acked_completion,
         wait_ms);
 }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -83,6 +83,7 @@
  * @stop_acked_ms: when a stop command was acknowledged; 0: never
  * @stop_pending: a stop command is in flight
  * @stop_count: stop commands sent
+ * @stop_count_before: those that were sent to an earlier incarnation
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
  *           yet
  * @percent_at_ms: when @percent last changed
@@ -116,6 +117,7 @@
     int64_t stop_acked_ms;
     bool stop_pending;
     uint32_t stop_count;
+    uint32_t stop_count_before;
     int32_t percent;
     int64_t percent_at_ms;
     int64_t load_metric;
@@ -177,6 +179,21 @@
     uint64_t version;
 };
 
+/**
+ * struct report_request - identity of a request for a run report, which comes
+ *                         back with its answer
+ * @number: counts the requests of this leader
+ * @sent_ms: when it was sent
+ * @incarnation: incarnation of the backend server that it was sent to
+ * @acked: highest completion number acknowledged by it or before
+ */
+struct report_request {
+    uint64_t number;
+    int64_t sent_ms;
+    uint32_t incarnation;
+    int64_t acked;
+};
+
 /**
  * struct backend - a backend server as the scheduler knows it
  * @entry: its entry in the host list
@@ -221,11 +238,10 @@
  * @last_completion: highest completion number processed
  * @acked_completion: highest completion number whose effect is stored, to be
  *                    acknowledged
- * @acked_sent: highest completion number acknowledged to the backend server
- * @acked_answered: highest one acknowledged in a request that was answered
- * @report_in_flight: a report request is in flight
- * @report_requested_ms: when it was sent
- * @report_incarnation: incarnation that it was sent to
+ * @acked_answered: highest completion number acknowledged in a request that
+ *                  was answered
+ * @report_in_flight: @report_request has no answer yet
+ * @report_request: the latest request for a run report
  * @report_due_ms: earliest time of the next one
  * @report_read_ms: when a run report was last read
  * @throttle: controller of the best-effort tasks on it
@@ -271,11 +287,9 @@
     GQueue completions;
     int64_t last_completion;
     int64_t acked_completion;
-    int64_t acked_sent;
     int64_t acked_answered;
     bool report_in_flight;
-    int64_t report_requested_ms;
-    uint32_t report_incarnation;
+    struct report_request report_request;
     int64_t report_due_ms;
     int64_t report_read_ms;
     struct throttle throttle;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -55,12 +55,14 @@
  * struct stop_command - a run to stop
  * @backend: backend server that it runs on
  * @handle: handle of the run; 0: a run that is not tracked
+ * @attempt: counts the stop commands of the run; handed back with the answer
  * @task: name of the task, JOB.OCCURRENCE.STEP.INDEX
  * @number: number of the run
  */
 struct stop_command {
     struct backend *backend;
     uint64_t handle;
+    uint32_t attempt;
     const char *task;
     uint32_t number;
 };
@@ -85,7 +87,7 @@
  *            scheduler_on_throttle()
  * @request_report: request the run report of a backend server and renew its
  *                  lease until @until_ms, 0: no renewal; answer through
- *                  scheduler_on_report()
+ *                  scheduler_on_report(), with a copy of @request
  * @store: there is something to store, see scheduler_take_batch()
  * @move_host: move a host to a pool; answer through
  *             scheduler_on_host_command()
@@ -100,6 +102,7 @@
     void (*stop)(void *ctx, const struct stop_command *command);
     void (*throttle)(void *ctx, const struct throttle_command *command);
     void (*request_report)(void *ctx, struct backend *backend,
+                           const struct report_request *request,
                            int64_t until_ms, int64_t acked_completion,
                            int64_t wait_ms);
     void (*store)(void *ctx);
@@ -189,11 +192,13 @@
 
 /**
  * struct run_report - runs and completions on a backend server
+ * @request: the request that it answers
  * @incarnation_start_ms: start of the incarnation that answered; 0: unknown
  * @clock_ms: its clock
  * @error: why an answer counts as none, with the position in it, or NULL
  */
 struct run_report {
+    struct report_request request;
     enum report_outcome outcome;
     const char *error;
     int64_t incarnation_start_ms;
@@ -319,8 +324,10 @@
 bool
 scheduler_may_start(const struct scheduler *sched, uint64_t handle);
 
+/** scheduler_on_stop() - answer to stop command @attempt of a run. */
 void
-scheduler_on_stop(struct scheduler *sched, uint64_t handle, bool acked);
+scheduler_on_stop(struct scheduler *sched, uint64_t handle, uint32_t attempt,
+                  bool acked);
 void
 scheduler_on_throttle(struct scheduler *sched, uint64_t handle,
                       int32_t percent, bool acked);
--- a/tests/jobs/crash_world.c
+++ b/tests/jobs/crash_world.c
@@ -188,6 +188,7 @@
 {
     struct world_backend *backend = backend_of(world, command->target);
     uint64_t handle = command->handle;
+    uint32_t attempt = command->attempt;
     bool acked = reachable(world, backend);
     for (guint i = 0; acked && i < backend->runs->len; i++) {
         const struct world_run *run = g_ptr_array_index(backend->runs, i);
@@ -197,7 +198,7 @@
             break;
         }
     }
-    scheduler_on_stop(world->f.sched, handle, acked);
+    scheduler_on_stop(world->f.sched, handle, attempt, acked);
 }
 
 static void
@@ -222,7 +223,7 @@
             }
             else {
                 struct run_report none = {.outcome = REPORT_NO_ANSWER};
-                scheduler_on_report(world->f.sched, command->target, &none);
+                fixture_answer(&world->f, command->target, none);
             }
             break;
         default:
@@ -270,7 +271,7 @@
     if (backend->report_due_ms != 0) {
         backend->report_due_ms = 0;
         struct run_report none = {.outcome = REPORT_NO_ANSWER};
-        scheduler_on_report(world->f.sched, backend->id, &none);
+        fixture_answer(&world->f, backend->id, none);
     }
 }
 
@@ -306,7 +307,7 @@
     if (!reachable(world, backend)) {
         backend->report_due_ms = 0;
         struct run_report none = {.outcome = REPORT_NO_ANSWER};
-        scheduler_on_report(world->f.sched, backend->id, &none);
+        fixture_answer(&world->f, backend->id, none);
     }
     else if (now_ms >= backend->report_due_ms) {
         answer_report(world, backend);
--- a/tests/jobs/model_leader.c
+++ b/tests/jobs/model_leader.c
@@ -46,6 +46,7 @@
             .kind = MESSAGE_STOP,
             .backend = backend_index(command->backend),
             .handle = command->handle,
+            .attempt = command->attempt,
             .task = g_strdup(command->task),
             .number = command->number,
             .token = backend_fencing_token(command->backend, leader->token),
@@ -53,7 +54,8 @@
 }
 
 static void
-op_request_report(void *ctx, struct backend *backend, int64_t until_ms,
+op_request_report(void *ctx, struct backend *backend,
+                  const struct report_request *request, int64_t until_ms,
                   int64_t acked_completion, int64_t wait_ms)
 {
     struct leader *leader = ctx;
@@ -65,6 +67,7 @@
                  (struct message){
                      .kind = MESSAGE_REPORT_REQUEST,
                      .backend = backend_index(backend),
+                     .request = *request,
                      .until_ms = until_ms,
                      .acked_completion = acked_completion,
                      .number = (uint32_t)wait_ms,
--- a/tests/jobs/model_state.h
+++ b/tests/jobs/model_state.h
@@ -96,12 +96,14 @@
  * @leader: leader that sent it, or gets the answer
  * @backend: index of the backend server
  * @number: number of the run; of a report request its wait in ms
+ * @attempt: of a stop, and of its answer, which of its run it is
  * @answer_lost: the answer to the command gets lost
  * @answered_kind: of an answer, kind of the command
  * @batch: changes to store; NULL for a late copy
  * @txn: of a commit, the transaction
  * @life: of a command, incarnation that it was sent to
  * @start_ms: start of the incarnation in an entry; 0: the entry was removed
+ * @request: of a report request, and of its answer, its identity
  * @report: run report in an answer, or NULL
  */
 struct message {
@@ -113,6 +115,7 @@
     uint64_t handle;
     char *task;
     uint32_t number;
+    uint32_t attempt;
     int64_t until_ms;
     int64_t acked_completion;
     int64_t token;
@@ -125,6 +128,7 @@
     struct txn_builder txn;
     uint32_t life;
     int64_t start_ms;
+    struct report_request request;
     struct run_report *report;
 };
 
