Store which runs may have crashed a server when it falls silent

Runs became suspects when they were lost, which is when the leases end, 3 s after the crash. A leader that ended before that left nothing that said which runs had been on the server: the next one started the task again beside others, and a suspect that it had been beside as well.

The runs that may be the cause are stored with the progress of their jobs as soon as the server falls silent. The next leader starts their tasks alone, and counts the crash, as one shared with others, once the host shows a new incarnation. If the server answers after all, the record goes and nobody is a suspect.

--- a/core/jobs/crash_attempt.c
+++ b/core/jobs/crash_attempt.c
@@ -1,24 +1,34 @@
 /* Where suspects start, as the store knows it, and what the next leader makes
  * of it. */
+#include "core/jobs/crash_blame.h"
 #include "core/jobs/scheduler.h"
 
 #include "crash_state.h"
 
-/* Stores where a suspect starts, before it does: the next leader has to know
- * which crash may be its doing. */
 void
 sched_crash_record_attempt(struct scheduler *sched, struct job *job,
-                           struct job_task *task, const char *backend_id)
+                           struct job_task *task, const char *backend_id,
+                           bool shared)
 {
-    if (g_strcmp0(task->crash_backend, backend_id) == 0) {
+    if (g_strcmp0(task->crash_backend, backend_id) == 0 &&
+        task->crash_shared == shared) {
         return;
     }
     g_free(task->crash_backend);
     task->crash_backend = g_strdup(backend_id);
+    task->crash_shared = shared;
     sched_mark_dirty(sched, job);
     task->crash_version = job->version;
 }
 
+static bool
+count_inherited(struct job_task *task)
+{
+    return task->crash_shared
+               ? crash_record_crash(&task->crash, CRASH_FRESH, false, false)
+               : crash_record_inherited(&task->crash);
+}
+
 bool
 sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
                              uint32_t occurrence, uint32_t step,
@@ -45,11 +55,15 @@
         sched_now(sched) - sched->takeover_ms < CRASH_INHERITED_MAX_MS) {
         return false;
     }
-    if (crashed && crash_record_inherited(&task->crash) && !service) {
+    if (crashed && count_inherited(task) && !service) {
         sched_finish_job(sched, job, JOB_FAILED);
         return false;
     }
-    sched_crash_record_attempt(sched, job, task, NULL);
+    if (lives && !crashed && task->crash_shared && task->crash.crashes == 0 &&
+        task->crash.alone == 0) {
+        task->crash.suspect = false;
+    }
+    sched_crash_record_attempt(sched, job, task, NULL, false);
     return true;
 }
 
@@ -60,6 +74,10 @@
     if (sched->outage) {
         return true;
     }
-    sched_crash_record_attempt(sched, job, task, backend_id);
+    /* It was cleared a moment ago. */
+    if (!crash_isolated(&task->crash)) {
+        return true;
+    }
+    sched_crash_record_attempt(sched, job, task, backend_id, false);
     return job->stored_version >= task->crash_version;
 }
--- a/core/jobs/crash_proof.c
+++ b/core/jobs/crash_proof.c
@@ -203,6 +203,7 @@
     /* The next leader must not count it again. */
     if (g_strcmp0(task->crash_backend, lost->backend_id) == 0) {
         g_clear_pointer(&task->crash_backend, g_free);
+        task->crash_shared = false;
     }
     /* Every outage would write the records of all that it hits, for little. */
     if (crash_isolated(&task->crash)) {
@@ -309,6 +310,7 @@
 sched_crash_backend_answers(struct scheduler *sched, struct backend *backend)
 {
     backend->end_explained = false;
+    sched_crash_backend_answered(sched, backend);
     struct host *host =
         backend->entry.host == NULL
             ? NULL
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -89,6 +89,50 @@
     return false;
 }
 
+/* Whether a run that may be the cause is known to have started; starts without
+ * an answer were sent after the crash then, most likely. */
+static bool
+fresh_confirmed(const struct backend *backend)
+{
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (blamable(run) && role_of(run) == CRASH_FRESH && has_started(run)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A leader that ends before the leases here do leaves nothing else that says
+ * which runs were lost. */
+static void
+record_silent(struct scheduler *sched, const struct backend *backend)
+{
+    bool confirmed = fresh_confirmed(backend);
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        if (!run->isolated && blamable(run) && role_of(run) == CRASH_FRESH &&
+            (!confirmed || has_started(run))) {
+            sched_crash_record_attempt(sched, run->job, run_task(run),
+                                       backend->entry.id, true);
+        }
+    }
+}
+
+void
+sched_crash_backend_answered(struct scheduler *sched,
+                             const struct backend *backend)
+{
+    for (guint i = 0; i < backend->runs->len; i++) {
+        const struct run *run = g_ptr_array_index(backend->runs, i);
+        struct job_task *task = run_task(run);
+        if (task->crash_shared &&
+            g_strcmp0(task->crash_backend, backend->entry.id) == 0) {
+            sched_crash_record_attempt(sched, run->job, task, NULL, false);
+        }
+    }
+}
+
 void
 sched_crash_backend_silent(struct scheduler *sched, struct backend *backend)
 {
@@ -97,6 +141,7 @@
         sched->silences[sched->silence_count++ % SILENCES_KEPT] =
             backend->silent_ms;
     }
+    record_silent(sched, backend);
     for (guint i = 0; i < backend->runs->len; i++) {
         const struct run *run = g_ptr_array_index(backend->runs, i);
         if (run->isolated && role_of(run) == CRASH_FRESH &&
--- a/core/jobs/crash_state.h
+++ b/core/jobs/crash_state.h
@@ -17,11 +17,18 @@
 sched_crash_clear_others(struct scheduler *sched, struct job_task *cause,
                          bool proved);
 
+/* The runs of @backend that were recorded when it fell silent go on. */
+void
+sched_crash_backend_answered(struct scheduler *sched,
+                             const struct backend *backend);
+
 /* crash_attempt.c */
-/* Stores where a suspect starts, before it does: the next leader has to know
- * which crash may be its doing. */
+/* Stores where a task has started that may crash its backend server, or is
+ * about to: the next leader has to know which crash may be its doing. @shared:
+ * that of others as well. */
 void
 sched_crash_record_attempt(struct scheduler *sched, struct job *job,
-                           struct job_task *task, const char *backend_id);
+                           struct job_task *task, const char *backend_id,
+                           bool shared);
 
 #endif
--- a/core/jobs/run_isolation.c
+++ b/core/jobs/run_isolation.c
@@ -46,7 +46,8 @@
         run_task(run)->crash_group = 0;
         run_task(run)->crash_losses = 0;
         run_task(run)->wait_until_ms = 0;
-        sched_crash_record_attempt(sched, run->job, run_task(run), NULL);
+        sched_crash_record_attempt(sched, run->job, run_task(run), NULL,
+                                   false);
         sched_run_end_isolation(run);
         sched_backend_changed(sched, run->backend);
     }
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -102,8 +102,14 @@
     }
 }
 
+enum {
+    ROW_SUSPECT = 1,
+    ROW_SHARED = 2,
+};
+
 /* Rows of step progress index, task, counted crashes, those alone, whether the
- * task is a suspect, and where it starts alone. */
+ * task is a suspect, and where it starts alone or has started beside others.
+ */
 static void
 encode_crashes(GString *out, const struct job *job)
 {
@@ -112,15 +118,18 @@
     for (uint32_t p = 0; p < n_progress; p++) {
         uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
         for (uint32_t t = 0; t < n_tasks; t++) {
-            const struct crash_record *crash =
-                &job->progress[p].tasks[t].crash;
-            if (crash->crashes == 0 && !crash->suspect) {
+            const struct job_task *task = &job->progress[p].tasks[t];
+            const struct crash_record *crash = &task->crash;
+            if (crash->crashes == 0 && !crash->suspect &&
+                !task->crash_shared) {
                 continue;
             }
-            g_string_append_printf(
-                out, "%s[%u,%u,%u,%u,%d,", first ? ",\"crashes\":[" : ",", p,
-                t, crash->crashes, crash->alone, crash->suspect ? 1 : 0);
-            const char *backend = job->progress[p].tasks[t].crash_backend;
+            g_string_append_printf(out, "%s[%u,%u,%u,%u,%d,",
+                                   first ? ",\"crashes\":[" : ",", p, t,
+                                   crash->crashes, crash->alone,
+                                   (crash->suspect ? ROW_SUSPECT : 0) +
+                                       (task->crash_shared ? ROW_SHARED : 0));
+            const char *backend = task->crash_backend;
             json_text_add(out, backend == NULL ? "" : backend);
             g_string_append_c(out, ']');
             first = false;
@@ -220,8 +229,12 @@
         return;
     }
     struct job_task *task = &job->progress[p].tasks[t];
+    int64_t marks = row_number(row, 4);
+    /* It may have crashed the backend server that fell silent. */
+    task->crash_shared =
+        marks == ROW_SHARED || marks == ROW_SUSPECT + ROW_SHARED;
     task->crash = (struct crash_record){
-        .suspect = row_number(row, 4) == 1,
+        .suspect = marks == ROW_SUSPECT || task->crash_shared,
         .crashes = (uint32_t)crashes,
         .alone = (uint32_t)MAX(row_number(row, 3), 0),
     };
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -107,8 +107,10 @@
  * @crash_group: the loss that made it a suspect; 0: none, or a previous
  *               leader's
  * @crash_losses: losses that made it a suspect since it last worked alone
- * @crash_backend: backend server of its last isolated start, unless it has
- *                 worked there; or NULL
+ * @crash_backend: backend server of its last isolated start, or one that fell
+ *                 silent just after it had started there, unless it has worked
+ *                 there; or NULL
+ * @crash_shared: others may have crashed @crash_backend as well
  * @isolation_since_ms: since when it has waited for a backend server to
  * itself; 0: it has not
  */
@@ -127,6 +129,7 @@
     uint32_t crash_group;
     uint32_t crash_losses;
     char *crash_backend;
+    bool crash_shared;
     int64_t isolation_since_ms;
 };
 
--- a/tests/jobs/crash_record_test.c
+++ b/tests/jobs/crash_record_test.c
@@ -69,11 +69,40 @@
     CU_ASSERT_EQUAL(task->crash.alone, 1);
     CU_ASSERT_TRUE(task->crash.suspect);
     CU_ASSERT_STRING_EQUAL(task->crash_backend, "b1");
+    CU_ASSERT_FALSE(task->crash_shared);
     g_free(record);
     job_unref(job);
     fixture_clear(&f);
 }
 
+/* Whose backend server has fallen silent is a suspect for the next leader
+ * only. */
+static void
+test_record_of_silence(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    for (int suspect = 0; suspect < 2; suspect++) {
+        struct job *job = fixture_create_job(&f, JOB_A, "p", one_task);
+        struct job_task *task = &job_step_progress(job, 0, 0)->tasks[0];
+        task->crash.suspect = suspect == 1;
+        task->crash_backend = g_strdup("b1");
+        task->crash_shared = true;
+        char *record = record_progress_encode(job);
+        job_unref(job);
+        job = fixture_create_job(&f, JOB_A, "p", one_task);
+        CU_ASSERT_TRUE(record_progress_apply(job, record, strlen(record)));
+        task = &job_step_progress(job, 0, 0)->tasks[0];
+        CU_ASSERT_TRUE(task->crash.suspect);
+        CU_ASSERT_TRUE(task->crash_shared);
+        CU_ASSERT_EQUAL(task->crash.crashes, 0);
+        CU_ASSERT_STRING_EQUAL(task->crash_backend, "b1");
+        g_free(record);
+        job_unref(job);
+    }
+    fixture_clear(&f);
+}
+
 /* Two crashes suffice for a task that had just started and was alone. Others
  * that were lost beside it, or had worked for a while, need more. */
 static void
@@ -196,6 +225,7 @@
         {"leaders lost with the crashes", test_leaders_lost},
         {"a drained backend server has not crashed",
          test_drained_has_not_crashed},
+        {"what a silence says is stored", test_record_of_silence},
         {"what crashes say is stored", test_older_record},
     };
     return suite_main("jobs crash record", tests,
--- /dev/null
+++ b/tests/jobs/crash_takeover_test.c
@@ -0,0 +1,120 @@
+/* Leaders that are lost between the crash of a backend server and the end of
+ * its leases. */
+#include "../suite.h"
+#include "crash_world.h"
+
+enum {
+    BACKENDS = 8,
+    TAKEOVERS = 3,
+    STEP_MS = 20,
+    /* The crash was noticed, the runs aren't lost yet. */
+    NOTICED_MS = 300,
+    /* The next leader waits for the end of the last one's lease. */
+    WITHOUT_LEADER_MS = 3200,
+    STARTS_AFTER_THIRD_CRASH_MAX = 2,
+};
+
+static const char one_task[] =
+    "[{\"count\":1,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":500}]";
+
+static void
+lose_leader(struct world *world)
+{
+    world_run(world, NOTICED_MS);
+    world_run_without_leader(world, WITHOUT_LEADER_MS);
+    world_take_over(world);
+}
+
+static void
+wait_for_crash(struct world *world, const struct world_job *job)
+{
+    uint32_t crashes = job->crashes;
+    for (int ms = 0; ms < 20000 && job->crashes == crashes &&
+                     job->job->state == JOB_ACTIVE;
+         ms += STEP_MS) {
+        world_run(world, STEP_MS);
+    }
+}
+
+static void
+test_crashes_are_known_to_the_next_leader(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    const struct world_job *job = world_add_job(&world, one_task, true, 0);
+    world_add_job(&world, one_task, false, 1500);
+    for (int i = 0; i < TAKEOVERS; i++) {
+        wait_for_crash(&world, job);
+        lose_leader(&world);
+    }
+    world_run(&world, 40000);
+    CU_ASSERT_EQUAL(job->job->state, JOB_FAILED);
+    CU_ASSERT(job->starts_after_third_crash <= STARTS_AFTER_THIRD_CRASH_MAX);
+    CU_ASSERT_EQUAL(world.jobs[1].job->state, JOB_COMPLETED);
+    /* It starts beside it once only. */
+    CU_ASSERT_EQUAL(world.jobs[1].crashes, 1);
+    world_clear(&world);
+}
+
+/* Each crash is the first that a leader sees, and under several runs. */
+static void
+test_suspects_are_known_to_the_next_leader(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    const struct world_job *job = world_add_job(&world, one_task, true, 0);
+    world_add_job(&world, one_task, false, 1500);
+    wait_for_crash(&world, job);
+    lose_leader(&world);
+    world_run(&world, 10000);
+    CU_ASSERT_EQUAL(world.jobs[1].job->state, JOB_COMPLETED);
+    CU_ASSERT_EQUAL(world.jobs[1].crashes, 1);
+    CU_ASSERT(job->crashes <= 3);
+    world_run(&world, 30000);
+    CU_ASSERT_EQUAL(job->job->state, JOB_FAILED);
+    CU_ASSERT_EQUAL(job->starts_after_third_crash, 0);
+    world_clear(&world);
+}
+
+/* Its backend server was only out of reach, for longer than its lease: the
+ * task is no suspect. */
+static void
+test_silent_server_answers_the_next_leader(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    struct world_job *job = world_add_job(&world, one_task, false, 9000);
+    world_run(&world, STEP_MS);
+    for (uint32_t i = 0; i < world.n_backends; i++) {
+        if (world.backends[i].runs->len > 0) {
+            world.backends[i].cut_until_ms = world.f.now_ms + 600;
+        }
+    }
+    world_run(&world, NOTICED_MS);
+    world_run_without_leader(&world, 400);
+    world_take_over(&world);
+    world_run(&world, 3000);
+    const struct job_task *task = &job_step_progress(job->job, 0, 0)->tasks[0];
+    CU_ASSERT_FALSE(crash_isolated(&task->crash));
+    CU_ASSERT_PTR_NULL(task->crash_backend);
+    world_run(&world, 20000);
+    CU_ASSERT_EQUAL(job->job->state, JOB_COMPLETED);
+    world_clear(&world);
+}
+
+int
+main(void)
+{
+    static const struct suite_test tests[] = {
+        {"a task whose crashes fall into takeovers is not started three "
+         "times more",
+         test_crashes_are_known_to_the_next_leader},
+        {"runs that may have crashed a silent server are known to the next "
+         "leader",
+         test_suspects_are_known_to_the_next_leader},
+        {"a silent server that answers the next leader",
+         test_silent_server_answers_the_next_leader},
+    };
+    return suite_main("jobs crash takeover", tests,
+                      sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/jobs/crash_world.c
+++ b/tests/jobs/crash_world.c
@@ -15,6 +15,9 @@
     REPORT_MS = 200,
     LEASE_OVER_MS = 3000,
     CRASH_DELAY_MS = 10,
+    /* The entry of a backend server that is silent stays for three
+     * heartbeats. */
+    ENTRY_KEPT_MS = 4500,
 };
 
 static void
@@ -78,6 +81,7 @@
     }
     for (uint32_t i = 0; i < world->n_jobs; i++) {
         job_unref(world->jobs[i].job);
+        g_free(world->jobs[i].record);
     }
     fixture_clear(&world->f);
 }
@@ -266,6 +270,7 @@
     g_ptr_array_set_size(backend->runs, 0);
     g_array_set_size(backend->completions, 0);
     backend->crash_ms = 0;
+    backend->crashed_ms = world->f.now_ms;
     backend->down_until_ms = world->f.now_ms + world->restart_ms;
     if (backend->report_due_ms != 0) {
         backend->report_due_ms = 0;
@@ -313,6 +318,28 @@
     }
 }
 
+static void
+backends_step(struct world *world)
+{
+    uint32_t n_down = 0;
+    for (uint32_t i = 0; i < world->n_backends; i++) {
+        backend_step(world, i);
+        n_down += world->backends[i].down_until_ms != 0;
+    }
+    world->down_most = MAX(world->down_most, n_down);
+}
+
+/* The leader stores each incarnation before it starts anything there. */
+static void
+record_backends(struct world *world)
+{
+    for (uint32_t i = 0; i < world->n_backends; i++) {
+        struct world_backend *backend = &world->backends[i];
+        g_strlcpy(backend->recorded, backend->id, sizeof(backend->recorded));
+        backend->recorded_start_ms = backend->incarnation_start_ms;
+    }
+}
+
 void
 world_run(struct world *world, int64_t duration_ms)
 {
@@ -320,12 +347,24 @@
     while (world->f.now_ms < end_ms) {
         fixture_tick(&world->f, world->f.now_ms + STEP_MS);
         carry_out_commands(world);
-        uint32_t n_down = 0;
-        for (uint32_t i = 0; i < world->n_backends; i++) {
-            backend_step(world, i);
-            n_down += world->backends[i].down_until_ms != 0;
+        backends_step(world);
+        record_backends(world);
+    }
+}
+
+void
+world_run_without_leader(struct world *world, int64_t duration_ms)
+{
+    for (uint32_t i = 0; i < world->n_jobs; i++) {
+        struct world_job *entry = &world->jobs[i];
+        if (entry->record == NULL) {
+            entry->record = record_progress_encode(entry->job);
         }
-        world->down_most = MAX(world->down_most, n_down);
+    }
+    int64_t end_ms = world->f.now_ms + duration_ms;
+    while (world->f.now_ms < end_ms) {
+        world->f.now_ms += STEP_MS;
+        backends_step(world);
     }
 }
 
@@ -340,20 +379,25 @@
         struct world_backend *backend = &world->backends[i];
         backend->report_due_ms = 0;
         struct backend_entry entry = {
-            .id = backend->id,
-            .incarnation_start_ms = backend->incarnation_start_ms,
+            .id = backend->recorded,
+            .incarnation_start_ms = backend->recorded_start_ms,
             .pool = (char *)"p",
             .address = (char *)"127.0.0.1:1",
             .data_centre = (char *)"dc",
             .host = backend->host,
         };
         scheduler_backend_inherited(world->f.sched, &entry, LEASE_OVER_MS);
-        world->f.incarnation_start_ms = backend->incarnation_start_ms;
-        fixture_add_backend(&world->f, backend->id, "p", backend->host);
+        if (backend->down_until_ms == 0 ||
+            old.now_ms - backend->crashed_ms < ENTRY_KEPT_MS) {
+            world->f.incarnation_start_ms = backend->incarnation_start_ms;
+            fixture_add_backend(&world->f, backend->id, "p", backend->host);
+        }
     }
     for (uint32_t i = 0; i < world->n_jobs; i++) {
         struct world_job *entry = &world->jobs[i];
-        char *record = record_progress_encode(entry->job);
+        char *record = entry->record != NULL
+                           ? g_steal_pointer(&entry->record)
+                           : record_progress_encode(entry->job);
         job_unref(entry->job);
         entry->job =
             fixture_create_job(&world->f, entry->id, "p", entry->steps);
--- a/tests/jobs/crash_world.h
+++ b/tests/jobs/crash_world.h
@@ -28,6 +28,9 @@
  * @runs: struct world_run
  * @completions: struct run_completion, owning their tasks
  * @report_due_ms: when its report is answered; 0: no request
+ * @recorded: id that the store has of it
+ * @recorded_start_ms: start of that incarnation
+ * @crashed_ms: when its last incarnation ended
  */
 struct world_backend {
     char id[WORLD_ID_BYTES];
@@ -40,6 +43,9 @@
     GPtrArray *runs;
     GArray *completions;
     int64_t report_due_ms;
+    char recorded[WORLD_ID_BYTES];
+    int64_t recorded_start_ms;
+    int64_t crashed_ms;
 };
 
 /**
@@ -49,6 +55,7 @@
  * @starts: starts of its first task
  * @crashes: backend servers that crashed under its first task
  * @longest_away_ms: longest time from a crash to the next start
+ * @record: what the last leader stored of it, if there is none now
  */
 struct world_job {
     char id[JOB_ID_CHARS + 1];
@@ -61,6 +68,7 @@
     uint32_t starts_after_third_crash;
     int64_t last_start_ms;
     int64_t longest_away_ms;
+    char *record;
 };
 
 /**
@@ -105,6 +113,11 @@
 void
 world_crash(struct world *world, uint32_t index);
 
+/** world_run_without_leader() - let @duration_ms pass after the leader has
+ * ended; a takeover has to follow. */
+void
+world_run_without_leader(struct world *world, int64_t duration_ms);
+
 /** world_take_over() - a new leader that knows the stored records only. */
 void
 world_take_over(struct world *world);
