Judge stalls by what reports show, not by silence

Cause: a run counted as stalled when its reported progress was older than 2.5 s on the leader's clock and its backend server wasn't known to be unresponsive. A report request waits up to 5 s for its answer, longer under overload, so for some seconds a server can be silent without counting as such; and a leader that stood still reads old reports. In both cases the progress is old because nothing was heard, and the run had become ready in the meantime.

Change: a stall is the time between reports that show the same progress, on the clock of the backend server that made them. A throttle command restarts it as before.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -57,6 +57,19 @@
     return job;
 }
 
+/* A stall is measured between reports on their own clock: between two that
+ * come late or are read late, the run has made progress unseen. */
+static void
+update_progress(struct run *run, int32_t percent, int64_t clock_ms)
+{
+    if (run->percent != percent || run->percent_clock_ms == 0 ||
+        clock_ms < run->percent_clock_ms) {
+        run->percent = percent;
+        run->percent_clock_ms = clock_ms;
+    }
+    run->unchanged_ms = clock_ms - run->percent_clock_ms;
+}
+
 static void
 update_run(struct scheduler *sched, struct run *run,
            const struct reported_run *reported, int64_t clock_ms)
@@ -69,10 +82,7 @@
     sched_run_worked_until(sched, run, clock_ms);
     run->job->started = true;
     run->load_metric = reported->load_metric;
-    if (run->percent != reported->percent) {
-        run->percent = reported->percent;
-        run->percent_at_ms = now_ms;
-    }
+    update_progress(run, reported->percent, clock_ms);
     if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN) {
         run->state = RUN_WORKING;
     }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -63,7 +63,6 @@
     run->backend = backend;
     run->incarnation = backend->incarnation;
     run->started_ms = sched_now(sched);
-    run->percent_at_ms = run->started_ms;
     run->percent = -1;
     run->cpu_limit_percent = 100;
     g_hash_table_insert(sched->runs, &run->handle, run);
@@ -308,12 +307,11 @@
 /* Whether progress has stopped because of the backend server; a throttled run
  * may stop because of our own command. */
 static bool
-run_stalled(const struct run *run, int64_t now_ms)
+run_stalled(const struct run *run)
 {
     return run->state == RUN_WORKING && run->percent >= 0 &&
            run->percent < 100 && run->cpu_limit_percent == 100 &&
-           !run->backend->unresponsive &&
-           now_ms - run->percent_at_ms > STALL_TIMEOUT_MS;
+           !run->backend->unresponsive && run->unchanged_ms > STALL_TIMEOUT_MS;
 }
 
 /* Counts the first answer to a start command. */
@@ -398,7 +396,7 @@
                 send_stop(sched, run);
             }
         }
-        else if (run_stalled(run, now_ms)) {
+        else if (run_stalled(run)) {
             sched_log_event(sched, "run_stalled",
                             "\"job\":\"%s\",\"step\":%u,\"task\":%u,"
                             "\"backend\":\"%s\",\"percent\":%d",
--- a/core/jobs/throttle_runs.c
+++ b/core/jobs/throttle_runs.c
@@ -126,6 +126,7 @@
     if (acked) {
         run->cpu_limit_percent = percent;
         /* The limit changes its progress, so a stall is measured from here. */
-        run->percent_at_ms = sched_now(sched);
+        run->percent_clock_ms = 0;
+        run->unchanged_ms = 0;
     }
 }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -85,7 +85,9 @@
  * @stop_count: stop commands sent
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
  *           yet
- * @percent_at_ms: when @percent last changed
+ * @percent_clock_ms: clock of the backend server in the first report that has
+ *                    shown @percent; 0: none yet
+ * @unchanged_ms: how long reports have shown @percent, on that clock
  * @load_metric: as reported, see struct reported_run
  * @cpu_limit_percent: CPU limit in percent of full speed; -1: unknown
  * @throttle_sent_ms: when a throttle command was last sent; 0: never
@@ -117,7 +119,8 @@
     bool stop_pending;
     uint32_t stop_count;
     int32_t percent;
-    int64_t percent_at_ms;
+    int64_t percent_clock_ms;
+    int64_t unchanged_ms;
     int64_t load_metric;
     int32_t cpu_limit_percent;
     int64_t throttle_sent_ms;
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -292,7 +292,7 @@
     struct run_report report = {
         .outcome = REPORT_READ,
         .incarnation_start_ms = fixture->incarnation_start_ms,
-        .clock_ms = fixture->now_ms + 5000,
+        .clock_ms = fixture->now_ms + FIXTURE_CLOCK_AHEAD_MS,
         .running = running,
         .n_running = n_running,
         .completions = completions,
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -17,6 +17,11 @@
     COMMAND_THROTTLE,
 };
 
+enum {
+    /* Clocks of backend servers are ahead of the scheduler's by this. */
+    FIXTURE_CLOCK_AHEAD_MS = 5000,
+};
+
 /**
  * struct recorded_command - a command of the scheduler; owns its strings
  * @target: backend server or host; for a request for advice the ids of the
