--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -65,6 +65,19 @@
     return report->request.number == backend->report_request.number;
 }
 
+/* A stall is measured between reports on their own clock: between two that
+ * come late or are read late, the run has made progress unseen. */
+static void
+update_progress(struct run *run, int32_t percent, int64_t clock_ms)
+{
+    if (run->percent != percent || run->percent_clock_ms == 0 ||
+        clock_ms < run->percent_clock_ms) {
+        run->percent = percent;
+        run->percent_clock_ms = clock_ms;
+    }
+    run->unchanged_ms = clock_ms - run->percent_clock_ms;
+}
+
 static void
 update_run(struct scheduler *sched, struct run *run,
            const struct reported_run *reported,
@@ -84,10 +97,7 @@
         return;
     }
     run->load_metric = reported->load_metric;
-    if (run->percent != reported->percent) {
-        run->percent = reported->percent;
-        run->percent_at_ms = now_ms;
-    }
+    update_progress(run, reported->percent, report->clock_ms);
     struct job_task *task = run_task(run);
     if (reported->saved != NULL && reported->saved[0] != '\0' &&
         g_strcmp0(task->saved, reported->saved) != 0) {
