Believe that a host has left only by two lists and its backend server

Callers saw: a maintenance wave reported as complete although a host that stays had no maintenance (MIXED), or more hosts away than the wave allows (LIMIT), after one list of hosts without one of its hosts. Not seen in operation: shown against the scheduler alone.

Cause: a host counted as part of the fleet if the last list had it. Pages of a list are read one after the other, so a host may slip between two of them when others join or leave, and an answer without rows was taken for an empty fleet. A new leader counted a host that its first list left out as never having been there.

Change: a host has left the fleet if two lists in a row that were requested since it was named don't have it and its backend server isn't listed or gives no answer. Hosts that a wave names are known from then on. A list without rows is ignored. A host that one list leaves out still gets no command.

Tests: four new cases of jobs-late-host-list failed before (5 assertions). In jobs-scheduler, "a wave needs a list requested after it" took one list without a host, whose backend server was still listed, for its end: that is what was wrong. It now expects the wave to wait after one list and after the end of the entry, and to be complete after the second list, which is stricter (2 assertions failed on the code before).

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -14,6 +14,9 @@
      * this before a list was requested may be newer than the list. One that
      * was seen only after the request may be so whatever its clock says. */
     WALL_CLOCK_DIFFERENCE_MAX_MS = 4000,
+    /* Pages of a list are read one after the other, so a host may slip between
+     * two of them when the list changes. */
+    LISTS_WITHOUT_GONE_HOST = 2,
 };
 
 struct backend *
@@ -39,6 +42,14 @@
            backend->runs->len == 0 && backend->strays->len == 0;
 }
 
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    bool serves = backend != NULL && backend->listed && !backend->unresponsive;
+    return host->left_out >= LISTS_WITHOUT_GONE_HOST && !serves;
+}
+
 void
 sched_host_set_intent(struct scheduler *sched, struct host *host,
                       enum host_intent intent, const char *pool)
@@ -129,6 +140,7 @@
     if (host == NULL) {
         host = g_new0(struct host, 1);
         host->name = g_strdup(name);
+        host->known_ms = sched_now(sched);
         g_hash_table_insert(sched->hosts, host->name, host);
     }
     return host;
@@ -201,6 +213,7 @@
     int64_t requested_unix_ms =
         ms_clock_now(&sched->unix_clock) - (sched_now(sched) - requested_ms);
     host->present = true;
+    host->left_out = 0;
     set_text(&host->data_centre, info->data_centre);
     bool command_pending = host->command_in_flight || host->command_accepted;
     if (command_pending &&
@@ -244,13 +257,19 @@
 scheduler_hosts_read(struct scheduler *sched, const struct host_info *hosts,
                      size_t n_hosts, int64_t requested_ms)
 {
-    sched->hosts_read = sched->hosts_read || n_hosts > 0;
+    /* A fleet without hosts has no use for a list of them. */
+    if (n_hosts == 0) {
+        return;
+    }
+    sched->hosts_read = true;
     sched->hosts_requested_ms = requested_ms;
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct host *)value)->present = false;
+        struct host *host = value;
+        host->present = false;
+        host->left_out += requested_ms >= host->known_ms;
     }
     for (size_t i = 0; i < n_hosts; i++) {
         update_host(sched, &hosts[i], requested_ms);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -110,6 +110,8 @@
  * @load: its pool, NULL: unknown
  * @backend_id: backend server that is its current incarnation, or NULL
  * @present: it is in the last host list of the platform
+ * @known_ms: when it was first named
+ * @left_out: host lists in a row that don't have it, requested since then
  * @up: it runs and is neither moving nor rebooting
  * @down_unix_ms: Unix time since when it is known to be unavailable; 0: it is
  *                up. Only an incarnation that started later is a new one
@@ -132,6 +134,8 @@
     char *data_centre;
     char *backend_id;
     bool present;
+    int64_t known_ms;
+    uint32_t left_out;
     bool up;
     int64_t down_unix_ms;
     enum host_intent intent;
@@ -667,6 +671,9 @@
 sched_host_backend(const struct scheduler *sched, const struct host *host);
 bool
 sched_host_empty(const struct scheduler *sched, const struct host *host);
+/* Whether the host has left the fleet. */
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host);
 
 /* command_budget.c */
 void
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -61,6 +61,7 @@
     g_ptr_array_set_size(wave->hosts, 0);
     for (char **host = request->hosts; *host != NULL; host++) {
         g_ptr_array_add(wave->hosts, g_strdup(*host));
+        sched_host_find_or_add(sched, *host);
     }
 }
 
@@ -95,8 +96,8 @@
     for (guint i = 0; i < wave->hosts->len; i++) {
         const char *name = g_ptr_array_index(wave->hosts, i);
         const struct host *host = g_hash_table_lookup(sched->hosts, name);
-        if (!g_hash_table_contains(wave->started, name) && host != NULL &&
-            host->present) {
+        if (!g_hash_table_contains(wave->started, name) &&
+            !sched_host_gone(sched, host)) {
             left++;
         }
     }
@@ -107,8 +108,7 @@
 scheduler_wave_done(const struct scheduler *sched, int64_t number)
 {
     const struct wave *wave = sched_find_wave(sched, number);
-    /* Hosts that joined since the list was requested don't count as present.
-     */
+    /* The lists before say nothing of hosts that joined since. */
     return wave != NULL && sched->hosts_read &&
            sched->hosts_requested_ms >= wave->seen_ms &&
            hosts_left(sched, wave) == 0;
@@ -146,7 +146,7 @@
     for (guint i = 0; i < wave->hosts->len; i++) {
         const struct host *host = g_hash_table_lookup(
             sched->hosts, g_ptr_array_index(wave->hosts, i));
-        if (host != NULL && host->present &&
+        if (!sched_host_gone(sched, host) &&
             (host->intent == HOST_REBOOTS || !host->up)) {
             unavailable++;
         }
@@ -180,8 +180,8 @@
     for (guint i = 0; i < wave->hosts->len; i++) {
         const char *name = g_ptr_array_index(wave->hosts, i);
         struct host *host = g_hash_table_lookup(sched->hosts, name);
-        if (host == NULL || !host->present || !host->up ||
-            host->intent != HOST_STAYS || host->command_accepted ||
+        if (!host->present || !host->up || host->intent != HOST_STAYS ||
+            host->command_accepted ||
             g_hash_table_contains(wave->started, name)) {
             continue;
         }
--- a/tests/jobs/host_list_test.c
+++ b/tests/jobs/host_list_test.c
@@ -212,6 +212,121 @@
     fixture_clear(&f);
 }
 
+/* Lists of hosts m0, m1, ..., without the one at @left_out. */
+static void
+read_list_without(struct fleet_fixture *f, size_t n_hosts, size_t left_out)
+{
+    static const char *const names[][2] = {{"m0", "b0"}, {"m1", "b1"}};
+    struct host_info infos[G_N_ELEMENTS(names)];
+    size_t n_infos = 0;
+    for (size_t i = 0; i < n_hosts; i++) {
+        if (i != left_out) {
+            infos[n_infos++] = (struct host_info){.host = names[i][0],
+                                                  .pool = "p",
+                                                  .backend_id = names[i][1],
+                                                  .data_centre = "dc",
+                                                  .up = true};
+        }
+    }
+    fixture_tick(f, f->now_ms + 1000);
+    scheduler_hosts_read(f->sched, infos, n_infos, f->now_ms);
+}
+
+static void
+init_with_wave(struct fleet_fixture *f)
+{
+    static const char *const pools[] = {"p", "p", NULL};
+    static char *hosts[] = {(char *)"m0", (char *)"m1", NULL};
+    fixture_init(f, 0);
+    fixture_add_hosts(f, pools);
+    fixture_reconcile(f);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f->now_ms};
+    scheduler_wave_set(f->sched, &wave);
+}
+
+/* One list leaves out a host that stays, and the wave was said to be complete
+ * without its maintenance. */
+static void
+test_wave_waits_for_host_left_out(void)
+{
+    struct fleet_fixture f;
+    init_with_wave(&f);
+    scheduler_wave_host_started(f.sched, 4, "m0");
+    read_list_without(&f, 2, 1);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    read_list_without(&f, 2, 2);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    read_list_without(&f, 2, 1);
+    read_list_without(&f, 2, 1);
+    /* Its backend server is still there. */
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_backend_removed(f.sched, "b1");
+    CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
+    fixture_clear(&f);
+}
+
+/* The same of a host that no list has shown to this leader. */
+static void
+test_wave_waits_for_host_never_listed(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    static char *hosts[] = {(char *)"m1", NULL};
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    read_list_without(&f, 2, 1);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    read_list_without(&f, 2, 1);
+    CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
+    fixture_clear(&f);
+}
+
+/* One list leaves out a host that is away for its maintenance, and another
+ * one was rebooted beside it. */
+static void
+test_host_left_out_counts_as_unavailable(void)
+{
+    struct fleet_fixture f;
+    init_with_wave(&f);
+    for (int i = 0; i < 100 && fixture_last(&f, COMMAND_REBOOT) == NULL; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_REBOOT, NULL), 1);
+    bool first = fixture_count(&f, COMMAND_REBOOT, "m0") == 1;
+    scheduler_on_host_command(f.sched, first ? "m0" : "m1", 4,
+                              HOST_COMMAND_DONE);
+    read_list_without(&f, 2, first ? 0 : 1);
+    for (int i = 0; i < 5; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 1);
+    fixture_clear(&f);
+}
+
+/* An answer without rows says nothing of the fleet. */
+static void
+test_empty_list_is_no_list(void)
+{
+    struct fleet_fixture f;
+    init_with_wave(&f);
+    scheduler_wave_host_started(f.sched, 4, "m0");
+    scheduler_backend_removed(f.sched, "b1");
+    for (int i = 0; i < 3; i++) {
+        fixture_tick(&f, f.now_ms + 1000);
+        scheduler_hosts_read(f.sched, NULL, 0, f.now_ms);
+    }
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -226,6 +341,13 @@
          test_list_shows_accepted_move},
         {"a late entry shows the earlier incarnation",
          test_late_entry_of_earlier_incarnation},
+        {"a wave waits for a host that a list leaves out",
+         test_wave_waits_for_host_left_out},
+        {"a wave waits for a host that no list has shown",
+         test_wave_waits_for_host_never_listed},
+        {"a host that a list leaves out counts as unavailable",
+         test_host_left_out_counts_as_unavailable},
+        {"an empty list is no list", test_empty_list_is_no_list},
     };
     return suite_main("jobs late host list", tests,
                       sizeof(tests) / sizeof(tests[0]));
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -416,13 +416,17 @@
     scheduler_wave_set(f.sched, &wave);
     scheduler_wave_host_started(f.sched, 4, "m0");
     CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
-    /* It has left the fleet before the next list. */
+    /* It has left the fleet before the next lists. */
     struct host_info infos[] = {{.host = "m0",
                                  .pool = "p",
                                  .backend_id = "b0",
                                  .data_centre = "dc",
                                  .up = true}};
     scheduler_hosts_read(f.sched, infos, 1, f.now_ms + 1);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_backend_removed(f.sched, "b2");
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_hosts_read(f.sched, infos, 1, f.now_ms + 2);
     CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
     fixture_clear(&f);
 }
