End no incarnation that answers for the entry of another one alone

Callers saw: two runs of one task (TWICE), or after a takeover a second run of an inherited task, when a well-formed entry of another writer named the host of a backend server with a later start time; its capacity was lost as well.

Cause: the entry that started last counted as the current incarnation of its host, and the other ones as ended, although nothing had answered to it and the one before still did. An entry that put the id of a backend server on another host worked in the same way.

Change: an entry with a later start is a claim. It holds once the new incarnation has answered a request that was sent after both were seen, once the one before gives no answer, or if an accepted command ended that. Until then both are asked at once, and the one before takes nothing new. If it answers a request that was sent after the claim was seen, it goes on, and its silence alone no longer ends it. A backend server stays on its host while its start time is the same.

A host that has restarted: its runs are released in the pass that reads the entry if the earlier backend server was silent by then, as before; else with the first answer of the new one, one request later, or with the silence of the old one.

In jobs-crash-record, "a drained backend server has not crashed" took the entry alone for the end of a server that answered; there it falls silent first now, and all that is asserted stays.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -160,9 +160,8 @@
            sched_pool_config(sched, backend->pool) != NULL;
 }
 
-/* Entries of ended incarnations may stay in the list for a while; the one that
- * started last is the current one, and the others have ended. An entry of a
- * pool that doesn't exist says nothing of the host that it names. */
+/* Entries of ended incarnations may stay in the list for a while. An entry of
+ * a pool that doesn't exist says nothing of the host that it names. */
 void
 sched_host_incarnation(struct scheduler *sched, struct backend *backend)
 {
@@ -173,11 +172,18 @@
     if (g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
     }
-    const struct backend *current = sched_host_backend(sched, host);
-    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0 ||
-        (current != NULL && pool_may_exist(sched, current) &&
-         current->entry.incarnation_start_ms >
-             backend->entry.incarnation_start_ms)) {
+    struct backend *current = sched_host_backend(sched, host);
+    enum incarnation is = INCARNATION_CURRENT;
+    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0) {
+        is = INCARNATION_ENDED;
+    }
+    else if (current != NULL && pool_may_exist(sched, current)) {
+        is = sched_incarnation_compare(sched, host, current, backend);
+    }
+    if (is == INCARNATION_OPEN) {
+        return;
+    }
+    if (is == INCARNATION_ENDED) {
         end_incarnation(sched, backend);
         sched_crash_inherited(sched, host, backend, current);
         /* A loss of the current incarnation is not proved by an older one. */
@@ -195,9 +201,8 @@
     }
 }
 
-/* Whether the known incarnation was ended by an accepted command. */
-static bool
-ended_by_command(const struct host *host)
+bool
+sched_host_ended_by_command(const struct host *host)
 {
     return host->command_accepted &&
            g_strcmp0(host->commanded_incarnation, host->backend_id) == 0;
@@ -224,7 +229,8 @@
     bool other_incarnation =
         info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0;
-    if (current != NULL && other_incarnation && !ended_by_command(host)) {
+    if (current != NULL && other_incarnation &&
+        !sched_host_ended_by_command(host)) {
         /* Only entries tell which of two incarnations is the newer one. */
         return;
     }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -109,6 +109,7 @@
     sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          pool_load_destroy);
     sched->draining = g_ptr_array_new();
+    sched->contenders = g_ptr_array_new();
     sched->crashed = g_ptr_array_new();
     sched->crashed_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -146,6 +147,7 @@
     g_hash_table_unref(sched->hosts);
     g_hash_table_unref(sched->pools);
     g_ptr_array_unref(sched->draining);
+    g_ptr_array_unref(sched->contenders);
     g_ptr_array_unref(sched->waves);
     while (!g_queue_is_empty(&sched->dirty)) {
         job_unref(g_queue_pop_head(&sched->dirty));
@@ -419,6 +421,7 @@
                         shed_level_name(sched->overload.level),
                         sched->overload.window);
     }
+    sched_settle_incarnations(sched);
     bool full = now_ms >= sched->full_pass_ms;
     if (full) {
         sched->full_pass_ms = now_ms + FULL_PASS_MS;
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -90,6 +90,7 @@
                     backend->entry.incarnation_start_ms, backend->runs->len);
     release_ended_runs(sched, backend);
     backend->seen_ms = sched_now(sched);
+    backend->claim_refuted = false;
     backend->incarnation++;
     backend->settled_ms = 0;
     /* Its record names the earlier incarnation and what that served. */
@@ -157,6 +158,13 @@
              const struct backend_entry *entry)
 {
     struct backend_entry *copy = backend_entry_copy(entry);
+    /* A backend server stays on its host. */
+    if (backend->entry.host != NULL &&
+        g_strcmp0(copy->host, backend->entry.host) != 0 &&
+        copy->incarnation_start_ms == backend->entry.incarnation_start_ms) {
+        g_free(copy->host);
+        copy->host = g_strdup(backend->entry.host);
+    }
     char *id = backend->entry.id;
     g_free(copy->id);
     copy->id = NULL;
@@ -306,7 +314,7 @@
     return !capacity_unknown(sched, backend) && backend->listed &&
            backend->report_received && backend->registered &&
            !backend->entry.draining && !backend->unresponsive &&
-           !backend->leaving &&
+           !backend->leaving && !sched_backend_contested(backend) &&
            !sched_is_out_of_service(sched, backend->entry.data_centre);
 }
 
@@ -342,6 +350,7 @@
         remember_backend(sched, backend);
         sched_backend_refs_clear(backend);
         g_ptr_array_remove_fast(sched->draining, backend);
+        g_ptr_array_remove_fast(sched->contenders, backend);
         deadline_heap_remove(sched->report_deadlines,
                              &backend->report_deadline);
         g_hash_table_iter_remove(&iter);
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -335,6 +335,7 @@
     drop_absent(sched, backend, report);
     sched_stop_unconfirmed(sched, backend);
     backend->report_read_ms = now_ms;
+    backend->answered_request_ms = backend->report_requested_ms;
     backend->report_received = true;
     update_reconciliation(sched, backend);
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -332,6 +332,8 @@
  * @hosts: struct host by name
  * @pools: struct pool_load by pool
  * @draining: struct backend, those that drain
+ * @contenders: struct backend, those that may or may not be the current
+ *              incarnation of their host
  * @waves: struct wave
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
@@ -383,6 +385,7 @@
     GHashTable *hosts;
     GHashTable *pools;
     GPtrArray *draining;
+    GPtrArray *contenders;
     GPtrArray *waves;
     GQueue dirty;
     GPtrArray *to_register;
@@ -675,6 +678,32 @@
 bool
 sched_host_gone(const struct scheduler *sched, const struct host *host);
 
+/* Whether an accepted command has ended its known incarnation. */
+bool
+sched_host_ended_by_command(const struct host *host);
+
+/* incarnation.c */
+/** enum incarnation - what a backend server is beside the current one of its
+ * host
+ * @INCARNATION_OPEN: not known yet
+ * @INCARNATION_CURRENT: it has taken the place of the current one
+ * @INCARNATION_ENDED: an earlier incarnation */
+enum incarnation {
+    INCARNATION_OPEN,
+    INCARNATION_CURRENT,
+    INCARNATION_ENDED,
+};
+enum incarnation
+sched_incarnation_compare(struct scheduler *sched, const struct host *host,
+                          struct backend *current, struct backend *other);
+/* Decides what was open, by the answers since. */
+void
+sched_settle_incarnations(struct scheduler *sched);
+/* Whether another one claims to have taken its place, and it has not answered
+ * since. */
+bool
+sched_backend_contested(const struct backend *backend);
+
 /* command_budget.c */
 void
 command_budget_refill(struct command_budget *budget, double per_s,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -194,6 +194,9 @@
  * @latency_sensitive_runs: runs of tasks with a tail latency target
  * @best_effort_runs: runs of best-effort tasks
  * @report_deadline: when its next run report is requested
+ * @contested_ms: when another backend server last claimed to be a later
+ *                incarnation of its host; 0: never
+ * @claim_refuted: it claims that itself, but the one before has answered since
  * @listed: it is in the host list
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
@@ -224,6 +227,7 @@
  * @report_in_flight: a report request is in flight
  * @report_requested_ms: when it was sent
  * @report_incarnation: incarnation that it was sent to
+ * @answered_request_ms: when the request was sent whose report was read last
  * @report_due_ms: earliest time of the next one
  * @report_read_ms: when a run report was last read
  * @throttle: controller of the best-effort tasks on it
@@ -250,6 +254,8 @@
     uint32_t latency_sensitive_runs;
     uint32_t best_effort_runs;
     struct deadline_entry report_deadline;
+    int64_t contested_ms;
+    bool claim_refuted;
     bool listed;
     bool registered;
     bool registering;
@@ -273,6 +279,7 @@
     bool report_in_flight;
     int64_t report_requested_ms;
     uint32_t report_incarnation;
+    int64_t answered_request_ms;
     int64_t report_due_ms;
     int64_t report_read_ms;
     struct throttle throttle;
--- a/tests/jobs/crash_record_test.c
+++ b/tests/jobs/crash_record_test.c
@@ -29,6 +29,8 @@
         scheduler_on_start(f.sched, start->handle, START_DONE, f.now_ms);
         char *id = g_strdup(start->target);
         fixture_drain_backend(&f, id, "p", id[1] == '0' ? "m0" : "m1");
+        struct run_report silent = {.outcome = REPORT_NO_ANSWER};
+        scheduler_on_report(f.sched, id, &silent);
         f.incarnation_start_ms = f.now_ms + 1000000000;
         char *next = g_strdup_printf("c%c", id[1]);
         fixture_add_backend(&f, next, "p", id[1] == '0' ? "m0" : "m1");
