Let answers tell a restarted host whose clock was set back

Callers would see: a host that takes no work for as long as it runs, and runs that start again only once their leases are over, after it has restarted with its clock set back by more than the restart takes.

Cause: of two backend servers of a host the one with the earlier start time counted as ended, whatever answered. The start time is by the clock of the host.

Change: one that answers a request which was sent once both had been seen is the current incarnation; an ended one can't. The other is marked as superseded, also after it was removed, so that its lingering entry with the later start time ends nothing and is not asked for. One with an earlier start time that holds runs ends once the current one answers, or when it falls silent itself.

Tests: jobs-incarnation, two cases failed before; a third shows that the entry of an earlier incarnation costs no request.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -75,6 +75,7 @@
         return;
     }
     sched_backend_lost(sched, backend, "its host has a new incarnation");
+    backend->superseded = true;
     backend->granted_until_ms = 0;
     backend->leases_expire_ms = 0;
     backend->unreconciled = false;
--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -2,14 +2,15 @@
  * Which of the backend servers that name a host is its current incarnation.
  * An entry may be outdated or of another writer, so it ends nothing that still
  * answers: that needs an answer of the new incarnation, or silence of the old
- * one.
+ * one. Start times are by the clocks of the hosts, which may be set back, so
+ * they decide nothing that answers tell.
  */
 #include "core/jobs/scheduler.h"
 
 #include "scheduler_state.h"
 
-/* Whether it has answered a request that was sent at @since_ms or later. Of two
- * incarnations only the later one can, once both have been seen. */
+/* Whether it has answered a request that was sent at @since_ms or later. Of
+ * two incarnations only the later one can, once both have been seen. */
 static bool
 answered_since(const struct backend *backend, int64_t since_ms)
 {
@@ -42,17 +43,22 @@
 compare(const struct scheduler *sched, const struct host *host,
         const struct backend *current, struct backend *other)
 {
+    if (answered_since(other, current->seen_ms)) {
+        return INCARNATION_CURRENT;
+    }
+    if (other->superseded) {
+        return current->unresponsive ? INCARNATION_OPEN : INCARNATION_ENDED;
+    }
+    bool answers = answered_since(current, other->seen_ms);
     if (other->entry.incarnation_start_ms <
         current->entry.incarnation_start_ms) {
-        return INCARNATION_ENDED;
+        bool lost = other->unresponsive && !holds_nothing(other);
+        return answers || lost ? INCARNATION_ENDED : INCARNATION_OPEN;
     }
-    if (answered_since(other, current->seen_ms) ||
-        sched_host_ended_by_command(host)) {
+    if (sched_host_ended_by_command(host)) {
         return INCARNATION_CURRENT;
     }
-    if (answered_since(current, other->seen_ms)) {
-        other->claim_refuted = true;
-    }
+    other->claim_refuted = other->claim_refuted || answers;
     bool gone = current->unresponsive ||
                 (is_spare(sched, other) && holds_nothing(current));
     return gone && !other->claim_refuted ? INCARNATION_CURRENT
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -91,6 +91,7 @@
     release_ended_runs(sched, backend);
     backend->seen_ms = sched_now(sched);
     backend->claim_refuted = false;
+    backend->superseded = false;
     backend->incarnation++;
     backend->settled_ms = 0;
     /* Its record names the earlier incarnation and what that served. */
@@ -122,6 +123,8 @@
 {
     struct former_backend *former = g_new0(struct former_backend, 1);
     former->incarnation = backend->incarnation;
+    former->superseded_start_ms =
+        backend->superseded ? backend->entry.incarnation_start_ms : 0;
     former->removed_ms = sched_now(sched);
     g_hash_table_replace(sched->former_backends, g_strdup(backend->entry.id),
                          former);
@@ -144,6 +147,9 @@
         g_hash_table_lookup(sched->former_backends, entry->id);
     if (former != NULL) {
         backend->incarnation = former->incarnation + 1;
+        backend->superseded =
+            former->superseded_start_ms != 0 &&
+            former->superseded_start_ms == entry->incarnation_start_ms;
         g_hash_table_remove(sched->former_backends, entry->id);
     }
     backend->empty_since_ms = sched_now(sched);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -293,10 +293,12 @@
 /**
  * struct former_backend - a backend server that was removed
  * @incarnation: its last, see struct backend
+ * @superseded_start_ms: start of that, if its host has a later one; 0: unknown
  * @removed_ms: when it was removed
  */
 struct former_backend {
     uint32_t incarnation;
+    int64_t superseded_start_ms;
     int64_t removed_ms;
 };
 
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -197,6 +197,7 @@
  * @contested_ms: when another backend server last claimed to be a later
  *                incarnation of its host; 0: never
  * @claim_refuted: it claims that itself, but the one before has answered since
+ * @superseded: its host has a later incarnation, whatever its start time says
  * @listed: it is in the host list
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
@@ -256,6 +257,7 @@
     struct deadline_entry report_deadline;
     int64_t contested_ms;
     bool claim_refuted;
+    bool superseded;
     bool listed;
     bool registered;
     bool registering;
--- a/tests/jobs/incarnation_test.c
+++ b/tests/jobs/incarnation_test.c
@@ -244,6 +244,80 @@
     fixture_clear(&f);
 }
 
+/* A host restarts after its clock was set back by more than that takes: the
+ * start time of the new incarnation is earlier, and it took no work. */
+static void
+test_clock_set_back(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    f.incarnation_start_ms = KNOWN_START_MS;
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    fixture_tick(&f, f.now_ms + 1000);
+    add_started(&f, "c0", "m0", EARLIER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    no_answer(&f, "b0");
+    report_started(&f, "c0", EARLIER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    /* A late read shows the entry of the earlier one again. */
+    add_started(&f, "b0", "m0", KNOWN_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_add_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "c0"), 1);
+    fixture_clear(&f);
+}
+
+/* The same with a run on the earlier one, which starts elsewhere once the new
+ * one has answered. Once it works there, the entry of the earlier one ends
+ * nothing, also while the new one gives no answer. */
+static void
+test_clock_set_back_with_run(void)
+{
+    struct fleet_fixture f;
+    init_with_run(&f);
+    fixture_drain_backend(&f, "b1", "p", "m1");
+    add_started(&f, "c0", "m0", EARLIER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    report_started(&f, "c0", EARLIER_START_MS);
+    decide(&f);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_START, "c0"), 1);
+    fixture_accept_starts(&f);
+    fixture_add_backend(&f, "b1", "p", "m1");
+    decide(&f);
+    no_answer(&f, "c0");
+    for (int i = 0; i < 10; i++) {
+        add_started(&f, "b0", "m0", KNOWN_START_MS);
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 2);
+    fixture_clear(&f);
+}
+
+/* The entry of the earlier incarnation stays in the list for a while: the one
+ * that answers is not disturbed, and the earlier one is not asked. */
+static void
+test_entry_of_earlier_one_lingers(void)
+{
+    struct fleet_fixture f;
+    init_with_run(&f);
+    no_answer(&f, "b0");
+    add_started(&f, "c0", "m0", LATER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    report_started(&f, "c0", LATER_START_MS);
+    decide(&f);
+    uint32_t asked = fixture_count(&f, COMMAND_REQUEST_REPORT, "b0");
+    uint32_t answers = fixture_count(&f, COMMAND_REQUEST_REPORT, "c0");
+    for (int i = 0; i < 20; i++) {
+        add_started(&f, "b0", "m0", KNOWN_START_MS);
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REQUEST_REPORT, "b0"), asked);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REQUEST_REPORT, "c0"), answers);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -261,6 +335,11 @@
          test_unnoticed_one_ends_with_the_answer},
         {"an answer in the moment of the entry",
          test_answer_of_the_same_moment},
+        {"a clock that was set back", test_clock_set_back},
+        {"a clock that was set back, with a run",
+         test_clock_set_back_with_run},
+        {"the entry of an earlier incarnation lingers",
+         test_entry_of_earlier_one_lingers},
         {"an incarnation ends with its silence",
          test_unnoticed_one_ends_with_its_silence},
     };
