Notice a restart under the same id after the clock was set back

Callers would see: tasks that are neither run nor started again (LOST) once their host has restarted under the same id with its clock set back by more than the restart takes.

Cause: entries and reports with an earlier start time than the known one counted as late ones for good. The backend server answered, so no lease ended its runs, and no report was read.

Change: two reports in a row with the same earlier start time, to requests that were sent after the known incarnation was seen, show the new one; a single one may be the late answer to a request that was given up. After each restart what the incarnation before says or lists is outdated, whatever its start time.

Tests: jobs-restarted-backend, "a clock that was set back" failed before; "one report of an earlier incarnation" passed before and after.

--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -118,3 +118,27 @@
         sched_host_incarnation(sched, other);
     }
 }
+
+bool
+sched_report_outdated(const struct backend *backend,
+                      const struct run_report *report)
+{
+    return report->incarnation_start_ms != 0 &&
+           (report->incarnation_start_ms == backend->previous_start_ms ||
+            report->incarnation_start_ms <
+                backend->entry.incarnation_start_ms);
+}
+
+bool
+sched_clock_set_back(struct backend *backend, const struct run_report *report)
+{
+    if (backend->report_requested_ms < backend->seen_ms ||
+        report->incarnation_start_ms == backend->previous_start_ms) {
+        return false;
+    }
+    if (backend->earlier_start_ms == report->incarnation_start_ms) {
+        return true;
+    }
+    backend->earlier_start_ms = report->incarnation_start_ms;
+    return false;
+}
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -89,6 +89,8 @@
                     backend->entry.id, previous_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
     release_ended_runs(sched, backend);
+    backend->previous_start_ms = previous_start_ms;
+    backend->earlier_start_ms = 0;
     backend->seen_ms = sched_now(sched);
     backend->claim_refuted = false;
     backend->superseded = false;
@@ -187,8 +189,13 @@
 entry_outdated(const struct backend *backend,
                const struct backend_entry *entry)
 {
-    return entry->incarnation_start_ms != 0 &&
-           entry->incarnation_start_ms < backend->entry.incarnation_start_ms;
+    if (entry->incarnation_start_ms == 0) {
+        return false;
+    }
+    return entry->incarnation_start_ms == backend->previous_start_ms ||
+           (entry->incarnation_start_ms <
+                backend->entry.incarnation_start_ms &&
+            entry->incarnation_start_ms != backend->earlier_start_ms);
 }
 
 void
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -257,7 +257,9 @@
                   const struct run_report *report)
 {
     return backend->entry.incarnation_start_ms != 0 &&
-           report->incarnation_start_ms > backend->entry.incarnation_start_ms;
+           report->incarnation_start_ms >
+               backend->entry.incarnation_start_ms &&
+           report->incarnation_start_ms != backend->previous_start_ms;
 }
 
 static void
@@ -310,10 +312,13 @@
         backend->report_due_ms = now_ms + REPORT_RETRY_MS;
         return;
     }
-    if (report->incarnation_start_ms != 0 &&
-        report->incarnation_start_ms < backend->entry.incarnation_start_ms) {
+    if (sched_report_outdated(backend, report)) {
+        if (sched_clock_set_back(backend, report)) {
+            on_newer_incarnation(sched, backend, report);
+        }
         return;
     }
+    backend->earlier_start_ms = 0;
     if (backend->unresponsive) {
         sched_log_event(sched, "backend_answers", "\"backend\":\"%s\"",
                         backend->entry.id);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -705,6 +705,15 @@
  * since. */
 bool
 sched_backend_contested(const struct backend *backend);
+/* Whether @report shows an incarnation under the same id that started earlier
+ * than the known one, or that came before it. */
+bool
+sched_report_outdated(const struct backend *backend,
+                      const struct run_report *report);
+/* Whether that is the new one all the same: two requests that were sent after
+ * the known one was seen got the same answer. A single one may be late. */
+bool
+sched_clock_set_back(struct backend *backend, const struct run_report *report);
 
 /* command_budget.c */
 void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -202,6 +202,9 @@
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
  * @incarnation: counts its restarts under the same id, as far as known
+ * @previous_start_ms: start of the incarnation before that one; 0: unknown
+ * @earlier_start_ms: start in the last report, if that is earlier than the
+ * known one
  * @settled_ms: when a stop command that was sent to an earlier incarnation and
  *              carried out by this one must have taken effect; 0: no run
  *              report of this incarnation was read yet
@@ -262,6 +265,8 @@
     bool registered;
     bool registering;
     uint32_t incarnation;
+    int64_t previous_start_ms;
+    int64_t earlier_start_ms;
     int64_t settled_ms;
     bool report_received;
     bool unreconciled;
--- a/tests/jobs/restarted_backend_test.c
+++ b/tests/jobs/restarted_backend_test.c
@@ -373,6 +373,65 @@
     fixture_clear(&f);
 }
 
+static void
+report_started(struct fleet_fixture *f, int64_t start_ms)
+{
+    f->incarnation_start_ms = start_ms;
+    fixture_report(f, "b1", NULL, 0, NULL, 0);
+    tick_twice(f);
+}
+
+/* The host restarts after its clock was set back by more than that takes. All
+ * that the new incarnation said counted as late, and its tasks as running. */
+static void
+test_clock_set_back(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    fixture_accept_starts(&f);
+    fixture_tick(&f, f.now_ms + 100);
+    report_running(&f);
+    fixture_drain_backend(&f, "b2", "p", "m2");
+    tick_twice(&f);
+    list_b1(&f, FIRST_START_MS - 5);
+    for (int i = 0; i < 4; i++) {
+        report_started(&f, FIRST_START_MS - 5);
+    }
+    list_b1(&f, FIRST_START_MS - 5);
+    tick_twice(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 2);
+    fixture_accept_starts(&f);
+    fixture_tick(&f, f.now_ms + 100);
+    report_running(&f);
+    /* What is late now is what the earlier one said. */
+    f.incarnation_start_ms = FIRST_START_MS;
+    fixture_add_backend(&f, "b2", "p", "m2");
+    list_b1(&f, FIRST_START_MS);
+    tick_twice(&f);
+    report_started(&f, FIRST_START_MS);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 2);
+    fixture_clear(&f);
+}
+
+/* One report of an earlier incarnation is a late one. */
+static void
+test_one_earlier_report(void)
+{
+    struct fleet_fixture f;
+    init_with_start(&f);
+    fixture_accept_starts(&f);
+    fixture_tick(&f, f.now_ms + 100);
+    report_running(&f);
+    for (int i = 0; i < 3; i++) {
+        tick_twice(&f);
+        report_started(&f, FIRST_START_MS - 5);
+        f.incarnation_start_ms = FIRST_START_MS;
+        report_running(&f);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -397,6 +456,8 @@
          test_completion_of_earlier_incarnation},
         {"the fencing token rises also after a removal",
          test_token_rises_after_removal},
+        {"a clock that was set back", test_clock_set_back},
+        {"one report of an earlier incarnation", test_one_earlier_report},
         {"a completion is acknowledged until that is answered",
          test_acknowledged_once},
     };
