Store the state of a wave under the revision that it replaces

Callers would see: a wave that is reported as complete although hosts were added to it since (MIXED), or one that stays running for good (a late wave), and after a takeover hosts that are maintained twice.

Cause: status/wave/N and eg/wave/N were written under the condition of the leadership only. A write without an answer is sent again with what holds by then; the first one could be carried out after the second and undo it. Writes of a previous leader can't: its leadership has another revision.

Change: both keys are written together, so they have one revision, which each write is conditional on. It is read at a takeover, follows each write, and is adopted from a conflict.

Tests: jobs-store-txn, "a late status of a wave undoes no newer one" fails without the condition (2 assertions).

--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -220,6 +220,8 @@
     leader->cancels = g_ptr_array_new();
     leader->wave_status =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    leader->wave_revisions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     struct sched_ops ops = leader_ops(leader);
     leader->sched = scheduler_create(&node->settings->timings, &ops, term,
                                      node->clock, node->unix_clock);
@@ -274,6 +276,7 @@
     g_hash_table_unref(leader->unusable_ids);
     g_hash_table_unref(leader->inbox_obsolete);
     g_hash_table_unref(leader->wave_status);
+    g_hash_table_unref(leader->wave_revisions);
     g_free(leader->wave_status_sent);
     for (size_t i = 0; i < PROGRESS_TXN_COUNT; i++) {
         committer_destroy(leader->progress_txns[i].committer);
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -131,6 +131,7 @@
 apply_wave_hosts(struct leader *leader, const char *number,
                  const struct kv_item *item)
 {
+    leader_set_wave_revision(leader, number, item->revision);
     char **hosts = g_strsplit(item->value == NULL ? "" : item->value, " ", 0);
     for (char **host = hosts; *host != NULL; host++) {
         if ((*host)[0] != '\0') {
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -86,6 +86,7 @@
  * @inbox_obsolete: ids of jobs that messages name and that are not stored
  * @cancels: struct cancel_waiter
  * @wave_status: number of a maintenance wave to the status stored last
+ * @wave_revisions: number of a wave to the revision of its record, if any
  * @wave_status_sent: number of the wave whose status is being stored, or NULL
  * @status_due_ms: when statuses of waves are compared next
  * @status_retry_ms: no status is stored before this time
@@ -125,6 +126,7 @@
     struct record_range ranges[STAGE_READY];
     GPtrArray *cancels;
     GHashTable *wave_status;
+    GHashTable *wave_revisions;
     char *wave_status_sent;
     int64_t status_due_ms;
     int64_t status_retry_ms;
@@ -161,6 +163,9 @@
 leader_store_changes(struct leader *leader);
 void
 leader_store_wave_status(struct leader *leader);
+void
+leader_set_wave_revision(struct leader *leader, const char *number,
+                         int64_t revision);
 
 /* leader_host_commands.c */
 struct host_commands *
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -8,7 +8,6 @@
 #include "egretjobd/leadership.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_txn.h"
-#include "platform/decode.h"
 
 enum {
     /* Changes that arrive while a transaction is open go into the next one.
@@ -110,11 +109,47 @@
     }
 }
 
+void
+leader_set_wave_revision(struct leader *leader, const char *number,
+                         int64_t revision)
+{
+    g_hash_table_replace(leader->wave_revisions, g_strdup(number),
+                         g_memdup2(&revision, sizeof(revision)));
+}
+
+/* A conflict comes from a new leader, or from an earlier write of this process
+ * whose answer was lost. */
+static bool
+adopt_wave_revision(struct leader *leader, const GPtrArray *items)
+{
+    for (guint i = 0; i < items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(items, i);
+        if (strcmp(item->key, RECORD_LEADER_KEY) != 0) {
+            leader_set_wave_revision(leader, leader->wave_status_sent,
+                                     item->revision);
+        }
+        else if (item->revision != leader->token) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 on_status_stored(void *ctx, const struct kv_result *result)
 {
     struct leader *leader = ctx;
-    if (result->outcome != KV_OK) {
+    if (result->outcome == KV_CONFLICT &&
+        !adopt_wave_revision(leader, result->items)) {
+        g_clear_pointer(&leader->wave_status_sent, g_free);
+        leadership_lose(leader->node->leadership, "another leader was found");
+        return;
+    }
+    if (result->outcome == KV_OK) {
+        leader_set_wave_revision(leader, leader->wave_status_sent,
+                                 result->revision);
+    }
+    else {
         /* Forgotten, so that it is written again. */
         g_hash_table_remove(leader->wave_status, leader->wave_status_sent);
         leader->status_retry_ms = node_now(leader->node) + STATUS_RETRY_MS;
@@ -142,15 +177,11 @@
         return;
     }
     g_hash_table_insert(leader->wave_status, g_strdup(number), report);
-    struct txn_builder builder = txn_builder_create();
-    txn_builder_condition(&builder, RECORD_LEADER_KEY, leader->token);
-    txn_builder_put(
-        &builder,
-        txn_builder_key(&builder, PLATFORM_WAVE_STATUS_PREFIX, number),
-        encode_wave_status(done));
-    txn_builder_put(&builder,
-                    txn_builder_key(&builder, RECORD_WAVE_PREFIX, number),
-                    started_hosts);
+    const int64_t *revision =
+        g_hash_table_lookup(leader->wave_revisions, number);
+    struct txn_builder builder =
+        store_txn_wave_status(number, done, started_hosts, leader->token,
+                              revision == NULL ? 0 : *revision);
     struct kv_txn txn = txn_builder_txn(&builder);
     leader->wave_status_sent = number;
     kv_commit(leader->writes, &txn,
--- a/egretjobd/store_txn.c
+++ b/egretjobd/store_txn.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "egretjobd/records.h"
+#include "platform/decode.h"
 
 struct txn_builder
 txn_builder_create(void)
@@ -171,3 +172,21 @@
     adopt_backend_records(sched, batch->release_ids, items);
     return true;
 }
+
+/* Both keys are always written together, so they have one revision. Without
+ * the condition a status that is stored late would undo a later one. */
+struct txn_builder
+store_txn_wave_status(const char *number, bool done, char *started_hosts,
+                      int64_t token, int64_t revision)
+{
+    struct txn_builder builder = txn_builder_create();
+    const char *key = txn_builder_key(&builder, RECORD_WAVE_PREFIX, number);
+    txn_builder_condition(&builder, RECORD_LEADER_KEY, token);
+    txn_builder_condition(&builder, key, revision);
+    txn_builder_put(
+        &builder,
+        txn_builder_key(&builder, PLATFORM_WAVE_STATUS_PREFIX, number),
+        encode_wave_status(done));
+    txn_builder_put(&builder, key, started_hosts);
+    return builder;
+}
--- a/include/egretjobd/store_txn.h
+++ b/include/egretjobd/store_txn.h
@@ -67,4 +67,15 @@
 store_txn_conflict(struct scheduler *sched, const struct store_batch *batch,
                    const GPtrArray *items, int64_t token);
 
+/**
+ * store_txn_wave_status() - the transaction that stores the state of a wave
+ * @number: number of the wave, as in its keys
+ * @done: whether it is complete
+ * @started_hosts: hosts whose maintenance was accepted; taken over
+ * @revision: revision of what was stored last; 0: nothing
+ */
+struct txn_builder
+store_txn_wave_status(const char *number, bool done, char *started_hosts,
+                      int64_t token, int64_t revision);
+
 #endif
--- a/tests/jobs/store_txn_test.c
+++ b/tests/jobs/store_txn_test.c
@@ -396,6 +396,31 @@
     store_clear(&s);
 }
 
+/* The status of a wave gets no answer and is stored again, by then with
+ * another state. The first one is carried out late, and undid the second. */
+static void
+test_late_wave_status(void)
+{
+    struct small_store s;
+    store_init(&s);
+    struct txn_builder first =
+        store_txn_wave_status("4", true, g_strdup("m0"), TOKEN, 0);
+    struct txn_builder second =
+        store_txn_wave_status("4", false, g_strdup("m0 m1"), TOKEN, 0);
+    CU_ASSERT_PTR_NULL(carry_out(&s, &second));
+    int64_t revision = revision_of(&s, RECORD_WAVE_PREFIX "4");
+    CU_ASSERT_EQUAL(revision, revision_of(&s, "status/wave/4"));
+    carry_out_late(&s, &first);
+    CU_ASSERT_EQUAL(revision_of(&s, "status/wave/4"), revision);
+    CU_ASSERT_EQUAL(revision_of(&s, RECORD_WAVE_PREFIX "4"), revision);
+    struct txn_builder third =
+        store_txn_wave_status("4", true, g_strdup("m0 m1"), TOKEN, revision);
+    CU_ASSERT_PTR_NULL(carry_out(&s, &third));
+    txn_builder_clear(&second);
+    txn_builder_clear(&third);
+    store_clear(&s);
+}
+
 int
 main(void)
 {
@@ -418,6 +443,7 @@
          test_late_registration},
         {"a server that restarted before a takeover stays unreconciled",
          test_restarted_before_takeover_stays_unreconciled},
+        {"a late status of a wave undoes no newer one", test_late_wave_status},
         {"records without a host end no incarnation",
          test_records_without_host},
         {"a full batch keeps to the entries that the store accepts",
