Count hosts whose reboot a previous leader may have sent

Callers would see: more hosts away than a wave allows (LIMIT) after a takeover.

Cause: a host in eg/hosts/ordered got no command for 3.3 s, but while the list showed it as up it didn't count as unavailable, and another host was rebooted 0.8 s after the takeover. A call without an answer may be carried out seconds later.

Change: a host on record counts as unavailable to its wave for 10 s, as long as a command without an answer is taken to be on its way, or until this leader's own command is accepted. A restart within that time proves nothing, since it may be one of its own. Such hosts are rebooted first: a second reboot for the same wave changes nothing. Where more of them are open than the wave allows, it waits.

The record doesn't tell moves from reboots, so a host that was to be moved counts as well: after a takeover a wave may pause for up to 10 s.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -287,6 +287,7 @@
 on_command_accepted(struct scheduler *sched, struct host *host, int64_t number)
 {
     host->command_accepted = true;
+    host->commanded_before = false;
     host->up = false;
     /* Halfway through the move, because wall clocks differ slightly between
      * hosts: the old incarnation started before this time, the new one after
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -139,6 +139,17 @@
     return unavailable < step->max_unavailable;
 }
 
+/* Whether a reboot that the previous leader has sent may still be carried out.
+ * An incarnation that started since may be a restart of its own. */
+static bool
+may_be_rebooted(const struct scheduler *sched, const struct wave *wave,
+                const struct host *host)
+{
+    return host->commanded_before &&
+           sched_now(sched) < sched->takeover_ms + LATE_COMMAND_MS &&
+           !g_hash_table_contains(wave->started, host->name);
+}
+
 static uint32_t
 hosts_unavailable(const struct scheduler *sched, const struct wave *wave)
 {
@@ -147,7 +158,8 @@
         const struct host *host = g_hash_table_lookup(
             sched->hosts, g_ptr_array_index(wave->hosts, i));
         if (!sched_host_gone(sched, host) &&
-            (host->intent == HOST_REBOOTS || !host->up)) {
+            (host->intent == HOST_REBOOTS || !host->up ||
+             may_be_rebooted(sched, wave, host))) {
             unavailable++;
         }
     }
@@ -172,8 +184,11 @@
                (double)MAX(backend->entry.capacity.cpu_milli, 1) / 2;
 }
 
+/* Host to reboot next. Those that may be rebooted anyway come first: a second
+ * reboot for the same wave changes nothing. @counted: only those. */
 static struct host *
-next_host(struct scheduler *sched, const struct wave *wave, bool urgent)
+next_host(struct scheduler *sched, const struct wave *wave, bool urgent,
+          bool counted)
 {
     struct host *best = NULL;
     double best_cost = 0;
@@ -189,7 +204,11 @@
         if (backend != NULL && backend->entry.draining) {
             continue;
         }
-        double cost = reboot_cost(sched, host);
+        bool open = may_be_rebooted(sched, wave, host);
+        double cost = open ? -1 : reboot_cost(sched, host);
+        if (counted && !open) {
+            continue;
+        }
         if (cost > BUSY_POOL_FRACTION && !urgent) {
             continue;
         }
@@ -210,8 +229,11 @@
         (left + wave->max_unavailable - 1) / wave->max_unavailable;
     int64_t needed_ms = rounds * (sched->timings.reboot_ms + EMPTY_HOST_MS);
     bool urgent = now_ms + needed_ms + WAVE_SLACK_MS > wave->complete_by_ms;
-    while (hosts_unavailable(sched, wave) < wave->max_unavailable) {
-        struct host *host = next_host(sched, wave, urgent);
+    uint32_t unavailable;
+    while ((unavailable = hosts_unavailable(sched, wave)) <=
+           wave->max_unavailable) {
+        struct host *host = next_host(sched, wave, urgent,
+                                      unavailable == wave->max_unavailable);
         if (host == NULL) {
             return;
         }
--- a/tests/jobs/host_commands_test.c
+++ b/tests/jobs/host_commands_test.c
@@ -262,6 +262,72 @@
     reboot_beside_restart(true);
 }
 
+/* The previous leader has sent a reboot that is still on its way at the
+ * takeover, and one more host was rebooted beside it than the wave allows. */
+static void
+test_inherited_reboot_counts(void)
+{
+    static const char *const pools[] = {"p", "p", "p", NULL};
+    static char *hosts[] = {(char *)"m0", (char *)"m1", (char *)"m2", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    scheduler_host_commanded_before(f.sched, "m1");
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 50; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    /* Its own command goes to the same host. */
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 1);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 1);
+    scheduler_on_host_command(f.sched, "m1", 4, HOST_COMMAND_DONE);
+    f.incarnation_start_ms = f.now_ms + 1000000000 + 2000;
+    fixture_tick(&f, f.now_ms + 2000);
+    fixture_add_backend(&f, "c1", "p", "m1");
+    f.incarnation_start_ms = 1;
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 2);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 1);
+    fixture_clear(&f);
+}
+
+/* A wave waits for such a command no longer than it may be on its way. */
+static void
+test_inherited_command_is_waited_out(void)
+{
+    static const char *const pools[] = {"p", "p", "p", NULL};
+    static char *hosts[] = {(char *)"m0", (char *)"m1", (char *)"m2", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    scheduler_host_commanded_before(f.sched, "m1");
+    scheduler_host_commanded_before(f.sched, "m2");
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 95; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 0);
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -274,6 +340,10 @@
         {"hosts serve until commands are allowed",
          test_hosts_serve_until_commands_are_allowed},
         {"spare hosts after a takeover", test_spare_hosts_after_a_takeover},
+        {"a reboot of the previous leader counts",
+         test_inherited_reboot_counts},
+        {"a command of the previous leader is waited out",
+         test_inherited_command_is_waited_out},
         {"a reboot in flight while its host restarts",
          test_reboot_in_flight_beside_restart},
         {"an unanswered reboot while its host restarts",
