Keep the command gap for hosts that have been up for long

Callers could see: the runs of a host ended, or a host that goes where it is not wanted, by a command of the previous leader that is carried out after one of the new leader (ONE, where fences aren't checked).

Cause: after a takeover a host in eg/hosts/ordered gets no command for 3.3 s, but one whose incarnation had started longer ago was let through after 0.8 s. That proves only that earlier commands have been carried out, not the one on its way.

Change: the exception is gone. It applied only to hosts on record whose last command had not been carried out; all others get commands at once, as before.

Test: jobs-host-orders, "the command gap of an old incarnation" failed before.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -18,8 +18,6 @@
     /* A command that was in flight at the takeover shows in the host list by
      * then. */
     TAKEOVER_VISIBLE_MS = 800,
-    /* Wall clocks of hosts may differ by this much. */
-    CLOCK_DIFFERENCE_MAX_MS = 500,
     /* A host that can't be emptied for a move in this time stays where it
      * is. */
     INTENT_TIMEOUT_MS = 6000,
@@ -78,22 +76,12 @@
                                   TAKEOVER_MARGIN_MS;
 }
 
-/* Whether a previous leader's last command for this host is long enough ago,
- * because its backend server was started by that command or after it. */
+/* Whether a previous leader's last command for this host is long enough ago.
+ * An incarnation that started before may still be ended by that command. */
 static bool
 command_allowed(const struct scheduler *sched, const struct host *host)
 {
-    int64_t gap_ms = sched->timings.command_gap_ms + TAKEOVER_MARGIN_MS;
-    int64_t now_ms = sched_now(sched);
-    if (!host->commanded_before || !in_takeover_gap(sched)) {
-        return true;
-    }
-    const struct backend *backend = sched_host_backend(sched, host);
-    return now_ms >= sched->takeover_ms + TAKEOVER_VISIBLE_MS &&
-           backend != NULL && backend->entry.incarnation_start_ms > 0 &&
-           ms_clock_now(&sched->unix_clock) -
-                   backend->entry.incarnation_start_ms >=
-               gap_ms + CLOCK_DIFFERENCE_MAX_MS;
+    return !host->commanded_before || !in_takeover_gap(sched);
 }
 
 static void
--- a/tests/jobs/host_commands_test.c
+++ b/tests/jobs/host_commands_test.c
@@ -328,6 +328,37 @@
     fixture_clear(&f);
 }
 
+/* The previous leader's command may still be on its way to a host whose
+ * backend server has been up for long. This leader sent its own within that
+ * time. */
+static void
+test_command_gap_of_an_old_incarnation(void)
+{
+    static const char *const pools[] = {"p", "p", NULL};
+    static char *hosts[] = {(char *)"m1", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    int64_t taken_over_ms = f.now_ms;
+    scheduler_host_commanded_before(f.sched, "m1");
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    while (f.now_ms < taken_over_ms + 3000) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, NULL), 0);
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -344,6 +375,8 @@
          test_inherited_reboot_counts},
         {"a command of the previous leader is waited out",
          test_inherited_command_is_waited_out},
+        {"the command gap of an old incarnation",
+         test_command_gap_of_an_old_incarnation},
         {"a reboot in flight while its host restarts",
          test_reboot_in_flight_beside_restart},
         {"an unanswered reboot while its host restarts",
