Take a move for done once the entry of the new incarnation shows it

Callers would see: a host that takes no work for some seconds after its move, in a peak, and one more host command. No rule is known to break by it.

Cause: a move without an answer is sent again until it is answered, also if the host's new incarnation serves the pool that it was to move to.

Change: an incarnation in that pool ends the move.

Test: jobs-host-orders, "a move that its entry shows" failed before (2 assertions).

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -105,9 +105,13 @@
     sched_crash_proved(sched, host, after);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
+    /* A move without an answer was carried out. */
+    bool moved = after != NULL && host->intent == HOST_MOVES &&
+                 g_strcmp0(after->entry.pool, host->target_pool) == 0;
     /* A reboot without an answer may still be carried out. */
     bool reboot_open = host->command_in_flight && host->intent == HOST_REBOOTS;
-    if ((host->command_accepted || host->command_in_flight) && !reboot_open) {
+    if (moved || ((host->command_accepted || host->command_in_flight) &&
+                  !reboot_open)) {
         host->command_accepted = false;
         sched_host_set_intent(sched, host, HOST_STAYS, NULL);
     }
--- a/tests/jobs/host_commands_test.c
+++ b/tests/jobs/host_commands_test.c
@@ -359,6 +359,42 @@
     fixture_clear(&f);
 }
 
+/* A move gets no answer, and the entry shows that it was carried out. It was
+ * sent again, and the host took nothing meanwhile. */
+static void
+test_move_shown_by_its_entry(void)
+{
+    static const char *const pools[] = {"p", "q", "q", "q", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    fixture_add_job(&f, JOB_A, "p",
+                    "[{\"count\":64,\"cpu\":1000,\"mem_mb\":100,"
+                    "\"estimate_ms\":1000}]");
+    for (int i = 0; i < 20 && fixture_last(&f, COMMAND_MOVE) == NULL; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    const struct recorded_command *move = fixture_last(&f, COMMAND_MOVE);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(move);
+    CU_ASSERT_STRING_EQUAL_FATAL(move->task, "p");
+    char *host = g_strdup(move->target);
+    scheduler_on_host_command(f.sched, host, 0, HOST_COMMAND_UNKNOWN);
+    fixture_accept_starts(&f);
+    f.incarnation_start_ms = f.now_ms + 1000000000;
+    fixture_add_backend(&f, "c9", "p", host);
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "c9", NULL, 0, NULL, 0);
+    for (int i = 0; i < 20; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+        fixture_accept_starts(&f);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_MOVE, host), 1);
+    CU_ASSERT(fixture_count(&f, COMMAND_START, "c9") > 0);
+    g_free(host);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -377,6 +413,7 @@
          test_inherited_command_is_waited_out},
         {"the command gap of an old incarnation",
          test_command_gap_of_an_old_incarnation},
+        {"a move that its entry shows", test_move_shown_by_its_entry},
         {"a reboot in flight while its host restarts",
          test_reboot_in_flight_beside_restart},
         {"an unanswered reboot while its host restarts",
