Store that a job's tasks start in another pool than its record names

Callers would see: two runs of one task (TWICE) after a takeover, if the operator had moved the queue to another pool and back since the job was accepted.

Cause: after a takeover a job waits until the backend servers of its pool are reconciled, or those of all pools if its record and the configuration name different ones. After a queue was moved there and back both name the same pool, while runs may be in another one.

Change: before the first task of a job starts in another pool than its record names, that is stored with its progress. The next leader waits for all pools then. A job in the pool of its record costs no write.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -290,24 +290,41 @@
                               : place_tasks(placer, job, &request);
 }
 
-/* Whether runs of a previous leader may be in progress. If its queue has moved
- * since, they may be in any pool. */
+/* Whether runs of a previous leader may be in progress. If its queue has been
+ * moved since it was accepted, they may be in any pool. */
 static bool
 inherited_runs_open(const struct placer *placer, const struct job *job)
 {
     if (!job->inherited) {
         return false;
     }
-    return g_strcmp0(job->pool, placer->pool->pool) == 0
+    return g_strcmp0(job->pool, placer->pool->pool) == 0 && !job->left_pool
                ? placer->pool->unreconciled
                : placer->sched->maybe_unreconciled;
 }
 
+/* Whether a leader that takes over would know that tasks of @job are in
+ * another pool than its record names, after the queue was moved there and
+ * back. */
+static bool
+pool_recorded(const struct placer *placer, struct job *job)
+{
+    if (g_strcmp0(job->pool, placer->pool->pool) == 0) {
+        return true;
+    }
+    if (!job->left_pool) {
+        job->left_pool = true;
+        sched_mark_dirty(placer->sched, job);
+        job->left_pool_version = job->version;
+    }
+    return job->stored_version >= job->left_pool_version;
+}
+
 /* Returns whether nothing is left to place until the job changes. */
 static bool
 place_job(struct placer *placer, struct job *job)
 {
-    if (inherited_runs_open(placer, job) ||
+    if (inherited_runs_open(placer, job) || !pool_recorded(placer, job) ||
         known_to_fail(placer, &job->remaining.least_need)) {
         return false;
     }
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -146,6 +146,9 @@
         encode_tasks(out, job);
         g_string_append_c(out, ']');
         encode_crashes(out, job);
+        if (job->left_pool) {
+            add_int_member(out, "left_pool", 1);
+        }
     }
     g_string_append_c(out, '}');
     return g_string_free(out, FALSE);
@@ -236,6 +239,7 @@
 {
     cJSON *record = cJSON_ParseWithLength(value, bytes);
     bool known = state_of(record, &job->state);
+    job->left_pool = json_int_get(record, "left_pool", 0) == 1;
     uint32_t n_progress = job->n_occurrences * job->n_steps;
     uint32_t index = 0;
     const cJSON *item;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -228,6 +228,8 @@
  * @revision: store revision of the stored progress; 0: none
  * @storing: a write of the progress is in flight
  * @inherited: accepted before the current scheduler took over
+ * @left_pool: tasks may have started in another pool than @pool
+ * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
  * @refs: what the scheduler looks up once for it
@@ -258,6 +260,8 @@
     int64_t revision;
     bool storing;
     bool inherited;
+    bool left_pool;
+    uint64_t left_pool_version;
     struct job_rank rank;
     struct job_remaining remaining;
     struct job_refs refs;
