--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -14,6 +14,9 @@
      * this before a list was requested may be newer than the list. One that
      * was seen only after the request may be so whatever its clock says. */
     WALL_CLOCK_DIFFERENCE_MAX_MS = 4000,
+    /* Pages of a list are read one after the other, so a host may slip between
+     * two of them when the list changes. */
+    LISTS_WITHOUT_GONE_HOST = 2,
 };
 
 struct backend *
@@ -39,6 +42,14 @@
            backend->runs->len == 0 && backend->strays->len == 0;
 }
 
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    bool serves = backend != NULL && backend->listed && !backend->unresponsive;
+    return host->left_out >= LISTS_WITHOUT_GONE_HOST && !serves;
+}
+
 void
 sched_host_set_intent(struct scheduler *sched, struct host *host,
                       enum host_intent intent, const char *pool)
@@ -64,6 +75,7 @@
         return;
     }
     sched_backend_lost(sched, backend, "its host has a new incarnation");
+    backend->superseded = true;
     backend->granted_until_ms = 0;
     backend->leases_expire_ms = 0;
     backend->unreconciled = false;
@@ -114,9 +126,13 @@
     sched_crash_proved(sched, host, after);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
+    /* A move without an answer was carried out. */
+    bool moved = after != NULL && host->intent == HOST_MOVES &&
+                 g_strcmp0(after->entry.pool, host->target_pool) == 0;
     /* A reboot without an answer may still be carried out. */
     bool reboot_open = host->command_in_flight && host->intent == HOST_REBOOTS;
-    if ((host->command_accepted || host->command_in_flight) && !reboot_open) {
+    if (moved || ((host->command_accepted || host->command_in_flight) &&
+                  !reboot_open)) {
         host->command_accepted = false;
         sched_host_set_intent(sched, host, HOST_STAYS, NULL);
     }
@@ -150,6 +166,7 @@
     if (host == NULL) {
         host = g_new0(struct host, 1);
         host->name = g_strdup(name);
+        host->known_ms = sched_now(sched);
         g_hash_table_insert(sched->hosts, host->name, host);
     }
     return host;
@@ -169,9 +186,8 @@
            sched_pool_config(sched, backend->pool) != NULL;
 }
 
-/* Entries of ended incarnations may stay in the list for a while; the one that
- * started last is the current one, and the others have ended. An entry of a
- * pool that doesn't exist says nothing of the host that it names. */
+/* Entries of ended incarnations may stay in the list for a while. An entry of
+ * a pool that doesn't exist says nothing of the host that it names. */
 void
 sched_host_incarnation(struct scheduler *sched, struct backend *backend)
 {
@@ -182,11 +198,18 @@
     if (g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
     }
-    const struct backend *current = sched_host_backend(sched, host);
-    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0 ||
-        (current != NULL && pool_may_exist(sched, current) &&
-         current->entry.incarnation_start_ms >
-             backend->entry.incarnation_start_ms)) {
+    struct backend *current = sched_host_backend(sched, host);
+    enum incarnation is = INCARNATION_CURRENT;
+    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0) {
+        is = INCARNATION_ENDED;
+    }
+    else if (current != NULL && pool_may_exist(sched, current)) {
+        is = sched_incarnation_compare(sched, host, current, backend);
+    }
+    if (is == INCARNATION_OPEN) {
+        return;
+    }
+    if (is == INCARNATION_ENDED) {
         end_incarnation(sched, backend);
         sched_crash_inherited(sched, host, backend, current);
         /* A loss of the current incarnation is not proved by an older one. */
@@ -204,9 +227,8 @@
     }
 }
 
-/* Whether the known incarnation was ended by an accepted command. */
-static bool
-ended_by_command(const struct host *host)
+bool
+sched_host_ended_by_command(const struct host *host)
 {
     return host->command_accepted &&
            g_strcmp0(host->commanded_incarnation, host->backend_id) == 0;
@@ -222,6 +244,7 @@
     int64_t requested_unix_ms =
         ms_clock_now(&sched->unix_clock) - (sched_now(sched) - requested_ms);
     host->present = true;
+    host->left_out = 0;
     set_text(&host->data_centre, info->data_centre);
     bool command_pending = host->command_in_flight || host->command_accepted;
     if (command_pending &&
@@ -232,7 +255,8 @@
     bool other_incarnation =
         info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0;
-    if (current != NULL && other_incarnation && !ended_by_command(host)) {
+    if (current != NULL && other_incarnation &&
+        !sched_host_ended_by_command(host)) {
         /* Only entries tell which of two incarnations is the newer one. */
         return;
     }
@@ -265,13 +289,19 @@
 scheduler_hosts_read(struct scheduler *sched, const struct host_info *hosts,
                      size_t n_hosts, int64_t requested_ms)
 {
-    sched->hosts_read = sched->hosts_read || n_hosts > 0;
+    /* A fleet without hosts has no use for a list of them. */
+    if (n_hosts == 0) {
+        return;
+    }
+    sched->hosts_read = true;
     sched->hosts_requested_ms = requested_ms;
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct host *)value)->present = false;
+        struct host *host = value;
+        host->present = false;
+        host->left_out += requested_ms >= host->known_ms;
     }
     for (size_t i = 0; i < n_hosts; i++) {
         update_host(sched, &hosts[i], requested_ms);
@@ -282,6 +312,7 @@
 on_command_accepted(struct scheduler *sched, struct host *host, int64_t number)
 {
     host->command_accepted = true;
+    host->commanded_before = false;
     host->up = false;
     /* Halfway through the move, because wall clocks differ slightly between
      * hosts: the old incarnation started before this time, the new one after
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -90,7 +90,11 @@
                     backend->entry.id, before->incarnation_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
     release_ended_runs(sched, backend);
+    backend->previous_start_ms = before->incarnation_start_ms;
+    backend->earlier_start_ms = 0;
     backend->seen_ms = sched_now(sched);
+    backend->claim_refuted = false;
+    backend->superseded = false;
     backend->incarnation++;
     backend->settled_ms = 0;
     /* Its record names the earlier incarnation and what that served. */
@@ -126,6 +130,7 @@
         .incarnation_start_ms = backend->entry.incarnation_start_ms,
         .pool = backend->pool,
         .draining = backend->entry.draining,
+        .superseded = backend->superseded,
         .end_explained = backend->end_explained,
     };
 }
@@ -162,6 +167,9 @@
         g_hash_table_lookup(sched->former_backends, entry->id);
     if (former != NULL) {
         backend->incarnation = former->incarnation + 1;
+        backend->superseded =
+            former->superseded && former->incarnation_start_ms != 0 &&
+            former->incarnation_start_ms == entry->incarnation_start_ms;
         if (entry->host != NULL) {
             sched_crash_unexplained(sched,
                                     sched_host_find_or_add(sched, entry->host),
@@ -177,6 +185,13 @@
              const struct backend_entry *entry)
 {
     struct backend_entry *copy = backend_entry_copy(entry);
+    /* A backend server stays on its host. */
+    if (backend->entry.host != NULL &&
+        g_strcmp0(copy->host, backend->entry.host) != 0 &&
+        copy->incarnation_start_ms == backend->entry.incarnation_start_ms) {
+        g_free(copy->host);
+        copy->host = g_strdup(backend->entry.host);
+    }
     char *id = backend->entry.id;
     g_free(copy->id);
     copy->id = NULL;
@@ -193,8 +208,13 @@
 entry_outdated(const struct backend *backend,
                const struct backend_entry *entry)
 {
-    return entry->incarnation_start_ms != 0 &&
-           entry->incarnation_start_ms < backend->entry.incarnation_start_ms;
+    if (entry->incarnation_start_ms == 0) {
+        return false;
+    }
+    return entry->incarnation_start_ms == backend->previous_start_ms ||
+           (entry->incarnation_start_ms <
+                backend->entry.incarnation_start_ms &&
+            entry->incarnation_start_ms != backend->earlier_start_ms);
 }
 
 void
@@ -327,7 +347,7 @@
     return !capacity_unknown(sched, backend) && backend->listed &&
            backend->report_received && backend->registered &&
            !backend->entry.draining && !backend->unresponsive &&
-           !backend->leaving &&
+           !backend->leaving && !sched_backend_contested(backend) &&
            !sched_is_out_of_service(sched, backend->entry.data_centre);
 }
 
@@ -365,6 +385,7 @@
         remember_backend(sched, backend);
         sched_backend_refs_clear(backend);
         g_ptr_array_remove_fast(sched->draining, backend);
+        g_ptr_array_remove_fast(sched->contenders, backend);
         deadline_heap_remove(sched->report_deadlines,
                              &backend->report_deadline);
         g_hash_table_iter_remove(&iter);
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -276,7 +276,9 @@
                   const struct run_report *report)
 {
     return backend->entry.incarnation_start_ms != 0 &&
-           report->incarnation_start_ms > backend->entry.incarnation_start_ms;
+           report->incarnation_start_ms >
+               backend->entry.incarnation_start_ms &&
+           report->incarnation_start_ms != backend->previous_start_ms;
 }
 
 static void
@@ -356,10 +358,13 @@
         no_answer(sched, backend, report);
         return;
     }
-    if (report->incarnation_start_ms != 0 &&
-        report->incarnation_start_ms < backend->entry.incarnation_start_ms) {
+    if (sched_report_outdated(backend, report)) {
+        if (sched_clock_set_back(backend, report)) {
+            on_newer_incarnation(sched, backend, report);
+        }
         return;
     }
+    backend->earlier_start_ms = 0;
     if (latest) {
         answers_again(sched, backend);
     }
@@ -376,6 +381,8 @@
     }
     drop_absent(sched, backend, report);
     sched_stop_unconfirmed(sched, backend, request->sent_ms);
+    backend->answered_request_ms =
+        MAX(backend->answered_request_ms, request->sent_ms);
     backend->report_received = true;
     update_reconciliation(sched, backend, request->sent_ms);
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -112,6 +112,8 @@
  * @load: its pool, NULL: unknown
  * @backend_id: backend server that is its current incarnation, or NULL
  * @present: it is in the last host list of the platform
+ * @known_ms: when it was first named
+ * @left_out: host lists in a row that don't have it, requested since then
  * @up: it runs and is neither moving nor rebooting
  * @down_unix_ms: Unix time since when it is known to be unavailable; 0: it is
  *                up. Only an incarnation that started later is a new one
@@ -134,6 +136,8 @@
     char *data_centre;
     char *backend_id;
     bool present;
+    int64_t known_ms;
+    uint32_t left_out;
     bool up;
     int64_t down_unix_ms;
     enum host_intent intent;
@@ -294,6 +298,7 @@
  * @removed_ms: when it was removed
  * @incarnation_start_ms: Unix time of the start of that incarnation
  * @pool: pool that it served
+ * @superseded: its host had a later one
  * @draining: it was about to leave
  * @end_explained: see struct backend
  */
@@ -302,6 +307,7 @@
     int64_t removed_ms;
     int64_t incarnation_start_ms;
     const struct pool_load *pool;
+    bool superseded;
     bool draining;
     bool end_explained;
 };
@@ -338,6 +344,8 @@
  * @hosts: struct host by name
  * @pools: struct pool_load by pool
  * @draining: struct backend, those that drain
+ * @contenders: struct backend, those that may or may not be the current
+ *              incarnation of their host
  * @waves: struct wave
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
@@ -394,6 +402,7 @@
     GHashTable *hosts;
     GHashTable *pools;
     GPtrArray *draining;
+    GPtrArray *contenders;
     GPtrArray *waves;
     GQueue dirty;
     GPtrArray *to_register;
@@ -705,6 +714,44 @@
 sched_host_backend(const struct scheduler *sched, const struct host *host);
 bool
 sched_host_empty(const struct scheduler *sched, const struct host *host);
+/* Whether the host has left the fleet. */
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host);
+
+/* Whether an accepted command has ended its known incarnation. */
+bool
+sched_host_ended_by_command(const struct host *host);
+
+/* incarnation.c */
+/** enum incarnation - what a backend server is beside the current one of its
+ * host
+ * @INCARNATION_OPEN: not known yet
+ * @INCARNATION_CURRENT: it has taken the place of the current one
+ * @INCARNATION_ENDED: an earlier incarnation */
+enum incarnation {
+    INCARNATION_OPEN,
+    INCARNATION_CURRENT,
+    INCARNATION_ENDED,
+};
+enum incarnation
+sched_incarnation_compare(struct scheduler *sched, const struct host *host,
+                          struct backend *current, struct backend *other);
+/* Decides what was open, by the answers since. */
+void
+sched_settle_incarnations(struct scheduler *sched);
+/* Whether another one claims to have taken its place, and it has not answered
+ * since. */
+bool
+sched_backend_contested(const struct backend *backend);
+/* Whether @report shows an incarnation under the same id that started earlier
+ * than the known one, or that came before it. */
+bool
+sched_report_outdated(const struct backend *backend,
+                      const struct run_report *report);
+/* Whether that is the new one all the same: two requests that were sent after
+ * the known one was seen got the same answer. A single one may be late. */
+bool
+sched_clock_set_back(struct backend *backend, const struct run_report *report);
 
 /* command_budget.c */
 void
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -214,10 +214,17 @@
  * @latency_sensitive_runs: runs of tasks with a tail latency target
  * @best_effort_runs: runs of best-effort tasks
  * @report_deadline: when its next run report is requested
+ * @contested_ms: when another backend server last claimed to be a later
+ *                incarnation of its host; 0: never
+ * @claim_refuted: it claims that itself, but the one before has answered since
+ * @superseded: its host has a later incarnation, whatever its start time says
  * @listed: it is in the host list
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
  * @incarnation: counts its restarts under the same id, as far as known
+ * @previous_start_ms: start of the incarnation before that one; 0: unknown
+ * @earlier_start_ms: start in the last report, if that is earlier than the
+ * known one
  * @settled_ms: when a stop command that was sent to an earlier incarnation and
  *              carried out by this one must have taken effect; 0: no run
  *              report of this incarnation was read yet
@@ -245,6 +252,7 @@
  *                  was answered
  * @report_in_flight: @report_request has no answer yet
  * @report_request: the latest request for a run report
+ * @answered_request_ms: when the latest request was sent whose report was read
  * @report_due_ms: earliest time of the next one
  * @report_read_ms: when a run report was last read
  * @throttle: controller of the best-effort tasks on it
@@ -271,10 +279,15 @@
     uint32_t latency_sensitive_runs;
     uint32_t best_effort_runs;
     struct deadline_entry report_deadline;
+    int64_t contested_ms;
+    bool claim_refuted;
+    bool superseded;
     bool listed;
     bool registered;
     bool registering;
     uint32_t incarnation;
+    int64_t previous_start_ms;
+    int64_t earlier_start_ms;
     int64_t settled_ms;
     bool report_received;
     bool unreconciled;
@@ -293,6 +306,7 @@
     int64_t acked_answered;
     bool report_in_flight;
     struct report_request report_request;
+    int64_t answered_request_ms;
     int64_t report_due_ms;
     int64_t report_read_ms;
     struct throttle throttle;
--- a/tests/jobs/stalled_run_test.c
+++ b/tests/jobs/stalled_run_test.c
@@ -71,7 +71,7 @@
         .running = &service_run,
         .n_running = 1,
     };
-    scheduler_on_report(f.sched, "b1", &report);
+    fixture_answer(&f, "b1", report);
     fixture_tick(&f, f.now_ms + 10);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, NULL), 0);
     fixture_clear(&f);
