Let a list show the move of a host that a previous leader ordered

Cause: a host that is moved to the spare pool gets no new entry; only the list shows that its last incarnation has ended. Since such a row was passed over as long as that incarnation was known; mended it for moves that this leader has had accepted, but a leader that takes over knows of no command. It asked the ended backend server for its runs until the leases were over (3.2 s, or 8.8 s after a leader that was killed), no inherited job of the pool was placed meanwhile, and its host didn't count as a spare one.

Change: a row that shows a host in another pool than its known incarnation, with another backend server or none, ends that incarnation if it was seen before the list was requested. Nothing is concluded about two incarnations in one pool, or from a list that was requested before; such an end proves no crash.

Evidence: two of the four new cases in jobs-late-host-list failed before; the other two hold the bounds.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -72,25 +72,28 @@
     scheduler_backend_removed(sched, backend->entry.id);
 }
 
-/* The host is back after a command, or has restarted by itself. */
 static void
-new_incarnation(struct scheduler *sched, struct host *host,
+log_incarnation(struct scheduler *sched, const struct host *host,
                 const char *backend_id, const char *source)
 {
     const struct backend *before = sched_host_backend(sched, host);
     const struct backend *after = scheduler_find_backend(sched, backend_id);
-    if (before != NULL) {
-        sched_log_event(sched, "host_incarnation",
-                        "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
-                        "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
-                        "\"now_started\":%" G_GINT64_FORMAT,
-                        host->name, source, before->entry.id,
-                        before->entry.incarnation_start_ms, backend_id,
-                        after == NULL ? 0 : after->entry.incarnation_start_ms);
+    if (before == NULL) {
+        return;
     }
-    end_incarnation(sched, sched_host_backend(sched, host));
-    sched_crash_inherited(sched, host, before, after);
-    sched_crash_proved(sched, host, after);
+    sched_log_event(sched, "host_incarnation",
+                    "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
+                    "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
+                    "\"now_started\":%" G_GINT64_FORMAT,
+                    host->name, source, before->entry.id,
+                    before->entry.incarnation_start_ms, backend_id,
+                    after == NULL ? 0 : after->entry.incarnation_start_ms);
+}
+
+static void
+set_incarnation(struct scheduler *sched, struct host *host,
+                const char *backend_id)
+{
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
     /* A reboot without an answer may still be carried out. */
@@ -104,6 +107,20 @@
     }
 }
 
+/* The host is back after a command, or has restarted by itself. */
+static void
+new_incarnation(struct scheduler *sched, struct host *host,
+                const char *backend_id, const char *source)
+{
+    const struct backend *before = sched_host_backend(sched, host);
+    const struct backend *after = scheduler_find_backend(sched, backend_id);
+    log_incarnation(sched, host, backend_id, source);
+    end_incarnation(sched, sched_host_backend(sched, host));
+    sched_crash_inherited(sched, host, before, after);
+    sched_crash_proved(sched, host, after);
+    set_incarnation(sched, host, backend_id);
+}
+
 static void
 set_text(char **text, const char *value)
 {
@@ -191,6 +208,17 @@
            g_strcmp0(host->commanded_incarnation, host->backend_id) == 0;
 }
 
+/* Whether the host was in the pool of @current when that was seen, and was in
+ * another one, with another backend server or none, when the list was made: a
+ * move, which ends what runs. After a takeover nobody knows of its command. */
+static bool
+moved_since(const struct scheduler *sched, const struct backend *current,
+            const struct host_info *info, int64_t requested_ms)
+{
+    return current->seen_ms < requested_ms && pool_may_exist(sched, current) &&
+           g_strcmp0(info->pool, current->entry.pool) != 0;
+}
+
 /* Applies the row of a list that was requested at @requested_ms. A list may
  * arrive long after that, and it doesn't say when an incarnation started. */
 static void
@@ -211,7 +239,10 @@
     bool other_incarnation =
         info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0;
-    if (current != NULL && other_incarnation && !ended_by_command(host)) {
+    bool moved = current != NULL && other_incarnation &&
+                 moved_since(sched, current, info, requested_ms);
+    if (current != NULL && other_incarnation && !moved &&
+        !ended_by_command(host)) {
         /* Only entries tell which of two incarnations is the newer one. */
         return;
     }
@@ -222,7 +253,13 @@
         end_incarnation(sched, current);
         sched_crash_dropped(sched, host);
     }
-    if (other_incarnation) {
+    if (moved) {
+        log_incarnation(sched, host, info->backend_id, "move in host list");
+        end_incarnation(sched, current);
+        sched_crash_dropped(sched, host);
+        set_incarnation(sched, host, info->backend_id);
+    }
+    else if (other_incarnation) {
         new_incarnation(sched, host, info->backend_id, "host list");
     }
     else if (info->up && host->command_accepted && !host->command_in_flight) {
--- a/tests/jobs/host_list_test.c
+++ b/tests/jobs/host_list_test.c
@@ -10,6 +10,8 @@
 enum {
     /* The fixture's Unix time minus its clock. */
     UNIX_OFFSET_MS = 1000000000,
+    /* Of a leader that was killed; the longest that a backend server takes. */
+    LONG_LEASE_MS = 8500,
 };
 
 /* Host m0, whose wall clock is behind, restarts by itself: c0 takes the place
@@ -212,6 +214,111 @@
     fixture_clear(&f);
 }
 
+/* The leader that moved host m1 to the spare pool is gone. The record and the
+ * entry of its last backend server are still there, and that gives no answer.
+ * Returns when that was seen. */
+static int64_t
+init_after_move(struct fleet_fixture *f)
+{
+    fixture_init(f, 1);
+    f->incarnation_start_ms = f->now_ms + UNIX_OFFSET_MS - 1000;
+    struct backend_entry moved = {.id = (char *)"b1",
+                                  .incarnation_start_ms =
+                                      f->incarnation_start_ms,
+                                  .pool = (char *)"p",
+                                  .host = (char *)"m1",
+                                  .address = (char *)"127.0.0.1:1",
+                                  .data_centre = (char *)"dc"};
+    scheduler_backend_inherited(f->sched, &moved, LONG_LEASE_MS);
+    fixture_add_backend(f, "b1", "p", "m1");
+    fixture_add_backend(f, "b2", "p", "m2");
+    struct job *job = fixture_add_job(f, JOB_A, "p", one_task);
+    job->inherited = true;
+    return f->now_ms;
+}
+
+static void
+work_without_answer(struct fleet_fixture *f, int64_t end_ms)
+{
+    struct run_report no_answer = {.outcome = REPORT_NO_ANSWER};
+    while (f->now_ms < end_ms) {
+        fixture_tick(f, f->now_ms + 100);
+        scheduler_on_report(f->sched, "b1", &no_answer);
+        fixture_report(f, "b2", NULL, 0, NULL, 0);
+    }
+}
+
+static const struct host_info in_spare_pool = {.host = "m1",
+                                               .pool = "s",
+                                               .backend_id = "",
+                                               .data_centre = "dc",
+                                               .up = true};
+
+/* After a takeover inherited jobs waited for the longest lease of a backend
+ * server whose host the previous leader had moved, although the list of hosts
+ * showed that. */
+static void
+test_list_shows_move_of_previous_leader(void)
+{
+    struct fleet_fixture f;
+    int64_t taken_over_ms = init_after_move(&f);
+    work_without_answer(&f, taken_over_ms + 1000);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 0);
+    read_list(&f, &in_spare_pool, f.now_ms);
+    work_without_answer(&f, taken_over_ms + 2000);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b2"), 1);
+    fixture_clear(&f);
+}
+
+/* The host that the previous leader moved was not used at the next peak. */
+static void
+test_host_moved_by_previous_leader_is_used(void)
+{
+    struct fleet_fixture f;
+    int64_t taken_over_ms = init_after_move(&f);
+    work_without_answer(&f, taken_over_ms + 1000);
+    read_list(&f, &in_spare_pool, f.now_ms);
+    fixture_add_job(&f, "00000000000000bb", "p",
+                    "[{\"count\":64,\"cpu\":1000,\"mem_mb\":100,"
+                    "\"estimate_ms\":1000}]");
+    work_without_answer(&f, taken_over_ms + 2000);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_MOVE, "m1"), 1);
+    fixture_clear(&f);
+}
+
+/* The same list, requested before the backend server was seen, shows the host
+ * as it was before it came from the spare pool. */
+static void
+test_late_list_shows_host_in_earlier_pool(void)
+{
+    struct fleet_fixture f;
+    int64_t taken_over_ms = init_after_move(&f);
+    work_without_answer(&f, taken_over_ms + 1000);
+    read_list(&f, &in_spare_pool, taken_over_ms - 1);
+    read_list(&f, &in_spare_pool, taken_over_ms);
+    work_without_answer(&f, taken_over_ms + LONG_LEASE_MS);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 0);
+    work_without_answer(&f, taken_over_ms + LONG_LEASE_MS * 102 / 100 + 600);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b2"), 1);
+    fixture_clear(&f);
+}
+
+/* A list shows that a host has another backend server, but not which of the
+ * two is the newer one, as long as the host has stayed in its pool. */
+static void
+test_list_names_other_backend_in_same_pool(void)
+{
+    struct fleet_fixture f;
+    int64_t taken_over_ms = init_after_move(&f);
+    work_without_answer(&f, taken_over_ms + 1000);
+    struct host_info info = in_spare_pool;
+    info.pool = "p";
+    read_list(&f, &info, f.now_ms);
+    work_without_answer(&f, taken_over_ms + LONG_LEASE_MS);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 0);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -224,6 +331,14 @@
         {"a late list undoes no command", test_late_list_undoes_no_command},
         {"a list shows the effect of an accepted move",
          test_list_shows_accepted_move},
+        {"a list shows the move of a previous leader",
+         test_list_shows_move_of_previous_leader},
+        {"a host that a previous leader moved is used again",
+         test_host_moved_by_previous_leader_is_used},
+        {"a late list shows a host in its earlier pool",
+         test_late_list_shows_host_in_earlier_pool},
+        {"a list names another backend server in the same pool",
+         test_list_names_other_backend_in_same_pool},
         {"a late entry shows the earlier incarnation",
          test_late_entry_of_earlier_incarnation},
     };
