Repeat stops of unconfirmed service starts only after a report

Cause: a service start without an answer is stopped once a report that was requested late enough doesn't show the run. That stop may get no answer either and was then repeated by time alone. When the start was carried out between the two, the repetition ended a task at work.

Change: such a stop is repeated only after a report, requested after the last one, that doesn't show the run; a report that shows it recalls the stop. Where the job is no longer wanted, stops are repeated as before.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -83,8 +83,10 @@
     run->job->started = true;
     run->load_metric = reported->load_metric;
     update_progress(run, reported->percent, clock_ms);
-    if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN) {
+    if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN ||
+        sched_stop_needs_report(run)) {
         run->state = RUN_WORKING;
+        run->stop_unconfirmed = false;
     }
     struct job_task *task = run_task(run);
     if (reported->saved != NULL && reported->saved[0] != '\0' &&
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -98,8 +98,8 @@
     g_hash_table_remove(sched->runs, &run->handle);
 }
 
-static void
-send_stop(struct scheduler *sched, struct run *run)
+void
+sched_send_stop(struct scheduler *sched, struct run *run)
 {
     char name[JOB_ID_CHARS + 48];
     snprintf(name, sizeof(name), "%s.%u.%u.%u", run->job->id, run->occurrence,
@@ -125,7 +125,7 @@
     run->state = RUN_STOPPING;
     run->stop_acked_ms = 0;
     if (sched->leadership_valid && !sched->fenced) {
-        send_stop(sched, run);
+        sched_send_stop(sched, run);
     }
 }
 
@@ -353,22 +353,6 @@
     }
 }
 
-void
-sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend)
-{
-    for (guint i = 0; i < backend->runs->len; i++) {
-        struct run *run = g_ptr_array_index(backend->runs, i);
-        /* A service task may take a while to show. */
-        int64_t shown_by_ms = run_step(run)->long_running
-                                  ? run->started_ms + SERVICE_START_VISIBLE_MS
-                                  : run->answer_missed_ms;
-        if (run->state == RUN_UNCERTAIN &&
-            backend->report_requested_ms >= shown_by_ms) {
-            sched_run_stop(sched, run);
-        }
-    }
-}
-
 /* Repeats unanswered stop commands, and stops stalled runs and runs whose
  * start command got no answer. */
 void
@@ -390,10 +374,9 @@
             }
         }
         else if (run->state == RUN_STOPPING) {
-            if (!run->stop_pending && run->stop_acked_ms == 0 &&
-                now_ms - run->stop_sent_ms >=
-                    sched_stop_retry_ms(run->stop_count)) {
-                send_stop(sched, run);
+            if (!sched_stop_needs_report(run) &&
+                sched_stop_repeat_due(sched, run)) {
+                sched_send_stop(sched, run);
             }
         }
         else if (run_stalled(run)) {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -40,9 +40,6 @@
     /* A start without an answer was carried out more often than not, so a run
      * report is read first. Without one by then the run is stopped unseen. */
     UNCERTAIN_START_MS = 1000,
-    /* A service task whose start command got no answer shows in a run report
-     * by then; stopping it sooner could end one that works. */
-    SERVICE_START_VISIBLE_MS = 2500,
     /* Delay before a start that was refused or found no capacity is
      * retried. */
     START_RETRY_MS = 120,
@@ -514,6 +511,16 @@
  * after that does not contain. */
 void
 sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend);
+/* Whether a stop of @run is repeated only after a report without it: the task
+ * is wanted, its start may have been carried out since, and others of its step
+ * may be unavailable. A report that shows the run recalls the stop. */
+bool
+sched_stop_needs_report(const struct run *run);
+/* Whether the stop of @run got no answer and is to be sent again. */
+bool
+sched_stop_repeat_due(const struct scheduler *sched, const struct run *run);
+void
+sched_send_stop(struct scheduler *sched, struct run *run);
 
 /** struct task_name - parts of a task's name, JOB.OCCURRENCE.STEP.INDEX */
 struct task_name {
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -83,6 +83,8 @@
  * @stop_acked_ms: when a stop command was acknowledged; 0: never
  * @stop_pending: a stop command is in flight
  * @stop_count: stop commands sent
+ * @stop_unconfirmed: a service task that is being stopped because a report
+ *                    didn't show it after a start without an answer
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
  *           yet
  * @percent_clock_ms: clock of the backend server in the first report that has
@@ -118,6 +120,7 @@
     int64_t stop_acked_ms;
     bool stop_pending;
     uint32_t stop_count;
+    bool stop_unconfirmed;
     int32_t percent;
     int64_t percent_clock_ms;
     int64_t unchanged_ms;
