--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -90,8 +90,10 @@
     run->other_clock = false;
     sched_run_worked_until(sched, run, report->clock_ms);
     run->job->started = true;
-    if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN) {
+    if (run->state == RUN_STARTING || run->state == RUN_UNCERTAIN ||
+        sched_stop_needs_report(run)) {
         run->state = RUN_WORKING;
+        run->stop_unconfirmed = false;
     }
     if (!answers_latest(run->backend, report)) {
         return;
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -84,6 +84,8 @@
  * @stop_pending: a stop command is in flight
  * @stop_count: stop commands sent
  * @stop_count_before: those that were sent to an earlier incarnation
+ * @stop_unconfirmed: a service task that is being stopped because a report
+ *                    didn't show it after a start without an answer
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
  *           yet
  * @percent_clock_ms: clock of the backend server in the first report that has
@@ -120,6 +122,7 @@
     bool stop_pending;
     uint32_t stop_count;
     uint32_t stop_count_before;
+    bool stop_unconfirmed;
     int32_t percent;
     int64_t percent_clock_ms;
     int64_t unchanged_ms;
