Check queued host commands right before they are sent

Cause: commands were handed to four connections at once and queued there, each sent on the answer to the one before. The leadership was checked only when they were queued.

Change: the client of the host API keeps its own queue, uses a connection only while it is idle, and asks right before each command whether it may still be sent, as start commands do. Those that may not, or that wait behind one without an answer, are reported as refused, since they weren't sent.

A command that is on its way when the process is frozen can still arrive late; nothing here can recall it.

--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -190,6 +190,7 @@
     }
     struct hosts_callbacks events = {
         .on_list = on_hosts,
+        .may_command = host_commands_allowed,
         .on_command = on_host_command,
         .ctx = leader,
     };
--- a/egretjobd/leader_host_commands.c
+++ b/egretjobd/leader_host_commands.c
@@ -80,6 +80,14 @@
     g_free(commands);
 }
 
+bool
+host_commands_allowed(void *ctx)
+{
+    struct leader *leader = ctx;
+    leader_update_validity(leader);
+    return leadership_valid(leader->node->leadership);
+}
+
 void
 host_commands_load(struct host_commands *commands, const struct kv_item *item)
 {
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -167,6 +167,9 @@
 host_commands_create(struct leader *leader);
 void
 host_commands_destroy(struct host_commands *commands);
+/* Whether host commands may be sent now; @ctx: struct leader. */
+bool
+host_commands_allowed(void *ctx);
 /* Applies the record of the previous leader. */
 void
 host_commands_load(struct host_commands *commands, const struct kv_item *item);
--- a/include/platform/hosts_api.h
+++ b/include/platform/hosts_api.h
@@ -13,10 +13,14 @@
 /**
  * struct hosts_callbacks - callbacks that receive the answers
  * @on_list: complete list of hosts; @hosts is NULL if it could not be read
- * @on_command: answer to a move (@wave 0) or a reboot
+ * @may_command: whether a command that waited for a connection may still be
+ *               sent; asked right before, and %HOST_COMMAND_REFUSED if not
+ * @on_command: answer to a move (@wave 0) or a reboot; must not destroy the
+ *              client
  */
 struct hosts_callbacks {
     void (*on_list)(void *ctx, const struct host_info *hosts, size_t n_hosts);
+    bool (*may_command)(void *ctx);
     void (*on_command)(void *ctx, const char *host, int64_t wave,
                        enum host_command_result result);
     void *ctx;
