Blame unanswered starts less while backend servers crash by themselves

Callers saw a job fail after one crash under it: its task had started once, alone, on a server that crashed, and twice its start had got no answer since the server had crashed before. The three counted as crashes that followed its start, as they have to where a task crashes its servers before they answer.

While servers also crash that no run explains, a crash after a start without an answer is the proof only as the fourth of this kind. One after a start that was answered is it as before.

--- a/core/jobs/crash_attempt.c
+++ b/core/jobs/crash_attempt.c
@@ -26,7 +26,7 @@
 {
     return task->crash_shared
                ? crash_record_crash(&task->crash, CRASH_FRESH, false, false)
-               : crash_record_inherited(&task->crash);
+               : crash_record_inherited(&task->crash, false);
 }
 
 bool
--- a/core/jobs/crash_blame.c
+++ b/core/jobs/crash_blame.c
@@ -75,10 +75,12 @@
 }
 
 bool
-crash_record_inherited(struct crash_record *record)
+crash_record_inherited(struct crash_record *record, bool unexplained)
 {
     record->alone++;
-    return record->alone >= SHARED_CRASHES_MAX;
+    /* Such a start may have gone to a server that had crashed before. */
+    return record->alone >=
+           (unexplained ? UNEXPLAINED_CRASHES_MAX : SHARED_CRASHES_MAX);
 }
 
 bool
--- a/core/jobs/crash_proof.c
+++ b/core/jobs/crash_proof.c
@@ -197,7 +197,8 @@
         return;
     }
     bool guilty =
-        unsure ? crash_record_inherited(&task->crash)
+        unsure ? crash_record_inherited(
+                     &task->crash, recent(sched, sched->unexplained_crash_ms))
                : crash_record_crash(&task->crash, lost->role, lost->alone,
                                     by_themselves(sched, suspect));
     /* The next leader must not count it again. */
--- a/include/core/jobs/crash_blame.h
+++ b/include/core/jobs/crash_blame.h
@@ -13,6 +13,9 @@
      * after a start that may not have been sent say less. One more is
      * required; two starts more are allowed after a third crash. */
     SHARED_CRASHES_MAX = 3,
+    /* The same where the last start may not have been sent, while backend
+     * servers crash by themselves. */
+    UNEXPLAINED_CRASHES_MAX = 4,
     /* Limit of starts of a service task after which they back off. */
     SERVICE_CRASHES_MAX = 3,
 };
@@ -80,12 +83,13 @@
 
 /**
  * crash_record_inherited() - count a crash where a previous leader was about
- * to start the task alone, or had
+ * to start the task alone, or had, or after a start without an answer
+ * @unexplained: see crash_record_crash()
  *
  * Return: whether the task is the cause, so that it is to be given up.
  */
 bool
-crash_record_inherited(struct crash_record *record);
+crash_record_inherited(struct crash_record *record, bool unexplained);
 
 /**
  * crash_proof_matters() - whether one more crash would have the task given up,
--- a/tests/jobs/crash_record_test.c
+++ b/tests/jobs/crash_record_test.c
@@ -146,6 +146,22 @@
     CU_ASSERT_TRUE(crash_record_crash(&beside, CRASH_FRESH, true, false));
 }
 
+/* Starts without an answer may have gone to servers that had crashed before.
+ */
+static void
+test_unanswered_starts(void)
+{
+    struct crash_record record = {0};
+    CU_ASSERT_FALSE(crash_record_inherited(&record, true));
+    CU_ASSERT_FALSE(crash_record_inherited(&record, true));
+    struct crash_record calm = record;
+    CU_ASSERT_TRUE(crash_record_inherited(&calm, false));
+    CU_ASSERT_FALSE(crash_record_inherited(&record, true));
+    struct crash_record sure = record;
+    CU_ASSERT_TRUE(crash_record_crash(&sure, CRASH_FRESH, true, true));
+    CU_ASSERT_TRUE(crash_record_inherited(&record, true));
+}
+
 /* Another one was found: only what both were lost in is forgotten. */
 static void
 test_other_cause(void)
@@ -219,6 +235,7 @@
     static const struct suite_test tests[] = {
         {"crashes that prove", test_crashes_that_prove},
         {"crashes that no task has caused", test_unexplained_crashes},
+        {"starts without an answer", test_unanswered_starts},
         {"another task was the cause", test_other_cause},
         {"a suspect that waits for long", test_suspect_may_join},
         {"a service task backs off", test_service_backs_off},
