Take a CPU limit without an answer for unknown

A best-effort task could keep a low CPU limit for good: the command that set it got no answer, was taken for not carried out, and when the task needed no limit any more, none was sent. Likewise the late answer to a command that had been given up replaced that to the next one.

A limit without an answer is unknown until the next one is acknowledged, and so is one whose earlier command is answered after it.

No known installation asks for throttling.

--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -359,6 +359,7 @@
     if (run->throttle_pending &&
         now_ms - run->throttle_sent_ms > ANSWER_TIMEOUT_MS) {
         run->throttle_pending = false;
+        run->cpu_limit_percent = -1;
     }
 }
 
--- a/core/jobs/throttle_runs.c
+++ b/core/jobs/throttle_runs.c
@@ -45,6 +45,7 @@
     snprintf(name, sizeof(name), "%s.%u.%u.%u", run->job->id, run->occurrence,
              run->step, run->index);
     run->throttle_sent_ms = sched_now(sched);
+    run->throttle_percent = percent;
     run->throttle_pending = true;
     struct throttle_command command = {
         .backend = run->backend,
@@ -122,10 +123,14 @@
     if (run == NULL) {
         return;
     }
-    run->throttle_pending = false;
-    if (acked) {
-        run->cpu_limit_percent = percent;
-        /* The limit changes its progress, so a stall is measured from here. */
-        run->percent_at_ms = sched_now(sched);
+    if (!run->throttle_pending || percent != run->throttle_percent) {
+        /* Of two commands, either may have been carried out last. */
+        run->cpu_limit_percent = -1;
+        return;
     }
+    run->throttle_pending = false;
+    /* Without an answer it may have been set all the same. */
+    run->cpu_limit_percent = acked ? percent : -1;
+    /* The limit changes its progress, so a stall is measured from here. */
+    run->percent_at_ms = sched_now(sched);
 }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -90,6 +90,7 @@
  * @load_metric: as reported, see struct reported_run
  * @cpu_limit_percent: CPU limit in percent of full speed; -1: unknown
  * @throttle_sent_ms: when a throttle command was last sent; 0: never
+ * @throttle_percent: limit in that command
  * @throttle_pending: a throttle command is in flight
  * @first_clock_ms: clock of the backend server when it first confirmed the
  *                  run; 0: it has not
@@ -123,6 +124,7 @@
     int64_t load_metric;
     int32_t cpu_limit_percent;
     int64_t throttle_sent_ms;
+    int32_t throttle_percent;
     bool throttle_pending;
     int64_t first_clock_ms;
     int64_t age_ms;
--- a/tests/jobs/throttle_test.c
+++ b/tests/jobs/throttle_test.c
@@ -146,6 +146,45 @@
     CU_ASSERT(overloaded.mean_limit < 10);
 }
 
+static struct reported_run both_running[] = {
+    {.task = LATENCY_SENSITIVE_JOB ".0.0.0",
+     .number = 1,
+     .saved = "",
+     .percent = 100,
+     .load_metric = 300},
+    {.task = BEST_EFFORT_JOB ".0.0.0", .number = 1, .saved = "", .percent = 3},
+};
+
+static void
+init_with_both(struct fleet_fixture *f)
+{
+    fixture_init(f, 0);
+    fixture_add_backend(f, "b1", "p", "m1");
+    fixture_reconcile(f);
+    fixture_add_job(f, LATENCY_SENSITIVE_JOB, "p",
+                    "[{\"count\":1,\"cpu\":4000,\"mem_mb\":100,"
+                    "\"long_running\":true,\"target_ms\":100}]");
+    fixture_add_job(f, BEST_EFFORT_JOB, "p",
+                    "[{\"count\":1,\"cpu\":4000,\"mem_mb\":100,\"fills\":true,"
+                    "\"estimate_ms\":60000}]");
+    fixture_tick(f, f->now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(f, COMMAND_START, "b1"), 2);
+    fixture_accept_starts(f);
+}
+
+/* The latency-sensitive task ends, so the other needs no limit. */
+static void
+end_latency_sensitive(struct fleet_fixture *f)
+{
+    struct run_completion completion = {.number = 1,
+                                        .task = LATENCY_SENSITIVE_JOB ".0.0.0",
+                                        .run = 1,
+                                        .reason = END_STOPPED};
+    scheduler_cancel(f->sched, LATENCY_SENSITIVE_JOB);
+    fixture_report(f, "b1", &both_running[1], 1, &completion, 1);
+    fixture_tick(f, f->now_ms + 400);
+}
+
 /* A best-effort task beside a latency-sensitive one over its target is
  * throttled, is not taken for stalled, and runs without a limit again once it
  * is alone. */
@@ -153,31 +192,9 @@
 test_limit_is_applied(void)
 {
     struct fleet_fixture f;
-    fixture_init(&f, 0);
-    fixture_add_backend(&f, "b1", "p", "m1");
-    fixture_reconcile(&f);
-    fixture_add_job(&f, LATENCY_SENSITIVE_JOB, "p",
-                    "[{\"count\":1,\"cpu\":4000,\"mem_mb\":100,"
-                    "\"long_running\":true,\"target_ms\":100}]");
-    fixture_add_job(&f, BEST_EFFORT_JOB, "p",
-                    "[{\"count\":1,\"cpu\":4000,\"mem_mb\":100,\"fills\":true,"
-                    "\"estimate_ms\":60000}]");
-    fixture_tick(&f, f.now_ms + 10);
-    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_START, "b1"), 2);
-    fixture_accept_starts(&f);
-    struct reported_run running[] = {
-        {.task = LATENCY_SENSITIVE_JOB ".0.0.0",
-         .number = 1,
-         .saved = "",
-         .percent = 100,
-         .load_metric = 300},
-        {.task = BEST_EFFORT_JOB ".0.0.0",
-         .number = 1,
-         .saved = "",
-         .percent = 3},
-    };
+    init_with_both(&f);
     for (int i = 0; i < 40; i++) {
-        fixture_report(&f, "b1", running, 2, NULL, 0);
+        fixture_report(&f, "b1", both_running, 2, NULL, 0);
         fixture_tick(&f, f.now_ms + 100);
         const struct recorded_command *last =
             fixture_last(&f, COMMAND_THROTTLE);
@@ -192,17 +209,60 @@
     CU_ASSERT_EQUAL(fixture_last(&f, COMMAND_THROTTLE)->number, 0);
     /* It has made no progress for four seconds because of the limit. */
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, NULL), 0);
-    struct run_completion completion = {.number = 1,
-                                        .task = LATENCY_SENSITIVE_JOB ".0.0.0",
-                                        .run = 1,
-                                        .reason = END_STOPPED};
-    scheduler_cancel(f.sched, LATENCY_SENSITIVE_JOB);
-    fixture_report(&f, "b1", &running[1], 1, &completion, 1);
-    fixture_tick(&f, f.now_ms + 400);
+    end_latency_sensitive(&f);
     CU_ASSERT_EQUAL(fixture_last(&f, COMMAND_THROTTLE)->number, 100);
     fixture_clear(&f);
 }
 
+/* Lets the scheduler send a limit below 100. */
+static struct recorded_command
+wait_for_limit(struct fleet_fixture *f)
+{
+    for (int i = 0; i < 40 && fixture_count(f, COMMAND_THROTTLE, "b1") == 0;
+         i++) {
+        fixture_report(f, "b1", both_running, 2, NULL, 0);
+        fixture_tick(f, f->now_ms + 100);
+    }
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture_last(f, COMMAND_THROTTLE));
+    struct recorded_command sent = *fixture_last(f, COMMAND_THROTTLE);
+    CU_ASSERT_FATAL(sent.number < 100);
+    return sent;
+}
+
+/* A limit that got no answer may have been set. It was taken for not set, and
+ * the task kept it for good once it needed none. */
+static void
+test_limit_without_an_answer(void)
+{
+    struct fleet_fixture f;
+    init_with_both(&f);
+    struct recorded_command sent = wait_for_limit(&f);
+    scheduler_on_throttle(f.sched, sent.handle, (int32_t)sent.number, false);
+    end_latency_sensitive(&f);
+    CU_ASSERT_EQUAL(fixture_last(&f, COMMAND_THROTTLE)->number, 100);
+    fixture_clear(&f);
+}
+
+/* The answer to a limit that was given up arrives after that to the next one.
+ * It was taken for the limit that is set. */
+static void
+test_overtaken_limit(void)
+{
+    struct fleet_fixture f;
+    init_with_both(&f);
+    struct recorded_command sent = wait_for_limit(&f);
+    fixture_tick(&f, f.now_ms + 5300);
+    end_latency_sensitive(&f);
+    struct recorded_command last = *fixture_last(&f, COMMAND_THROTTLE);
+    CU_ASSERT_EQUAL_FATAL(last.number, 100);
+    scheduler_on_throttle(f.sched, last.handle, 100, true);
+    scheduler_on_throttle(f.sched, sent.handle, (int32_t)sent.number, true);
+    const struct backend *backend = scheduler_find_backend(f.sched, "b1");
+    const struct run *run = g_ptr_array_index(backend->runs, 0);
+    CU_ASSERT_EQUAL(run->cpu_limit_percent, -1);
+    fixture_clear(&f);
+}
+
 /* A new leader does not know the limits set before and sets its own. */
 static void
 test_limit_after_a_takeover(void)
@@ -231,6 +291,8 @@
         {"changing tail latencies", test_changing_latencies},
         {"steady tail latencies", test_steady_latencies},
         {"the limit is applied", test_limit_is_applied},
+        {"a limit without an answer", test_limit_without_an_answer},
+        {"an overtaken limit", test_overtaken_limit},
         {"the limit after a takeover", test_limit_after_a_takeover},
     };
     return suite_main("jobs throttle", tests,
