--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -14,6 +14,9 @@
      * this before a list was requested may be newer than the list. One that
      * was seen only after the request may be so whatever its clock says. */
     WALL_CLOCK_DIFFERENCE_MAX_MS = 4000,
+    /* Pages of a list are read one after the other, so a host may slip between
+     * two of them when the list changes. */
+    LISTS_WITHOUT_GONE_HOST = 2,
 };
 
 struct backend *
@@ -39,6 +42,14 @@
            backend->runs->len == 0 && backend->strays->len == 0;
 }
 
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host)
+{
+    const struct backend *backend = sched_host_backend(sched, host);
+    bool serves = backend != NULL && backend->listed && !backend->unresponsive;
+    return host->left_out >= LISTS_WITHOUT_GONE_HOST && !serves;
+}
+
 void
 sched_host_set_intent(struct scheduler *sched, struct host *host,
                       enum host_intent intent, const char *pool)
@@ -64,6 +75,7 @@
         return;
     }
     sched_backend_lost(sched, backend, "its host has a new incarnation");
+    backend->superseded = true;
     backend->granted_until_ms = 0;
     backend->leases_expire_ms = 0;
     backend->unreconciled = false;
@@ -72,30 +84,58 @@
     scheduler_backend_removed(sched, backend->entry.id);
 }
 
-/* The host is back after a command, or has restarted by itself. */
+/* Looks at the incarnation that ended; its backend server may have been
+ * removed before. */
 static void
-new_incarnation(struct scheduler *sched, struct host *host,
+explain_end(struct scheduler *sched, const struct host *host,
+            const struct backend *before, const struct backend *after)
+{
+    if (before != NULL) {
+        struct former_backend ended = sched_former_backend(sched, before);
+        sched_crash_unexplained(sched, host, &ended, after);
+        return;
+    }
+    const struct former_backend *former =
+        host->backend_id == NULL
+            ? NULL
+            : g_hash_table_lookup(sched->former_backends, host->backend_id);
+    if (former != NULL) {
+        sched_crash_unexplained(sched, host, former, after);
+    }
+}
+
+static void
+log_incarnation(struct scheduler *sched, const struct host *host,
                 const char *backend_id, const char *source)
 {
     const struct backend *before = sched_host_backend(sched, host);
     const struct backend *after = scheduler_find_backend(sched, backend_id);
-    if (before != NULL) {
-        sched_log_event(sched, "host_incarnation",
-                        "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
-                        "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
-                        "\"now_started\":%" G_GINT64_FORMAT,
-                        host->name, source, before->entry.id,
-                        before->entry.incarnation_start_ms, backend_id,
-                        after == NULL ? 0 : after->entry.incarnation_start_ms);
+    if (before == NULL) {
+        return;
     }
-    end_incarnation(sched, sched_host_backend(sched, host));
-    sched_crash_inherited(sched, host, before, after);
-    sched_crash_proved(sched, host, after);
+    sched_log_event(sched, "host_incarnation",
+                    "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
+                    "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
+                    "\"now_started\":%" G_GINT64_FORMAT,
+                    host->name, source, before->entry.id,
+                    before->entry.incarnation_start_ms, backend_id,
+                    after == NULL ? 0 : after->entry.incarnation_start_ms);
+}
+
+static void
+set_incarnation(struct scheduler *sched, struct host *host,
+                const char *backend_id)
+{
+    const struct backend *after = scheduler_find_backend(sched, backend_id);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
+    /* A move without an answer was carried out. */
+    bool moved = after != NULL && host->intent == HOST_MOVES &&
+                 g_strcmp0(after->entry.pool, host->target_pool) == 0;
     /* A reboot without an answer may still be carried out. */
     bool reboot_open = host->command_in_flight && host->intent == HOST_REBOOTS;
-    if ((host->command_accepted || host->command_in_flight) && !reboot_open) {
+    if (moved || ((host->command_accepted || host->command_in_flight) &&
+                  !reboot_open)) {
         host->command_accepted = false;
         sched_host_set_intent(sched, host, HOST_STAYS, NULL);
     }
@@ -104,6 +144,21 @@
     }
 }
 
+/* The host is back after a command, or has restarted by itself. */
+static void
+new_incarnation(struct scheduler *sched, struct host *host,
+                const char *backend_id, const char *source)
+{
+    const struct backend *before = sched_host_backend(sched, host);
+    const struct backend *after = scheduler_find_backend(sched, backend_id);
+    log_incarnation(sched, host, backend_id, source);
+    end_incarnation(sched, sched_host_backend(sched, host));
+    sched_crash_inherited(sched, host, before, after);
+    explain_end(sched, host, before, after);
+    sched_crash_proved(sched, host, after);
+    set_incarnation(sched, host, backend_id);
+}
+
 static void
 set_text(char **text, const char *value)
 {
@@ -129,6 +184,7 @@
     if (host == NULL) {
         host = g_new0(struct host, 1);
         host->name = g_strdup(name);
+        host->known_ms = sched_now(sched);
         g_hash_table_insert(sched->hosts, host->name, host);
     }
     return host;
@@ -148,9 +204,8 @@
            sched_pool_config(sched, backend->pool) != NULL;
 }
 
-/* Entries of ended incarnations may stay in the list for a while; the one that
- * started last is the current one, and the others have ended. An entry of a
- * pool that doesn't exist says nothing of the host that it names. */
+/* Entries of ended incarnations may stay in the list for a while. An entry of
+ * a pool that doesn't exist says nothing of the host that it names. */
 void
 sched_host_incarnation(struct scheduler *sched, struct backend *backend)
 {
@@ -161,11 +216,18 @@
     if (g_strcmp0(host->backend_id, backend->entry.id) == 0) {
         return;
     }
-    const struct backend *current = sched_host_backend(sched, host);
-    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0 ||
-        (current != NULL && pool_may_exist(sched, current) &&
-         current->entry.incarnation_start_ms >
-             backend->entry.incarnation_start_ms)) {
+    struct backend *current = sched_host_backend(sched, host);
+    enum incarnation is = INCARNATION_CURRENT;
+    if (g_strcmp0(host->commanded_incarnation, backend->entry.id) == 0) {
+        is = INCARNATION_ENDED;
+    }
+    else if (current != NULL && pool_may_exist(sched, current)) {
+        is = sched_incarnation_compare(sched, host, current, backend);
+    }
+    if (is == INCARNATION_OPEN) {
+        return;
+    }
+    if (is == INCARNATION_ENDED) {
         end_incarnation(sched, backend);
         sched_crash_inherited(sched, host, backend, current);
         /* A loss of the current incarnation is not proved by an older one. */
@@ -183,14 +245,24 @@
     }
 }
 
-/* Whether the known incarnation was ended by an accepted command. */
-static bool
-ended_by_command(const struct host *host)
+bool
+sched_host_ended_by_command(const struct host *host)
 {
     return host->command_accepted &&
            g_strcmp0(host->commanded_incarnation, host->backend_id) == 0;
 }
 
+/* Whether the host was in the pool of @current when that was seen, and was in
+ * another one, with another backend server or none, when the list was made: a
+ * move, which ends what runs. After a takeover nobody knows of its command. */
+static bool
+moved_since(const struct scheduler *sched, const struct backend *current,
+            const struct host_info *info, int64_t requested_ms)
+{
+    return current->seen_ms < requested_ms && pool_may_exist(sched, current) &&
+           g_strcmp0(info->pool, current->entry.pool) != 0;
+}
+
 /* Applies the row of a list that was requested at @requested_ms. A list may
  * arrive long after that, and it doesn't say when an incarnation started. */
 static void
@@ -201,6 +273,7 @@
     int64_t requested_unix_ms =
         ms_clock_now(&sched->unix_clock) - (sched_now(sched) - requested_ms);
     host->present = true;
+    host->left_out = 0;
     set_text(&host->data_centre, info->data_centre);
     bool command_pending = host->command_in_flight || host->command_accepted;
     if (command_pending &&
@@ -211,7 +284,10 @@
     bool other_incarnation =
         info->up && info->backend_id != NULL &&
         g_strcmp0(info->backend_id, host->backend_id) != 0;
-    if (current != NULL && other_incarnation && !ended_by_command(host)) {
+    bool moved = current != NULL && other_incarnation &&
+                 moved_since(sched, current, info, requested_ms);
+    if (current != NULL && other_incarnation && !moved &&
+        !sched_host_ended_by_command(host)) {
         /* Only entries tell which of two incarnations is the newer one. */
         return;
     }
@@ -222,7 +298,13 @@
         end_incarnation(sched, current);
         sched_crash_dropped(sched, host);
     }
-    if (other_incarnation) {
+    if (moved) {
+        log_incarnation(sched, host, info->backend_id, "move in host list");
+        end_incarnation(sched, current);
+        sched_crash_dropped(sched, host);
+        set_incarnation(sched, host, info->backend_id);
+    }
+    else if (other_incarnation) {
         new_incarnation(sched, host, info->backend_id, "host list");
     }
     else if (info->up && host->command_accepted && !host->command_in_flight) {
@@ -244,13 +326,19 @@
 scheduler_hosts_read(struct scheduler *sched, const struct host_info *hosts,
                      size_t n_hosts, int64_t requested_ms)
 {
-    sched->hosts_read = sched->hosts_read || n_hosts > 0;
+    /* A fleet without hosts has no use for a list of them. */
+    if (n_hosts == 0) {
+        return;
+    }
+    sched->hosts_read = true;
     sched->hosts_requested_ms = requested_ms;
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, sched->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((struct host *)value)->present = false;
+        struct host *host = value;
+        host->present = false;
+        host->left_out += requested_ms >= host->known_ms;
     }
     for (size_t i = 0; i < n_hosts; i++) {
         update_host(sched, &hosts[i], requested_ms);
@@ -261,6 +349,7 @@
 on_command_accepted(struct scheduler *sched, struct host *host, int64_t number)
 {
     host->command_accepted = true;
+    host->commanded_before = false;
     host->up = false;
     /* Halfway through the move, because wall clocks differ slightly between
      * hosts: the old incarnation started before this time, the new one after
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -53,6 +53,7 @@
         run->stop_acked_ms = 0;
         run->stop_sent_ms = 0;
         run->stop_pending = false;
+        run->stop_count_before = run->stop_count;
         run->first_clock_ms = 0;
     }
 }
@@ -81,23 +82,27 @@
  * ended. */
 static void
 renew_incarnation(struct scheduler *sched, struct backend *backend,
-                  int64_t previous_start_ms)
+                  const struct former_backend *before)
 {
     sched_log_event(sched, "backend_restarted",
                     "\"backend\":\"%s\",\"before\":%" G_GINT64_FORMAT
                     ",\"now\":%" G_GINT64_FORMAT ",\"runs\":%u",
-                    backend->entry.id, previous_start_ms,
+                    backend->entry.id, before->incarnation_start_ms,
                     backend->entry.incarnation_start_ms, backend->runs->len);
     release_ended_runs(sched, backend);
+    backend->previous_start_ms = before->incarnation_start_ms;
+    backend->earlier_start_ms = 0;
     backend->seen_ms = sched_now(sched);
+    backend->claim_refuted = false;
+    backend->superseded = false;
     backend->incarnation++;
     backend->settled_ms = 0;
     /* Its record names the earlier incarnation and what that served. */
     backend->registered = false;
     if (backend->entry.host != NULL) {
-        sched_crash_proved(sched,
-                           sched_host_find_or_add(sched, backend->entry.host),
-                           backend);
+        struct host *host = sched_host_find_or_add(sched, backend->entry.host);
+        sched_crash_unexplained(sched, host, before, backend);
+        sched_crash_proved(sched, host, backend);
     }
     backend->report_received = false;
     /* A previous leader may have started runs on the new one too, so it stays
@@ -112,6 +117,22 @@
         sched_now(sched) + LATE_COMMAND_MS, sched->lease_accepted_max_ms);
     backend_forget_completions(backend);
     backend->unresponsive = false;
+    backend->end_explained = false;
+}
+
+struct former_backend
+sched_former_backend(const struct scheduler *sched,
+                     const struct backend *backend)
+{
+    return (struct former_backend){
+        .incarnation = backend->incarnation,
+        .removed_ms = sched_now(sched),
+        .incarnation_start_ms = backend->entry.incarnation_start_ms,
+        .pool = backend->pool,
+        .draining = backend->entry.draining,
+        .superseded = backend->superseded,
+        .end_explained = backend->end_explained,
+    };
 }
 
 /* It may come back under its id while commands to it are still on their way,
@@ -120,8 +141,7 @@
 remember_backend(struct scheduler *sched, const struct backend *backend)
 {
     struct former_backend *former = g_new0(struct former_backend, 1);
-    former->incarnation = backend->incarnation;
-    former->removed_ms = sched_now(sched);
+    *former = sched_former_backend(sched, backend);
     g_hash_table_replace(sched->former_backends, g_strdup(backend->entry.id),
                          former);
 }
@@ -139,16 +159,24 @@
 add_backend(struct scheduler *sched, const struct backend_entry *entry)
 {
     struct backend *backend = backend_create(entry);
+    backend->empty_since_ms = sched_now(sched);
+    backend->seen_ms = sched_now(sched);
+    g_hash_table_insert(sched->backends, backend->entry.id, backend);
+    sched_backend_refs(sched, backend);
     const struct former_backend *former =
         g_hash_table_lookup(sched->former_backends, entry->id);
     if (former != NULL) {
         backend->incarnation = former->incarnation + 1;
+        backend->superseded =
+            former->superseded && former->incarnation_start_ms != 0 &&
+            former->incarnation_start_ms == entry->incarnation_start_ms;
+        if (entry->host != NULL) {
+            sched_crash_unexplained(sched,
+                                    sched_host_find_or_add(sched, entry->host),
+                                    former, backend);
+        }
         g_hash_table_remove(sched->former_backends, entry->id);
     }
-    backend->empty_since_ms = sched_now(sched);
-    backend->seen_ms = sched_now(sched);
-    g_hash_table_insert(sched->backends, backend->entry.id, backend);
-    sched_backend_refs(sched, backend);
     return backend;
 }
 
@@ -157,6 +185,13 @@
              const struct backend_entry *entry)
 {
     struct backend_entry *copy = backend_entry_copy(entry);
+    /* A backend server stays on its host. */
+    if (backend->entry.host != NULL &&
+        g_strcmp0(copy->host, backend->entry.host) != 0 &&
+        copy->incarnation_start_ms == backend->entry.incarnation_start_ms) {
+        g_free(copy->host);
+        copy->host = g_strdup(backend->entry.host);
+    }
     char *id = backend->entry.id;
     g_free(copy->id);
     copy->id = NULL;
@@ -173,8 +208,13 @@
 entry_outdated(const struct backend *backend,
                const struct backend_entry *entry)
 {
-    return entry->incarnation_start_ms != 0 &&
-           entry->incarnation_start_ms < backend->entry.incarnation_start_ms;
+    if (entry->incarnation_start_ms == 0) {
+        return false;
+    }
+    return entry->incarnation_start_ms == backend->previous_start_ms ||
+           (entry->incarnation_start_ms <
+                backend->entry.incarnation_start_ms &&
+            entry->incarnation_start_ms != backend->earlier_start_ms);
 }
 
 void
@@ -209,11 +249,12 @@
         if (restarted) {
             suspect_restart(sched, backend, entry);
         }
+        struct former_backend before = sched_former_backend(sched, backend);
         if (!backend_entry_equal(&backend->entry, entry)) {
             update_entry(sched, backend, entry);
         }
         if (restarted) {
-            renew_incarnation(sched, backend, previous_start_ms);
+            renew_incarnation(sched, backend, &before);
         }
     }
     backend->listed = true;
@@ -306,7 +347,7 @@
     return !capacity_unknown(sched, backend) && backend->listed &&
            backend->report_received && backend->registered &&
            !backend->entry.draining && !backend->unresponsive &&
-           !backend->leaving &&
+           !backend->leaving && !sched_backend_contested(backend) &&
            !sched_is_out_of_service(sched, backend->entry.data_centre);
 }
 
@@ -329,6 +370,8 @@
             sched_backend_lost(sched, backend, "lapsed");
         }
         if (expired && backend->unresponsive) {
+            backend->end_explained =
+                backend->end_explained || backend->unreconciled;
             backend->unreconciled = false;
         }
         if (backend->listed || !expired || backend->runs->len > 0 ||
@@ -342,6 +385,7 @@
         remember_backend(sched, backend);
         sched_backend_refs_clear(backend);
         g_ptr_array_remove_fast(sched->draining, backend);
+        g_ptr_array_remove_fast(sched->contenders, backend);
         deadline_heap_remove(sched->report_deadlines,
                              &backend->report_deadline);
         g_hash_table_iter_remove(&iter);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -85,6 +85,7 @@
  * @silent_ms: since when it gave no answer; 0: unknown
  * @noticed_late: that was long after the start of the suspects
  * @lost_ms: when its runs were lost
+ * @proved_ms: when that proved to be a crash; 0: not yet
  * @role: part of the suspects in it
  * @alone: no run but that of the one suspect may be the cause
  * @isolated_in: pool, if a run was isolated; NULL: none was
@@ -96,6 +97,7 @@
     int64_t silent_ms;
     bool noticed_late;
     int64_t lost_ms;
+    int64_t proved_ms;
     enum crash_role role;
     bool alone;
     struct pool_load *isolated_in;
@@ -107,6 +109,8 @@
  * @load: its pool, NULL: unknown
  * @backend_id: backend server that is its current incarnation, or NULL
  * @present: it is in the last host list of the platform
+ * @known_ms: when it was first named
+ * @left_out: host lists in a row that don't have it, requested since then
  * @up: it runs and is neither moving nor rebooting
  * @down_unix_ms: Unix time since when it is known to be unavailable; 0: it is
  *                up. Only an incarnation that started later is a new one
@@ -129,6 +133,8 @@
     char *data_centre;
     char *backend_id;
     bool present;
+    int64_t known_ms;
+    uint32_t left_out;
     bool up;
     int64_t down_unix_ms;
     enum host_intent intent;
@@ -287,10 +293,20 @@
  * struct former_backend - a backend server that was removed
  * @incarnation: its last, see struct backend
  * @removed_ms: when it was removed
+ * @incarnation_start_ms: Unix time of the start of that incarnation
+ * @pool: pool that it served
+ * @superseded: its host had a later one
+ * @draining: it was about to leave
+ * @end_explained: see struct backend
  */
 struct former_backend {
     uint32_t incarnation;
     int64_t removed_ms;
+    int64_t incarnation_start_ms;
+    const struct pool_load *pool;
+    bool superseded;
+    bool draining;
+    bool end_explained;
 };
 
 /**
@@ -325,6 +341,8 @@
  * @hosts: struct host by name
  * @pools: struct pool_load by pool
  * @draining: struct backend, those that drain
+ * @contenders: struct backend, those that may or may not be the current
+ *              incarnation of their host
  * @waves: struct wave
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
@@ -337,6 +355,10 @@
  * @silences: times at which backend servers fell silent on which nothing had
  *            just started, the oldest overwritten first
  * @silence_count: number of such times
+ * @unexplained_crash_ms: when a crash was last seen that no task has caused;
+ * 0: never
+ * @open_crashes: struct crash_case, crashes that one of several tasks may have
+ *                caused, or none
  * @crashed_ids: ids of backend servers of a previous leader that have crashed
  * @spare_hosts: hosts that could be moved to any pool
  * @hosts_read: the host list was read and was not empty
@@ -366,6 +388,7 @@
     bool fenced;
     int64_t takeover_ms;
     uint64_t next_handle;
+    uint64_t next_report_request;
     GHashTable *backends;
     GHashTable *former_backends;
     GHashTable *jobs;
@@ -376,6 +399,7 @@
     GHashTable *hosts;
     GHashTable *pools;
     GPtrArray *draining;
+    GPtrArray *contenders;
     GPtrArray *waves;
     GQueue dirty;
     GPtrArray *to_register;
@@ -386,6 +410,8 @@
     GPtrArray *crashed;
     int64_t silences[SILENCES_KEPT];
     uint32_t silence_count;
+    int64_t unexplained_crash_ms;
+    GPtrArray *open_crashes;
     GHashTable *crashed_ids;
     int64_t spare_hosts;
     bool hosts_read;
@@ -468,6 +494,9 @@
 sched_job_unplaced(struct scheduler *sched, struct job *job);
 
 /* scheduler_backends.c */
+struct former_backend
+sched_former_backend(const struct scheduler *sched,
+                     const struct backend *backend);
 int64_t
 sched_lease_ms(struct scheduler *sched);
 void
@@ -508,9 +537,10 @@
 void
 sched_watch_runs(struct scheduler *sched);
 /* Stops runs whose start got no answer and that a report which was requested
- * after that does not contain. */
+ * after that, at @requested_ms, does not contain. */
 void
-sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend);
+sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend,
+                       int64_t requested_ms);
 /* Whether a stop of @run is repeated only after a report without it: the task
  * is wanted, its start may have been carried out since, and others of its step
  * may be unavailable. A report that shows the run recalls the stop. */
@@ -530,7 +560,7 @@
     uint32_t index;
 };
 
-/* scheduler_reports.c */
+/* report_requests.c */
 void
 sched_request_reports(struct scheduler *sched);
 /* Sets when the next report of @backend is requested. */
@@ -550,6 +580,11 @@
 /* Notes which runs of a lost backend server may have crashed it. */
 void
 sched_crash_suspected(struct scheduler *sched, struct backend *backend);
+/* It gives no answer: whom that clears. */
+void
+sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
+
+/* crash_proof.c */
 /* The new incarnation @after of @host proves that its last one has crashed. */
 void
 sched_crash_proved(struct scheduler *sched, struct host *host,
@@ -563,23 +598,24 @@
 sched_crash_inherited(struct scheduler *sched, const struct host *host,
                       const struct backend *before,
                       const struct backend *after);
-/* Whether it is clear what became of the last start of a suspect, and it may
- * start again. */
-bool
-sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
-                             uint32_t occurrence, uint32_t step,
-                             uint32_t index);
-/* It gives no answer: whom that clears. */
+/* The new incarnation @after of @host ended @before: whether that was a crash
+ * which no task has caused. */
 void
-sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
+sched_crash_unexplained(struct scheduler *sched, const struct host *host,
+                        const struct former_backend *before,
+                        const struct backend *after);
 /* The incarnation that was lost still runs. */
 void
-sched_crash_backend_answers(struct scheduler *sched,
-                            const struct backend *backend);
+sched_crash_backend_answers(struct scheduler *sched, struct backend *backend);
 /* The last incarnation of @host has ended in another way. */
 void
 sched_crash_dropped(struct scheduler *sched, struct host *host);
-/* Drops what can no longer be proved; it refers to jobs. */
+void
+sched_crash_init(struct scheduler *sched);
+void
+sched_crash_clear(struct scheduler *sched);
+/* Drops what can no longer be proved, or says nothing any more; it refers to
+ * jobs. */
 void
 sched_crash_expire(struct scheduler *sched);
 /* Backend servers of @pool that were lost with an isolated run and may be back
@@ -587,6 +623,21 @@
 uint32_t
 sched_crashed_isolated(const struct scheduler *sched,
                        const struct pool_load *pool);
+
+/* crash_attempt.c */
+/* Whether it is clear what became of the last start of a suspect, and it may
+ * start again. */
+bool
+sched_crash_settle_inherited(struct scheduler *sched, struct job *job,
+                             uint32_t occurrence, uint32_t step,
+                             uint32_t index);
+/* Whether what crashes say about @task, and that it starts on @backend_id, is
+ * stored. */
+bool
+sched_start_recorded(struct scheduler *sched, struct job *job,
+                     struct job_task *task, const char *backend_id);
+
+/* run_isolation.c */
 /* Counts a new run as isolated if its task is a suspect. */
 void
 sched_run_isolate(struct run *run);
@@ -596,11 +647,6 @@
 void
 sched_run_worked_until(struct scheduler *sched, struct run *run,
                        int64_t clock_ms);
-/* Whether what crashes say about @task, and that it starts on @backend_id, is
- * stored. */
-bool
-sched_start_recorded(struct scheduler *sched, struct job *job,
-                     struct job_task *task, const char *backend_id);
 
 /* strays.c */
 struct stray *
@@ -617,9 +663,10 @@
 /* False if @handle is not that of a stray. */
 bool
 sched_stray_stop_answered(struct scheduler *sched, uint64_t handle,
-                          bool acked);
+                          uint32_t attempt, bool acked);
 void
-sched_drop_absent_strays(struct scheduler *sched, struct backend *backend);
+sched_drop_absent_strays(struct scheduler *sched, struct backend *backend,
+                         int64_t requested_ms);
 void
 sched_backend_strays_lost(struct scheduler *sched, struct backend *backend);
 void
@@ -674,6 +721,44 @@
 sched_host_backend(const struct scheduler *sched, const struct host *host);
 bool
 sched_host_empty(const struct scheduler *sched, const struct host *host);
+/* Whether the host has left the fleet. */
+bool
+sched_host_gone(const struct scheduler *sched, const struct host *host);
+
+/* Whether an accepted command has ended its known incarnation. */
+bool
+sched_host_ended_by_command(const struct host *host);
+
+/* incarnation.c */
+/** enum incarnation - what a backend server is beside the current one of its
+ * host
+ * @INCARNATION_OPEN: not known yet
+ * @INCARNATION_CURRENT: it has taken the place of the current one
+ * @INCARNATION_ENDED: an earlier incarnation */
+enum incarnation {
+    INCARNATION_OPEN,
+    INCARNATION_CURRENT,
+    INCARNATION_ENDED,
+};
+enum incarnation
+sched_incarnation_compare(struct scheduler *sched, const struct host *host,
+                          struct backend *current, struct backend *other);
+/* Decides what was open, by the answers since. */
+void
+sched_settle_incarnations(struct scheduler *sched);
+/* Whether another one claims to have taken its place, and it has not answered
+ * since. */
+bool
+sched_backend_contested(const struct backend *backend);
+/* Whether @report shows an incarnation under the same id that started earlier
+ * than the known one, or that came before it. */
+bool
+sched_report_outdated(const struct backend *backend,
+                      const struct run_report *report);
+/* Whether that is the new one all the same: two requests that were sent after
+ * the known one was seen got the same answer. A single one may be late. */
+bool
+sched_clock_set_back(struct backend *backend, const struct run_report *report);
 
 /* command_budget.c */
 void
--- a/core/jobs/unconfirmed_starts.c
+++ b/core/jobs/unconfirmed_starts.c
@@ -25,29 +25,30 @@
 }
 
 static void
-stop_unconfirmed(struct scheduler *sched, struct run *run)
+stop_unconfirmed(struct scheduler *sched, struct run *run,
+                 int64_t requested_ms)
 {
-    const struct backend *backend = run->backend;
     bool service = run_step(run)->long_running;
     /* A service task may take a while to show. */
     int64_t shown_by_ms = service ? run->started_ms + SERVICE_START_VISIBLE_MS
                                   : run->answer_missed_ms;
-    if (run->state == RUN_UNCERTAIN &&
-        backend->report_requested_ms >= shown_by_ms) {
+    if (run->state == RUN_UNCERTAIN && requested_ms >= shown_by_ms) {
         sched_run_stop(sched, run);
         run->stop_unconfirmed = service;
     }
     else if (sched_stop_needs_report(run) &&
-             backend->report_requested_ms >= run->stop_sent_ms &&
+             requested_ms >= run->stop_sent_ms &&
              sched_stop_repeat_due(sched, run)) {
         sched_send_stop(sched, run);
     }
 }
 
 void
-sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend)
+sched_stop_unconfirmed(struct scheduler *sched, struct backend *backend,
+                       int64_t requested_ms)
 {
     for (guint i = 0; i < backend->runs->len; i++) {
-        stop_unconfirmed(sched, g_ptr_array_index(backend->runs, i));
+        stop_unconfirmed(sched, g_ptr_array_index(backend->runs, i),
+                         requested_ms);
     }
 }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -83,6 +83,7 @@
  * @stop_acked_ms: when a stop command was acknowledged; 0: never
  * @stop_pending: a stop command is in flight
  * @stop_count: stop commands sent
+ * @stop_count_before: those that were sent to an earlier incarnation
  * @stop_unconfirmed: a service task that is being stopped because a report
  *                    didn't show it after a start without an answer
  * @percent: reported progress, 100 for service tasks that are ready; -1: none
@@ -120,6 +121,7 @@
     int64_t stop_acked_ms;
     bool stop_pending;
     uint32_t stop_count;
+    uint32_t stop_count_before;
     bool stop_unconfirmed;
     int32_t percent;
     int64_t percent_clock_ms;
@@ -183,6 +185,21 @@
     uint64_t version;
 };
 
+/**
+ * struct report_request - identity of a request for a run report, which comes
+ *                         back with its answer
+ * @number: counts the requests of this leader
+ * @sent_ms: when it was sent
+ * @incarnation: incarnation of the backend server that it was sent to
+ * @acked: highest completion number acknowledged by it or before
+ */
+struct report_request {
+    uint64_t number;
+    int64_t sent_ms;
+    uint32_t incarnation;
+    int64_t acked;
+};
+
 /**
  * struct backend - a backend server as the scheduler knows it
  * @entry: its entry in the host list
@@ -200,10 +217,17 @@
  * @latency_sensitive_runs: runs of tasks with a tail latency target
  * @best_effort_runs: runs of best-effort tasks
  * @report_deadline: when its next run report is requested
+ * @contested_ms: when another backend server last claimed to be a later
+ *                incarnation of its host; 0: never
+ * @claim_refuted: it claims that itself, but the one before has answered since
+ * @superseded: its host has a later incarnation, whatever its start time says
  * @listed: it is in the host list
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
  * @incarnation: counts its restarts under the same id, as far as known
+ * @previous_start_ms: start of the incarnation before that one; 0: unknown
+ * @earlier_start_ms: start in the last report, if that is earlier than the
+ * known one
  * @settled_ms: when a stop command that was sent to an earlier incarnation and
  *              carried out by this one must have taken effect; 0: no run
  *              report of this incarnation was read yet
@@ -214,6 +238,8 @@
  *                    effect; 0: no run report was read yet
  * @unresponsive: its last call got no answer
  * @silent_ms: when a call first got no answer; 0: never
+ * @end_explained: when its current incarnation was lost, there may have been a
+ *                 run that has crashed it
  * @leaving: its host is about to be moved or rebooted
  * @clock_ms: its clock at the last sample
  * @clock_sampled_ms: the scheduler's clock at that sample
@@ -225,11 +251,11 @@
  * @last_completion: highest completion number processed
  * @acked_completion: highest completion number whose effect is stored, to be
  *                    acknowledged
- * @acked_sent: highest completion number acknowledged to the backend server
- * @acked_answered: highest one acknowledged in a request that was answered
- * @report_in_flight: a report request is in flight
- * @report_requested_ms: when it was sent
- * @report_incarnation: incarnation that it was sent to
+ * @acked_answered: highest completion number acknowledged in a request that
+ *                  was answered
+ * @report_in_flight: @report_request has no answer yet
+ * @report_request: the latest request for a run report
+ * @answered_request_ms: when the latest request was sent whose report was read
  * @report_due_ms: earliest time of the next one
  * @report_read_ms: when a run report was last read
  * @throttle: controller of the best-effort tasks on it
@@ -256,16 +282,22 @@
     uint32_t latency_sensitive_runs;
     uint32_t best_effort_runs;
     struct deadline_entry report_deadline;
+    int64_t contested_ms;
+    bool claim_refuted;
+    bool superseded;
     bool listed;
     bool registered;
     bool registering;
     uint32_t incarnation;
+    int64_t previous_start_ms;
+    int64_t earlier_start_ms;
     int64_t settled_ms;
     bool report_received;
     bool unreconciled;
     int64_t reconcile_due_ms;
     bool unresponsive;
     int64_t silent_ms;
+    bool end_explained;
     bool leaving;
     int64_t clock_ms;
     int64_t clock_sampled_ms;
@@ -274,11 +306,10 @@
     GQueue completions;
     int64_t last_completion;
     int64_t acked_completion;
-    int64_t acked_sent;
     int64_t acked_answered;
     bool report_in_flight;
-    int64_t report_requested_ms;
-    uint32_t report_incarnation;
+    struct report_request report_request;
+    int64_t answered_request_ms;
     int64_t report_due_ms;
     int64_t report_read_ms;
     struct throttle throttle;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -107,8 +107,10 @@
  * @crash_group: the loss that made it a suspect; 0: none, or a previous
  *               leader's
  * @crash_losses: losses that made it a suspect since it last worked alone
- * @crash_backend: backend server of its last isolated start, unless it has
- *                 worked there; or NULL
+ * @crash_backend: backend server of its last isolated start, or one that fell
+ *                 silent just after it had started there, unless it has worked
+ *                 there; or NULL
+ * @crash_shared: others may have crashed @crash_backend as well
  * @isolation_since_ms: since when it has waited for a backend server to
  * itself; 0: it has not
  */
@@ -127,6 +129,7 @@
     uint32_t crash_group;
     uint32_t crash_losses;
     char *crash_backend;
+    bool crash_shared;
     int64_t isolation_since_ms;
 };
 
@@ -228,6 +231,8 @@
  * @revision: store revision of the stored progress; 0: none
  * @storing: a write of the progress is in flight
  * @inherited: accepted before the current scheduler took over
+ * @left_pool: tasks may have started in another pool than @pool
+ * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
  * @refs: what the scheduler looks up once for it
@@ -258,6 +263,8 @@
     int64_t revision;
     bool storing;
     bool inherited;
+    bool left_pool;
+    uint64_t left_pool_version;
     struct job_rank rank;
     struct job_remaining remaining;
     struct job_refs refs;
--- a/tests/jobs/crash_record_test.c
+++ b/tests/jobs/crash_record_test.c
@@ -29,6 +29,8 @@
         scheduler_on_start(f.sched, start->handle, START_DONE, f.now_ms);
         char *id = g_strdup(start->target);
         fixture_drain_backend(&f, id, "p", id[1] == '0' ? "m0" : "m1");
+        fixture_answer(&f, id,
+                       (struct run_report){.outcome = REPORT_NO_ANSWER});
         f.incarnation_start_ms = f.now_ms + 1000000000;
         char *next = g_strdup_printf("c%c", id[1]);
         fixture_add_backend(&f, next, "p", id[1] == '0' ? "m0" : "m1");
@@ -69,37 +71,83 @@
     CU_ASSERT_EQUAL(task->crash.alone, 1);
     CU_ASSERT_TRUE(task->crash.suspect);
     CU_ASSERT_STRING_EQUAL(task->crash_backend, "b1");
+    CU_ASSERT_FALSE(task->crash_shared);
     g_free(record);
     job_unref(job);
     fixture_clear(&f);
 }
 
+/* Whose backend server has fallen silent is a suspect for the next leader
+ * only. */
+static void
+test_record_of_silence(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    for (int suspect = 0; suspect < 2; suspect++) {
+        struct job *job = fixture_create_job(&f, JOB_A, "p", one_task);
+        struct job_task *task = &job_step_progress(job, 0, 0)->tasks[0];
+        task->crash.suspect = suspect == 1;
+        task->crash_backend = g_strdup("b1");
+        task->crash_shared = true;
+        char *record = record_progress_encode(job);
+        job_unref(job);
+        job = fixture_create_job(&f, JOB_A, "p", one_task);
+        CU_ASSERT_TRUE(record_progress_apply(job, record, strlen(record)));
+        task = &job_step_progress(job, 0, 0)->tasks[0];
+        CU_ASSERT_TRUE(task->crash.suspect);
+        CU_ASSERT_TRUE(task->crash_shared);
+        CU_ASSERT_EQUAL(task->crash.crashes, 0);
+        CU_ASSERT_STRING_EQUAL(task->crash_backend, "b1");
+        g_free(record);
+        job_unref(job);
+    }
+    fixture_clear(&f);
+}
+
 /* Two crashes suffice for a task that had just started and was alone. Others
  * that were lost beside it, or had worked for a while, need more. */
 static void
 test_crashes_that_prove(void)
 {
     struct crash_record alone = {0};
-    CU_ASSERT_FALSE(crash_record_crash(&alone, CRASH_FRESH, true));
+    CU_ASSERT_FALSE(crash_record_crash(&alone, CRASH_FRESH, true, false));
     CU_ASSERT_TRUE(crash_isolated(&alone));
-    CU_ASSERT_TRUE(crash_record_crash(&alone, CRASH_FRESH, true));
+    CU_ASSERT_TRUE(crash_record_crash(&alone, CRASH_FRESH, true, false));
     struct crash_record beside = {0};
-    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, false));
-    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, false));
-    CU_ASSERT_TRUE(crash_record_crash(&beside, CRASH_FRESH, false));
+    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, false, false));
+    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, false, false));
+    CU_ASSERT_TRUE(crash_record_crash(&beside, CRASH_FRESH, false, false));
     struct crash_record bystander = {0};
     for (uint32_t i = 0; i < 5; i++) {
-        CU_ASSERT_FALSE(crash_record_crash(&bystander, CRASH_LATE, false));
+        CU_ASSERT_FALSE(
+            crash_record_crash(&bystander, CRASH_LATE, false, false));
     }
     struct crash_record late = {0};
-    CU_ASSERT_FALSE(crash_record_crash(&late, CRASH_LATE, true));
+    CU_ASSERT_FALSE(crash_record_crash(&late, CRASH_LATE, true, false));
     CU_ASSERT_FALSE(crash_isolated(&late));
-    CU_ASSERT_FALSE(crash_record_crash(&late, CRASH_LATE, true));
+    CU_ASSERT_FALSE(crash_record_crash(&late, CRASH_LATE, true, false));
     CU_ASSERT_TRUE(crash_isolated(&late));
-    CU_ASSERT_TRUE(crash_record_crash(&late, CRASH_LATE, true));
+    CU_ASSERT_TRUE(crash_record_crash(&late, CRASH_LATE, true, false));
     CU_ASSERT_EQUAL(crash_role_of(60000), CRASH_BYSTANDER);
 }
 
+/* While backend servers crash by themselves, it may be chance that two did so
+ * just after the same task had started. */
+static void
+test_unexplained_crashes(void)
+{
+    struct crash_record alone = {0};
+    CU_ASSERT_FALSE(crash_record_crash(&alone, CRASH_FRESH, true, false));
+    CU_ASSERT_FALSE(crash_record_crash(&alone, CRASH_FRESH, true, true));
+    CU_ASSERT_TRUE(crash_isolated(&alone));
+    CU_ASSERT_TRUE(crash_record_crash(&alone, CRASH_FRESH, true, true));
+    struct crash_record beside = {0};
+    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, false, true));
+    CU_ASSERT_FALSE(crash_record_crash(&beside, CRASH_FRESH, true, true));
+    CU_ASSERT_TRUE(crash_record_crash(&beside, CRASH_FRESH, true, false));
+}
+
 /* Another one was found: only what both were lost in is forgotten. */
 static void
 test_other_cause(void)
@@ -113,7 +161,7 @@
     struct crash_record alone = {.suspect = true, .crashes = 1, .alone = 1};
     crash_record_other(&alone, true);
     CU_ASSERT_TRUE(crash_isolated(&alone));
-    CU_ASSERT_TRUE(crash_record_crash(&alone, CRASH_FRESH, true));
+    CU_ASSERT_TRUE(crash_record_crash(&alone, CRASH_FRESH, true, false));
 }
 
 /* A suspicion alone doesn't keep a task waiting, a crash alone does. */
@@ -172,12 +220,14 @@
 {
     static const struct suite_test tests[] = {
         {"crashes that prove", test_crashes_that_prove},
+        {"crashes that no task has caused", test_unexplained_crashes},
         {"another task was the cause", test_other_cause},
         {"a suspect that waits for long", test_suspect_may_join},
         {"a service task backs off", test_service_backs_off},
         {"leaders lost with the crashes", test_leaders_lost},
         {"a drained backend server has not crashed",
          test_drained_has_not_crashed},
+        {"what a silence says is stored", test_record_of_silence},
         {"what crashes say is stored", test_older_record},
     };
     return suite_main("jobs crash record", tests,
--- a/tests/jobs/late_start_test.c
+++ b/tests/jobs/late_start_test.c
@@ -41,7 +41,7 @@
     fixture_tick(f, f->now_ms + 10);
     fixture_report(f, "b1", NULL, 0, NULL, 0);
     CU_ASSERT_EQUAL_FATAL(fixture_count(f, COMMAND_STOP, "b1"), 1);
-    scheduler_on_stop(f->sched, fixture_last(f, COMMAND_STOP)->handle, false);
+    fixture_answer_stop(f, false);
 }
 
 /* The start is carried out between the stop and its repetition. */
@@ -70,7 +70,7 @@
     fixture_tick(&f, f.now_ms + REPEAT_MS);
     fixture_report(&f, "b1", NULL, 0, NULL, 0);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     fixture_tick(&f, f.now_ms + REPEAT_MS);
     fixture_report(&f, "b1", NULL, 0, NULL, 0);
     fixture_tick(&f, f.now_ms + REPEAT_MS);
@@ -89,7 +89,7 @@
     scheduler_cancel(f.sched, SERVICE_JOB);
     fixture_tick(&f, f.now_ms + REPEAT_MS);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, false);
+    fixture_answer_stop(&f, false);
     fixture_report(&f, "b1", &service_run, 1, NULL, 0);
     fixture_tick(&f, f.now_ms + 2 * REPEAT_MS);
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 3);
--- a/tests/jobs/scheduler_test.c
+++ b/tests/jobs/scheduler_test.c
@@ -89,7 +89,7 @@
                           requested + 1);
     fixture_report(&f, where, NULL, 0, NULL, 0);
     CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_STOP, NULL), 1);
-    scheduler_on_stop(f.sched, fixture_last(&f, COMMAND_STOP)->handle, true);
+    fixture_answer_stop(&f, true);
     fixture_tick(&f, f.now_ms + 20);
     fixture_report(&f, where, NULL, 0, NULL, 0);
     fixture_tick(&f, f.now_ms + 10);
@@ -239,8 +239,7 @@
     scheduler_cancel(f.sched, JOB_A);
     int64_t begin_ms = f.now_ms;
     while (f.now_ms < begin_ms + 4000) {
-        const struct recorded_command *stop = fixture_last(&f, COMMAND_STOP);
-        scheduler_on_stop(f.sched, stop->handle, false);
+        fixture_answer_stop(&f, false);
         fixture_tick(&f, f.now_ms + 100);
     }
     uint32_t stops = fixture_count(&f, COMMAND_STOP, "b1");
@@ -416,13 +415,17 @@
     scheduler_wave_set(f.sched, &wave);
     scheduler_wave_host_started(f.sched, 4, "m0");
     CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
-    /* It has left the fleet before the next list. */
+    /* It has left the fleet before the next lists. */
     struct host_info infos[] = {{.host = "m0",
                                  .pool = "p",
                                  .backend_id = "b0",
                                  .data_centre = "dc",
                                  .up = true}};
     scheduler_hosts_read(f.sched, infos, 1, f.now_ms + 1);
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_backend_removed(f.sched, "b2");
+    CU_ASSERT_FALSE(scheduler_wave_done(f.sched, 4));
+    scheduler_hosts_read(f.sched, infos, 1, f.now_ms + 2);
     CU_ASSERT_TRUE(scheduler_wave_done(f.sched, 4));
     fixture_clear(&f);
 }
@@ -481,7 +484,7 @@
     while (fixture_count(&f, COMMAND_START, NULL) == 0 &&
            f.now_ms < taken_over_ms + 10000) {
         fixture_tick(&f, f.now_ms + 100);
-        scheduler_on_report(f.sched, "b1", &no_answer);
+        fixture_answer(&f, "b1", no_answer);
         fixture_report(&f, "b2", NULL, 0, NULL, 0);
     }
     CU_ASSERT(f.now_ms > taken_over_ms + 3000);
--- a/tests/jobs/store_txn_test.c
+++ b/tests/jobs/store_txn_test.c
@@ -163,7 +163,7 @@
     scheduler_backend_removed(store->fixture.sched, "b1");
     store->fixture.now_ms += LEASES_OVER_MS;
     struct run_report no_answer = {.outcome = REPORT_NO_ANSWER};
-    scheduler_on_report(store->fixture.sched, "b1", &no_answer);
+    fixture_answer(&store->fixture, "b1", no_answer);
     scheduler_tick(store->fixture.sched);
     CU_ASSERT_PTR_NULL(scheduler_find_backend(store->fixture.sched, "b1"));
 }
@@ -342,7 +342,7 @@
     const struct backend *backend = scheduler_find_backend(f.sched, "b1");
     CU_ASSERT(backend->unreconciled);
     struct run_report no_answer = {.outcome = REPORT_NO_ANSWER};
-    scheduler_on_report(f.sched, "b1", &no_answer);
+    fixture_answer(&f, "b1", no_answer);
     fixture_tick(&f, f.now_ms + 100);
     CU_ASSERT(backend->unreconciled);
     fixture_clear(&f);
@@ -396,6 +396,31 @@
     store_clear(&s);
 }
 
+/* The status of a wave gets no answer and is stored again, by then with
+ * another state. The first one is carried out late, and undid the second. */
+static void
+test_late_wave_status(void)
+{
+    struct small_store s;
+    store_init(&s);
+    struct txn_builder first =
+        store_txn_wave_status("4", true, g_strdup("m0"), TOKEN, 0);
+    struct txn_builder second =
+        store_txn_wave_status("4", false, g_strdup("m0 m1"), TOKEN, 0);
+    CU_ASSERT_PTR_NULL(carry_out(&s, &second));
+    int64_t revision = revision_of(&s, RECORD_WAVE_PREFIX "4");
+    CU_ASSERT_EQUAL(revision, revision_of(&s, "status/wave/4"));
+    carry_out_late(&s, &first);
+    CU_ASSERT_EQUAL(revision_of(&s, "status/wave/4"), revision);
+    CU_ASSERT_EQUAL(revision_of(&s, RECORD_WAVE_PREFIX "4"), revision);
+    struct txn_builder third =
+        store_txn_wave_status("4", true, g_strdup("m0 m1"), TOKEN, revision);
+    CU_ASSERT_PTR_NULL(carry_out(&s, &third));
+    txn_builder_clear(&second);
+    txn_builder_clear(&third);
+    store_clear(&s);
+}
+
 int
 main(void)
 {
@@ -418,6 +443,7 @@
          test_late_registration},
         {"a server that restarted before a takeover stays unreconciled",
          test_restarted_before_takeover_stays_unreconciled},
+        {"a late status of a wave undoes no newer one", test_late_wave_status},
         {"records without a host end no incarnation",
          test_records_without_host},
         {"a full batch keeps to the entries that the store accepts",
