Forget a claim whose entry no longer names its host

Callers would see: every leader end by itself, one after the other (LOST, and processes that end by themselves), once the entry of a backend server that claims to be a later incarnation of a host is written again without a host. PROTOCOL.md allows entries with missing fields. Shown against the scheduler alone, not seen in operation.

Cause: claims that are not decided are looked at in each pass, by the host that their entry names. An entry with another start time, or none, may name no host, and the lookup of no name is a segmentation fault.

Change: such a claim is dropped.

--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -108,9 +108,12 @@
 {
     for (guint i = sched->contenders->len; i > 0; i--) {
         struct backend *other = g_ptr_array_index(sched->contenders, i - 1);
+        /* Its entry may name no host any more. */
         const struct host *host =
-            sched_host_find_or_add(sched, other->entry.host);
-        if ((!other->listed && !other->unreconciled) ||
+            other->entry.host == NULL
+                ? NULL
+                : sched_host_find_or_add(sched, other->entry.host);
+        if (host == NULL || (!other->listed && !other->unreconciled) ||
             sched_host_backend(sched, host) == other) {
             g_ptr_array_remove_index_fast(sched->contenders, i - 1);
             continue;
--- a/tests/jobs/incarnation_test.c
+++ b/tests/jobs/incarnation_test.c
@@ -317,6 +317,20 @@
     fixture_clear(&f);
 }
 
+/* The writer of such an entry takes the host out of it: the leader ended. */
+static void
+test_claim_loses_its_host(void)
+{
+    struct fleet_fixture f;
+    init_with_run(&f);
+    add_started(&f, "odd", "m0", LATER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    add_started(&f, "odd", NULL, LATER_START_MS + 1);
+    work_on(&f, 1000);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -339,6 +353,7 @@
          test_clock_set_back_with_run},
         {"the entry of an earlier incarnation lingers",
          test_entry_of_earlier_one_lingers},
+        {"a claim that loses its host", test_claim_loses_its_host},
         {"an incarnation ends with its silence",
          test_unnoticed_one_ends_with_its_silence},
     };
