Take a recalled stop that was carried out for no end

Shown against the scheduler alone, not seen in operation.

Cause: a service task whose start got no answer is stopped when a report doesn't show it, and a report that shows it recalls that stop. The run then counted as any that works: missing from a report it had ended. But the stop may still be carried out, and while that lasts, up to stop_ms, a report has neither the run nor its end; its acknowledgement, which came after the recall, even had a report requested at once. The task started again beside the run that was being stopped.

Change: an acknowledged stop holds whatever a report said before. A run whose stop was recalled and that is missing from a report is stopped once more; it has ended once that stop must have taken effect, as any run that is stopped.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -232,6 +232,10 @@
             !absence_is_end(sched, backend, run, requested_ms)) {
             continue;
         }
+        if (sched_stop_recalled(run)) {
+            sched_run_stop(sched, run);
+            continue;
+        }
         sched_log_run(sched, "run_absent", run);
         sched->stats.lost++;
         sched_run_free(sched, run);
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -146,6 +146,7 @@
         run->stop_pending = false;
     }
     if (acked) {
+        run->state = RUN_STOPPING;
         run->stop_acked_ms = sched_now(sched);
         /* This report shows the completion, or its absence. */
         sched_report_at_once(sched, run->backend);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -546,6 +546,10 @@
  * may be unavailable. A report that shows the run recalls the stop. */
 bool
 sched_stop_needs_report(const struct run *run);
+/* Whether @run works by a report that recalled its stop. That may be carried
+ * out all the same, and reports show neither run nor end meanwhile. */
+bool
+sched_stop_recalled(const struct run *run);
 /* Whether the stop of @run got no answer and is to be sent again. */
 bool
 sched_stop_repeat_due(const struct scheduler *sched, const struct run *run);
--- a/core/jobs/unconfirmed_starts.c
+++ b/core/jobs/unconfirmed_starts.c
@@ -16,6 +16,14 @@
            run->stop_acked_ms == 0 && run->job->state == JOB_ACTIVE;
 }
 
+bool
+sched_stop_recalled(const struct run *run)
+{
+    return run->state == RUN_WORKING &&
+           run->incarnation == run->backend->incarnation &&
+           run->stop_count > run->stop_count_before;
+}
+
 bool
 sched_stop_repeat_due(const struct scheduler *sched, const struct run *run)
 {
--- a/tests/jobs/late_start_test.c
+++ b/tests/jobs/late_start_test.c
@@ -21,10 +21,9 @@
     .percent = 100,
 };
 
-/* Reports don't show the service task, so it is stopped; that gets no answer
- * either. */
+/* Reports don't show the service task, so it is stopped. */
 static void
-stop_unanswered(struct fleet_fixture *f)
+stop_sent(struct fleet_fixture *f)
 {
     fixture_init(f, 0);
     fixture_add_backend(f, "b1", "p", "m1");
@@ -41,6 +40,13 @@
     fixture_tick(f, f->now_ms + 10);
     fixture_report(f, "b1", NULL, 0, NULL, 0);
     CU_ASSERT_EQUAL_FATAL(fixture_count(f, COMMAND_STOP, "b1"), 1);
+}
+
+/* The stop gets no answer either. */
+static void
+stop_unanswered(struct fleet_fixture *f)
+{
+    stop_sent(f);
     fixture_answer_stop(f, false);
 }
 
@@ -60,6 +66,57 @@
     fixture_clear(&f);
 }
 
+/* A stop takes a while, and meanwhile reports show neither the run nor its
+ * end: the task starts anew only once it must have ended. */
+static void
+expect_stop_proved(struct fleet_fixture *f)
+{
+    fixture_report(f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(f, f->now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(f, COMMAND_START, NULL), 1);
+    fixture_answer_stop(f, true);
+    fixture_tick(f, f->now_ms + 10);
+    fixture_report(f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(f, f->now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(f, COMMAND_START, NULL), 1);
+    fixture_tick(f, f->now_ms + REPEAT_MS);
+    fixture_report(f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(f, f->now_ms + REPEAT_MS);
+    fixture_report(f, "b1", NULL, 0, NULL, 0);
+    fixture_tick(f, f->now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(f, COMMAND_START, NULL), 2);
+}
+
+/* The stop without an answer is carried out after a report has recalled it:
+ * the task was started a second time while the first run was being stopped. */
+static void
+test_recalled_stop_carried_out(void)
+{
+    struct fleet_fixture f;
+    stop_unanswered(&f);
+    fixture_tick(&f, f.now_ms + REPEAT_MS);
+    fixture_report(&f, "b1", &service_run, 1, NULL, 0);
+    fixture_tick(&f, f.now_ms + 100);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 1);
+    expect_stop_proved(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
+    fixture_clear(&f);
+}
+
+/* The same with the acknowledgement of the stop after such a report. */
+static void
+test_recalled_stop_acknowledged(void)
+{
+    struct fleet_fixture f;
+    stop_sent(&f);
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_report(&f, "b1", &service_run, 1, NULL, 0);
+    fixture_answer_stop(&f, true);
+    fixture_tick(&f, f.now_ms + 10);
+    expect_stop_proved(&f);
+    fixture_clear(&f);
+}
+
 /* As long as reports don't show it, it is stopped again, and starts anew once
  * that is acknowledged. */
 static void
@@ -104,6 +161,10 @@
          test_started_after_stop},
         {"one that reports don't show is stopped again", test_not_started},
         {"one of a cancelled job is stopped again", test_cancelled},
+        {"a recalled stop that is carried out",
+         test_recalled_stop_carried_out},
+        {"a recalled stop that is acknowledged",
+         test_recalled_stop_acknowledged},
     };
     return suite_main("jobs late start", tests,
                       sizeof(tests) / sizeof(tests[0]));
