Repeat no stop while the leadership is in doubt

Callers would see: a service task that works is stopped by a process that is no longer the leader, while more of its step may be away than may_miss allows (AVAIL). Shown against the scheduler alone, not seen in operation.

Cause: stops of unconfirmed service starts are repeated when a report is read, which also happens while the leadership isn't valid; all other stops are sent only while it is.

Change: they wait for it as well.

Test: jobs-late-start, "no stop is repeated without leadership" failed before (1 assertion), all six cases pass now.

--- a/core/jobs/unconfirmed_starts.c
+++ b/core/jobs/unconfirmed_starts.c
@@ -44,7 +44,8 @@
         sched_run_stop(sched, run);
         run->stop_unconfirmed = service;
     }
-    else if (sched_stop_needs_report(run) &&
+    else if (sched->leadership_valid && !sched->fenced &&
+             sched_stop_needs_report(run) &&
              requested_ms >= run->stop_sent_ms &&
              sched_stop_repeat_due(sched, run)) {
         sched_send_stop(sched, run);
--- a/tests/jobs/late_start_test.c
+++ b/tests/jobs/late_start_test.c
@@ -117,6 +117,24 @@
     fixture_clear(&f);
 }
 
+/* A leader whose leadership is in doubt sends nothing: the next one may know
+ * the task to work. */
+static void
+test_not_repeated_without_leadership(void)
+{
+    struct fleet_fixture f;
+    stop_unanswered(&f);
+    scheduler_set_leadership_valid(f.sched, false);
+    fixture_tick(&f, f.now_ms + REPEAT_MS);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 1);
+    scheduler_set_leadership_valid(f.sched, true);
+    fixture_tick(&f, f.now_ms + 100);
+    fixture_report(&f, "b1", NULL, 0, NULL, 0);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_STOP, "b1"), 2);
+    fixture_clear(&f);
+}
+
 /* As long as reports don't show it, it is stopped again, and starts anew once
  * that is acknowledged. */
 static void
@@ -165,6 +183,8 @@
          test_recalled_stop_carried_out},
         {"a recalled stop that is acknowledged",
          test_recalled_stop_acknowledged},
+        {"no stop is repeated without leadership",
+         test_not_repeated_without_leadership},
     };
     return suite_main("jobs late start", tests,
                       sizeof(tests) / sizeof(tests[0]));
