Take no earlier claim for a host that is back after its reboot

Callers would see: more hosts in maintenance at once than their wave allows (LIMIT), if the entry of another writer names a host with a start time that is ahead. Shown against the scheduler alone, not seen in operation.

Cause: an accepted command ends the known incarnation, so any other entry counted as the next one then, also a claim that was seen before the command and to which nothing had ever answered. The host counted as up again, its command as done, and the wave went on to the next host. A spare host was hit as well; its backend server isn't asked, so it refutes no claim.

Change: only an entry that was first seen after the command was accepted counts as its result. Others are judged by answers and silence, as without a command.

Not covered: a claim that is written while the host is in maintenance.

--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -55,7 +55,9 @@
         bool lost = other->unresponsive && !holds_nothing(other);
         return answers || lost ? INCARNATION_ENDED : INCARNATION_OPEN;
     }
-    if (sched_host_ended_by_command(host)) {
+    /* One that was seen before says nothing of the command. */
+    if (sched_host_ended_by_command(host) &&
+        other->seen_ms >= host->intent_ms) {
         return INCARNATION_CURRENT;
     }
     other->claim_refuted = other->claim_refuted || answers;
--- a/tests/jobs/host_commands_test.c
+++ b/tests/jobs/host_commands_test.c
@@ -12,6 +12,8 @@
     COMMANDS_PER_S = 64,
 };
 
+static const int64_t FAR_FUTURE_UNIX_MS = 4000000000000;
+
 /* Lists many idle hosts in pool "q" and one in "p". */
 static void
 init_with_idle_hosts(struct fleet_fixture *f, uint32_t term,
@@ -395,6 +397,72 @@
     fixture_clear(&f);
 }
 
+/* The entry of another writer claims to be a later incarnation of a host.
+ * Once that was rebooted, the claim counted as the host that is back, and one
+ * more was rebooted than the wave allows. */
+static void
+reboot_beside_claim(const char *pool)
+{
+    const char *const pools[] = {pool, "s", NULL};
+    static char *hosts[] = {(char *)"m0", (char *)"m1", NULL};
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_hosts(&f, pools);
+    fixture_reconcile(&f);
+    f.incarnation_start_ms = FAR_FUTURE_UNIX_MS;
+    fixture_add_backend(&f, "odd", "p", "m0");
+    f.incarnation_start_ms = 1;
+    fixture_tick(&f, f.now_ms + 10);
+    if (strcmp(pool, "p") == 0) {
+        fixture_report(&f, "b0", NULL, 0, NULL, 0);
+    }
+    fixture_answer(&f, "odd",
+                   (struct run_report){.outcome = REPORT_NO_ANSWER});
+    fixture_tick(&f, f.now_ms + 10);
+    struct host_wave wave = {.number = 4,
+                             .hosts = hosts,
+                             .max_unavailable = 1,
+                             .within_ms = 20000,
+                             .seen_ms = f.now_ms};
+    scheduler_wave_set(f.sched, &wave);
+    for (int i = 0; i < 50 && fixture_last(&f, COMMAND_REBOOT) == NULL; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&f, COMMAND_REBOOT, "m0"), 1);
+    scheduler_on_host_command(f.sched, "m0", 4, HOST_COMMAND_DONE);
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 0);
+    /* The host is back, and the other one follows. */
+    f.incarnation_start_ms = f.now_ms + 1000000000 + 2000;
+    fixture_tick(&f, f.now_ms + 2000);
+    fixture_add_backend(&f, "c0", pool, "m0");
+    fixture_tick(&f, f.now_ms + 10);
+    if (strcmp(pool, "p") == 0) {
+        fixture_report(&f, "c0", NULL, 0, NULL, 0);
+    }
+    f.incarnation_start_ms = 1;
+    for (int i = 0; i < 10; i++) {
+        fixture_tick(&f, f.now_ms + 100);
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_REBOOT, "m1"), 1);
+    fixture_clear(&f);
+}
+
+static void
+test_claim_beside_reboot(void)
+{
+    reboot_beside_claim("p");
+}
+
+/* A spare one is not asked, so it refutes nothing. */
+static void
+test_claim_beside_reboot_of_spare_host(void)
+{
+    reboot_beside_claim("s");
+}
+
 int
 main(void)
 {
@@ -418,6 +486,9 @@
          test_reboot_in_flight_beside_restart},
         {"an unanswered reboot while its host restarts",
          test_unanswered_reboot_beside_restart},
+        {"a claim to be a host that is rebooted", test_claim_beside_reboot},
+        {"a claim to be a spare host that is rebooted",
+         test_claim_beside_reboot_of_spare_host},
     };
     return suite_main("jobs host commands", tests,
                       sizeof(tests) / sizeof(tests[0]));
