Keep host and start time of a backend server whose entry gives none

Callers would see: a run that is given up late or a command that the next incarnation of a backend server carries out (LOST, TWICE), once its entry was written over without a start time by another writer. PROTOCOL.md allows entries with missing fields. Shown against the scheduler alone: the restart isn't noticed and the fencing token doesn't rise; that two runs come of it is not shown.

Cause: a missing start time replaced the known one, so that the next entry and the reports had nothing to differ from. The host, which is kept while the start time is the same, went with it.

Change: an entry without a start time leaves the known one, and with it the host.

Test: jobs-incarnation, "an entry without host and start time" failed before (2 assertions), all 13 cases pass now; jobs-restarted-backend and jobs-odd-entry pass.

--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -185,6 +185,10 @@
              const struct backend_entry *entry)
 {
     struct backend_entry *copy = backend_entry_copy(entry);
+    /* An entry without a start time doesn't say that it has restarted. */
+    if (copy->incarnation_start_ms == 0) {
+        copy->incarnation_start_ms = backend->entry.incarnation_start_ms;
+    }
     /* A backend server stays on its host. */
     if (backend->entry.host != NULL &&
         g_strcmp0(copy->host, backend->entry.host) != 0 &&
--- a/tests/jobs/incarnation_test.c
+++ b/tests/jobs/incarnation_test.c
@@ -317,6 +317,30 @@
     fixture_clear(&f);
 }
 
+/* The entry of a backend server is written over without host and start time.
+ * Its restart was not noticed then: commands to the earlier incarnation could
+ * be carried out by the next one, and its host had none. */
+static void
+test_entry_without_host_and_start(void)
+{
+    struct fleet_fixture f;
+    init_with_run(&f);
+    int64_t token = fixture_last(&f, COMMAND_START)->token;
+    add_started(&f, "b0", NULL, 0);
+    fixture_tick(&f, f.now_ms + 10);
+    work_on(&f, 500);
+    add_started(&f, "b0", "m0", LATER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    report_started(&f, "b0", LATER_START_MS);
+    decide(&f);
+    const struct recorded_command *request =
+        fixture_last(&f, COMMAND_REQUEST_REPORT);
+    CU_ASSERT_STRING_EQUAL(request->target, "b0");
+    CU_ASSERT(request->token > token);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 2);
+    fixture_clear(&f);
+}
+
 /* The writer of such an entry takes the host out of it: the leader ended. */
 static void
 test_claim_loses_its_host(void)
@@ -353,6 +377,8 @@
          test_clock_set_back_with_run},
         {"the entry of an earlier incarnation lingers",
          test_entry_of_earlier_one_lingers},
+        {"an entry without host and start time",
+         test_entry_without_host_and_start},
         {"a claim that loses its host", test_claim_loses_its_host},
         {"an incarnation ends with its silence",
          test_unnoticed_one_ends_with_its_silence},
