Store suspects of a crash that shows by another incarnation's answer

Callers would see: a task that crashes its backend servers started three times more after the third crash (BUDGET), where the leader is lost between such a crash and the end of the leases. Shown against the scheduler alone, not seen in operation.

Cause: which runs may have crashed a backend server is stored when it falls silent. A new incarnation at the same address doesn't stay silent: it refuses requests and starts that name the earlier one (421). That, and an answer that is overdue because the leader stood still, marked the server as unresponsive without storing anything, and the time-out that followed no longer counted as its silence. The time of the silence, by which outages are told, was missing or old as well.

Change: all four go through one function. A start that is refused has not crashed the server, so what was stored of it is taken back.

--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -119,17 +119,22 @@
     }
 }
 
+void
+sched_crash_not_caused(struct scheduler *sched, const struct run *run)
+{
+    struct job_task *task = run_task(run);
+    if (task->crash_shared &&
+        g_strcmp0(task->crash_backend, run->backend->entry.id) == 0) {
+        sched_crash_record_attempt(sched, run->job, task, NULL, false);
+    }
+}
+
 void
 sched_crash_backend_answered(struct scheduler *sched,
                              const struct backend *backend)
 {
     for (guint i = 0; i < backend->runs->len; i++) {
-        const struct run *run = g_ptr_array_index(backend->runs, i);
-        struct job_task *task = run_task(run);
-        if (task->crash_shared &&
-            g_strcmp0(task->crash_backend, backend->entry.id) == 0) {
-            sched_crash_record_attempt(sched, run->job, task, NULL, false);
-        }
+        sched_crash_not_caused(sched, g_ptr_array_index(backend->runs, i));
     }
 }
 
--- a/core/jobs/report_requests.c
+++ b/core/jobs/report_requests.c
@@ -98,7 +98,7 @@
         if (backend->report_in_flight &&
             now_ms - backend->report_request.sent_ms > ANSWER_TIMEOUT_MS) {
             backend->report_in_flight = false;
-            backend->unresponsive = true;
+            sched_backend_silent(sched, backend, "its answer is overdue");
         }
         sched_backend_changed(sched, backend);
         sched_schedule_report(sched, backend);
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -242,12 +242,25 @@
     }
 }
 
+void
+sched_backend_silent(struct scheduler *sched, struct backend *backend,
+                     const char *reason)
+{
+    if (!backend->unresponsive) {
+        sched_log_event(sched, "backend_silent",
+                        "\"backend\":\"%s\",\"reason\":\"%s\"",
+                        backend->entry.id, reason);
+        sched_crash_backend_silent(sched, backend);
+    }
+    backend->unresponsive = true;
+}
+
 static void
 other_incarnation(struct scheduler *sched, struct backend *backend)
 {
     sched_log_event(sched, "backend_other_incarnation", "\"backend\":\"%s\"",
                     backend->entry.id);
-    backend->unresponsive = true;
+    sched_backend_silent(sched, backend, "another incarnation answers");
     backend->report_due_ms = sched_now(sched) + REPORT_RETRY_MS;
 }
 
@@ -304,14 +317,8 @@
 no_answer(struct scheduler *sched, struct backend *backend,
           const struct run_report *report)
 {
-    if (!backend->unresponsive) {
-        sched_log_event(sched, "backend_silent",
-                        "\"backend\":\"%s\",\"reason\":\"%s\"",
-                        backend->entry.id,
-                        report->error == NULL ? "no answer" : report->error);
-        sched_crash_backend_silent(sched, backend);
-    }
-    backend->unresponsive = true;
+    sched_backend_silent(sched, backend,
+                         report->error == NULL ? "no answer" : report->error);
     backend->report_due_ms = sched_now(sched) + REPORT_RETRY_MS;
 }
 
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -490,9 +490,6 @@
         run->job->id, run->step, run->index, backend->entry.id, answer);
     run_task(run)->wait_until_ms =
         answer == START_STALE_RUN_NUMBER ? 0 : now_ms + START_RETRY_MS;
-    if (answer == START_OTHER_INCARNATION) {
-        backend->unresponsive = true;
-    }
     if (answer == START_NO_TICKET) {
         struct step_advice *advice =
             job_step_progress(run->job, run->occurrence, run->step)->advice;
@@ -505,5 +502,9 @@
         run_task(run)->avoid = g_strdup(backend->entry.id);
     }
     stop_incomplete_gang(sched, run);
+    sched_crash_not_caused(sched, run);
     sched_run_free(sched, run);
+    if (answer == START_OTHER_INCARNATION) {
+        sched_backend_silent(sched, backend, "another incarnation answers");
+    }
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -580,6 +580,12 @@
 int64_t
 sched_stop_visible_after_ms(const struct scheduler *sched);
 
+/* scheduler_reports.c */
+/* @backend gives no answer, or its address has another incarnation. */
+void
+sched_backend_silent(struct scheduler *sched, struct backend *backend,
+                     const char *reason);
+
 /* crash_runs.c */
 /* Notes which runs of a lost backend server may have crashed it. */
 void
@@ -587,6 +593,10 @@
 /* It gives no answer: whom that clears. */
 void
 sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
+/* @run goes on, or has not started: forgets that it may have crashed its
+ * backend server when that fell silent. */
+void
+sched_crash_not_caused(struct scheduler *sched, const struct run *run);
 
 /* crash_proof.c */
 /* The new incarnation @after of @host proves that its last one has crashed. */
--- a/tests/jobs/crash_takeover_test.c
+++ b/tests/jobs/crash_takeover_test.c
@@ -12,6 +12,8 @@
     /* The next leader waits for the end of the last one's lease. */
     WITHOUT_LEADER_MS = 3200,
     STARTS_AFTER_THIRD_CRASH_MAX = 2,
+    /* Longer than the time-out of an answer. */
+    UNANSWERED_MS = 5100,
 };
 
 static const char one_task[] =
@@ -102,6 +104,110 @@
     world_clear(&world);
 }
 
+/* How a crash shows first. */
+enum silence {
+    SILENCE_REPORT_REFUSED,
+    SILENCE_START_REFUSED,
+    SILENCE_OVERDUE,
+};
+
+/* The next incarnation answers at the address of the one that crashed, or no
+ * answer is read for long: the next leader has to know the suspects then, too.
+ */
+static void
+expect_suspects_recorded(struct world *world, enum silence silence)
+{
+    struct world_job *job = world_add_job(world, one_task, false, 9000);
+    fixture_tick(&world->f, world->f.now_ms + 10);
+    const struct recorded_command *start =
+        fixture_last(&world->f, COMMAND_START);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(start);
+    char *id = g_strdup(start->target);
+    scheduler_on_start(world->f.sched, start->handle, START_DONE,
+                       world->f.now_ms);
+    switch (silence) {
+    case SILENCE_REPORT_REFUSED:
+        fixture_answer(
+            &world->f, id,
+            (struct run_report){.outcome = REPORT_OTHER_INCARNATION});
+        break;
+    case SILENCE_START_REFUSED:
+        world_add_job(world, one_task, false, 9000);
+        fixture_tick(&world->f, world->f.now_ms + 10);
+        start = fixture_last(&world->f, COMMAND_START);
+        CU_ASSERT_STRING_EQUAL_FATAL(start->target, id);
+        scheduler_on_start(world->f.sched, start->handle,
+                           START_OTHER_INCARNATION, 0);
+        break;
+    case SILENCE_OVERDUE:
+        fixture_tick(&world->f, world->f.now_ms + UNANSWERED_MS);
+        break;
+    }
+    const struct job_task *task = &job_step_progress(job->job, 0, 0)->tasks[0];
+    CU_ASSERT_TRUE(task->crash_shared);
+    CU_ASSERT_EQUAL(g_strcmp0(task->crash_backend, id), 0);
+    g_free(id);
+}
+
+/* All starts on a replaced backend server are refused by its successor: none
+ * may have crashed it. */
+static void
+test_refused_starts_are_no_suspects(void)
+{
+    static const char three_tasks[] =
+        "[{\"count\":3,\"cpu\":1000,\"mem_mb\":10,\"estimate_ms\":500}]";
+    struct world world;
+    world_init(&world, 1);
+    struct world_job *job = world_add_job(&world, three_tasks, false, 9000);
+    fixture_tick(&world.f, world.f.now_ms + 10);
+    CU_ASSERT_EQUAL_FATAL(fixture_count(&world.f, COMMAND_START, NULL), 3);
+    uint64_t handles[3];
+    guint n_handles = 0;
+    for (guint i = 0; i < world.f.commands->len; i++) {
+        const struct recorded_command *command =
+            g_ptr_array_index(world.f.commands, i);
+        if (command->kind == COMMAND_START) {
+            handles[n_handles++] = command->handle;
+        }
+    }
+    for (guint i = 0; i < n_handles; i++) {
+        scheduler_on_start(world.f.sched, handles[i], START_OTHER_INCARNATION,
+                           0);
+    }
+    for (guint t = 0; t < 3; t++) {
+        CU_ASSERT_PTR_NULL(
+            job_step_progress(job->job, 0, 0)->tasks[t].crash_backend);
+    }
+    world_clear(&world);
+}
+
+static void
+test_suspects_of_a_replaced_server(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    expect_suspects_recorded(&world, SILENCE_REPORT_REFUSED);
+    world_clear(&world);
+}
+
+static void
+test_suspects_by_a_refused_start(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    expect_suspects_recorded(&world, SILENCE_START_REFUSED);
+    world_clear(&world);
+}
+
+static void
+test_suspects_of_an_overdue_answer(void)
+{
+    struct world world;
+    world_init(&world, BACKENDS);
+    expect_suspects_recorded(&world, SILENCE_OVERDUE);
+    world_clear(&world);
+}
+
 int
 main(void)
 {
@@ -114,6 +220,14 @@
          test_suspects_are_known_to_the_next_leader},
         {"a silent server that answers the next leader",
          test_silent_server_answers_the_next_leader},
+        {"suspects of a server whose next incarnation answers",
+         test_suspects_of_a_replaced_server},
+        {"suspects of a server whose next incarnation refuses a start",
+         test_suspects_by_a_refused_start},
+        {"starts that the next incarnation refuses are no suspects",
+         test_refused_starts_are_no_suspects},
+        {"suspects of a server whose answer is overdue",
+         test_suspects_of_an_overdue_answer},
     };
     return suite_main("jobs crash takeover", tests,
                       sizeof(tests) / sizeof(tests[0]));
