Believe no late answer of an incarnation that has ended

Callers would see: tasks that start again a second or more late (LOST), after a late answer of a backend server whose host has a new incarnation. Shown against the scheduler alone, not seen in operation.

Cause: a report that was requested before the incarnation ended, and is read after, was taken as one of the present: the backend server answered again, and its runs, which had been released, counted as working there until it had been silent for another time-out. They were lost a second time then, as suspects of a crash that was none.

Change: of an answer to a request that was sent before the end, only the completions count. A backend server that turns out to be the current one after all is no longer marked as superseded; that mark was never taken back under the same start time.

Test: jobs-incarnation, "a late answer of an ended incarnation" failed before (2 assertions), all 14 cases pass now.

--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -75,7 +75,10 @@
         return;
     }
     sched_backend_lost(sched, backend, "its host has a new incarnation");
-    backend->superseded = true;
+    if (!backend->superseded) {
+        backend->superseded = true;
+        backend->ended_ms = sched_now(sched);
+    }
     backend->granted_until_ms = 0;
     backend->leases_expire_ms = 0;
     backend->unreconciled = false;
@@ -126,9 +129,12 @@
 set_incarnation(struct scheduler *sched, struct host *host,
                 const char *backend_id)
 {
-    const struct backend *after = scheduler_find_backend(sched, backend_id);
+    struct backend *after = scheduler_find_backend(sched, backend_id);
     g_free(host->backend_id);
     host->backend_id = g_strdup(backend_id);
+    if (after != NULL) {
+        after->superseded = false;
+    }
     /* A move without an answer was carried out. */
     bool moved = after != NULL && host->intent == HOST_MOVES &&
                  g_strcmp0(after->entry.pool, host->target_pool) == 0;
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -378,13 +378,19 @@
         return;
     }
     backend->earlier_start_ms = 0;
-    if (latest) {
+    bool ended =
+        backend->ended_ms != 0 && request->sent_ms <= backend->ended_ms;
+    if (latest && !ended) {
         answers_again(sched, backend);
     }
     backend_clock_sampled(backend, report->clock_ms, now_ms);
     for (size_t i = 0; i < report->n_completions; i++) {
         process_completion(sched, backend, &report->completions[i]);
     }
+    if (ended) {
+        /* It has no runs any more, whatever it had when it answered. */
+        return;
+    }
     for (size_t i = 0; i < report->n_running; i++) {
         process_reported_run(sched, backend, &report->running[i], report);
     }
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -221,6 +221,7 @@
  *                incarnation of its host; 0: never
  * @claim_refuted: it claims that itself, but the one before has answered since
  * @superseded: its host has a later incarnation, whatever its start time says
+ * @ended_ms: when its incarnation was last known to have ended; 0: never
  * @listed: it is in the host list
  * @registered: stored as possibly holding runs; required before any start
  * @registering: the write of that record is in flight
@@ -285,6 +286,7 @@
     int64_t contested_ms;
     bool claim_refuted;
     bool superseded;
+    int64_t ended_ms;
     bool listed;
     bool registered;
     bool registering;
--- a/tests/jobs/incarnation_test.c
+++ b/tests/jobs/incarnation_test.c
@@ -341,6 +341,31 @@
     fixture_clear(&f);
 }
 
+/* What the ended incarnation answered before arrives late: its runs counted as
+ * working there, and started again only once it was silent for good. */
+static void
+test_late_answer_of_ended_one(void)
+{
+    struct fleet_fixture f;
+    init_with_run(&f);
+    CU_ASSERT_TRUE_FATAL(
+        scheduler_find_backend(f.sched, "b0")->report_in_flight);
+    add_started(&f, "c0", "m0", LATER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    report_started(&f, "c0", LATER_START_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    struct reported_run running = {
+        .task = JOB_A ".0.0.0", .number = 1, .saved = "", .percent = 5};
+    fixture_report(&f, "b0", &running, 1, NULL, 0);
+    decide(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 2);
+    CU_ASSERT_EQUAL(scheduler_find_backend(f.sched, "b0") == NULL
+                        ? 0
+                        : scheduler_find_backend(f.sched, "b0")->runs->len,
+                    0);
+    fixture_clear(&f);
+}
+
 /* The writer of such an entry takes the host out of it: the leader ended. */
 static void
 test_claim_loses_its_host(void)
@@ -379,6 +404,8 @@
          test_entry_of_earlier_one_lingers},
         {"an entry without host and start time",
          test_entry_without_host_and_start},
+        {"a late answer of an ended incarnation",
+         test_late_answer_of_ended_one},
         {"a claim that loses its host", test_claim_loses_its_host},
         {"an incarnation ends with its silence",
          test_unnoticed_one_ends_with_its_silence},
