--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -55,7 +55,9 @@
         bool lost = other->unresponsive && !holds_nothing(other);
         return answers || lost ? INCARNATION_ENDED : INCARNATION_OPEN;
     }
-    if (sched_host_ended_by_command(host)) {
+    /* One that was seen before says nothing of the command. */
+    if (sched_host_ended_by_command(host) &&
+        other->seen_ms >= host->intent_ms) {
         return INCARNATION_CURRENT;
     }
     other->claim_refuted = other->claim_refuted || answers;
@@ -108,9 +110,12 @@
 {
     for (guint i = sched->contenders->len; i > 0; i--) {
         struct backend *other = g_ptr_array_index(sched->contenders, i - 1);
+        /* Its entry may name no host any more. */
         const struct host *host =
-            sched_host_find_or_add(sched, other->entry.host);
-        if ((!other->listed && !other->unreconciled) ||
+            other->entry.host == NULL
+                ? NULL
+                : sched_host_find_or_add(sched, other->entry.host);
+        if (host == NULL || (!other->listed && !other->unreconciled) ||
             sched_host_backend(sched, host) == other) {
             g_ptr_array_remove_index_fast(sched->contenders, i - 1);
             continue;
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -232,18 +232,35 @@
             !absence_is_end(sched, backend, run, requested_ms)) {
             continue;
         }
+        if (sched_stop_recalled(run)) {
+            sched_run_stop(sched, run);
+            continue;
+        }
         sched_log_run(sched, "run_absent", run);
         sched->stats.lost++;
         sched_run_free(sched, run);
     }
 }
 
+void
+sched_backend_silent(struct scheduler *sched, struct backend *backend,
+                     const char *reason)
+{
+    if (!backend->unresponsive) {
+        sched_log_event(sched, "backend_silent",
+                        "\"backend\":\"%s\",\"reason\":\"%s\"",
+                        backend->entry.id, reason);
+        sched_crash_backend_silent(sched, backend);
+    }
+    backend->unresponsive = true;
+}
+
 static void
 other_incarnation(struct scheduler *sched, struct backend *backend)
 {
     sched_log_event(sched, "backend_other_incarnation", "\"backend\":\"%s\"",
                     backend->entry.id);
-    backend->unresponsive = true;
+    sched_backend_silent(sched, backend, "another incarnation answers");
     backend->report_due_ms = sched_now(sched) + REPORT_RETRY_MS;
 }
 
@@ -300,14 +317,8 @@
 no_answer(struct scheduler *sched, struct backend *backend,
           const struct run_report *report)
 {
-    if (!backend->unresponsive) {
-        sched_log_event(sched, "backend_silent",
-                        "\"backend\":\"%s\",\"reason\":\"%s\"",
-                        backend->entry.id,
-                        report->error == NULL ? "no answer" : report->error);
-        sched_crash_backend_silent(sched, backend);
-    }
-    backend->unresponsive = true;
+    sched_backend_silent(sched, backend,
+                         report->error == NULL ? "no answer" : report->error);
     backend->report_due_ms = sched_now(sched) + REPORT_RETRY_MS;
 }
 
@@ -367,13 +378,19 @@
         return;
     }
     backend->earlier_start_ms = 0;
-    if (latest) {
+    bool ended =
+        backend->ended_ms != 0 && request->sent_ms <= backend->ended_ms;
+    if (latest && !ended) {
         answers_again(sched, backend);
     }
     backend_clock_sampled(backend, report->clock_ms, now_ms);
     for (size_t i = 0; i < report->n_completions; i++) {
         process_completion(sched, backend, &report->completions[i]);
     }
+    if (ended) {
+        /* It has no runs any more, whatever it had when it answered. */
+        return;
+    }
     for (size_t i = 0; i < report->n_running; i++) {
         process_reported_run(sched, backend, &report->running[i], report);
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -546,6 +546,10 @@
  * may be unavailable. A report that shows the run recalls the stop. */
 bool
 sched_stop_needs_report(const struct run *run);
+/* Whether @run works by a report that recalled its stop. That may be carried
+ * out all the same, and reports show neither run nor end meanwhile. */
+bool
+sched_stop_recalled(const struct run *run);
 /* Whether the stop of @run got no answer and is to be sent again. */
 bool
 sched_stop_repeat_due(const struct scheduler *sched, const struct run *run);
@@ -576,6 +580,12 @@
 int64_t
 sched_stop_visible_after_ms(const struct scheduler *sched);
 
+/* scheduler_reports.c */
+/* @backend gives no answer, or its address has another incarnation. */
+void
+sched_backend_silent(struct scheduler *sched, struct backend *backend,
+                     const char *reason);
+
 /* crash_runs.c */
 /* Notes which runs of a lost backend server may have crashed it. */
 void
@@ -583,6 +593,10 @@
 /* It gives no answer: whom that clears. */
 void
 sched_crash_backend_silent(struct scheduler *sched, struct backend *backend);
+/* @run goes on, or has not started: forgets that it may have crashed its
+ * backend server when that fell silent. */
+void
+sched_crash_not_caused(struct scheduler *sched, const struct run *run);
 
 /* crash_proof.c */
 /* The new incarnation @after of @host proves that its last one has crashed. */
--- a/core/jobs/unconfirmed_starts.c
+++ b/core/jobs/unconfirmed_starts.c
@@ -16,6 +16,14 @@
            run->stop_acked_ms == 0 && run->job->state == JOB_ACTIVE;
 }
 
+bool
+sched_stop_recalled(const struct run *run)
+{
+    return run->state == RUN_WORKING &&
+           run->incarnation == run->backend->incarnation &&
+           run->stop_count > run->stop_count_before;
+}
+
 bool
 sched_stop_repeat_due(const struct scheduler *sched, const struct run *run)
 {
@@ -36,7 +44,8 @@
         sched_run_stop(sched, run);
         run->stop_unconfirmed = service;
     }
-    else if (sched_stop_needs_report(run) &&
+    else if (sched->leadership_valid && !sched->fenced &&
+             sched_stop_needs_report(run) &&
              requested_ms >= run->stop_sent_ms &&
              sched_stop_repeat_due(sched, run)) {
         sched_send_stop(sched, run);
