Don't take lost answers for an outage when a crash is judged

Cause: a loss is no crash if two others, without new runs, fell silent within 150 ms. Where many calls get no answer, up to 160 of 350 servers a second count as silent and most answer again 0.3 s later, so that no crash counted.

Change: a backend server that answers again within four report requests (1 s) counts as never having been silent.

Test: jobs-crash-proof, "lost answers are no outage"; it failed before. "An outage is no crash" holds the opposite.

--- a/core/jobs/crash_proof.c
+++ b/core/jobs/crash_proof.c
@@ -14,6 +14,9 @@
     OUTAGE_LATE_WINDOW_MS = 1000,
     /* One may fall silent by chance. */
     OUTAGE_OTHERS_MIN = 2,
+    /* A backend server that answers again by then has lost a few answers, four
+     * report requests at most; outages last longer. */
+    SILENCE_BRIEF_MS = 4 * REPORT_RETRY_MS,
     /* Covers crashes up to PROOF_MAX_MS before the one that is judged, the
      * proof of which comes up to PROOF_MAX_MS after it. */
     UNEXPLAINED_RECENT_MS = 2 * PROOF_MAX_MS,
@@ -306,9 +309,26 @@
     }
 }
 
+/* Where answers get lost at random, some backend server has fallen silent at
+ * any moment, and no crash would ever count. */
+static void
+forget_brief_silence(struct scheduler *sched, const struct backend *backend)
+{
+    if (sched_now(sched) - backend->silent_ms > SILENCE_BRIEF_MS) {
+        return;
+    }
+    for (uint32_t i = 0; i < MIN(sched->silence_count, SILENCES_KEPT); i++) {
+        if (sched->silences[i] == backend->silent_ms) {
+            sched->silences[i] = INT64_MIN / 2;
+            return;
+        }
+    }
+}
+
 void
 sched_crash_backend_answers(struct scheduler *sched, struct backend *backend)
 {
+    forget_brief_silence(sched, backend);
     backend->end_explained = false;
     sched_crash_backend_answered(sched, backend);
     struct host *host =
--- a/tests/jobs/crash_proof_test.c
+++ b/tests/jobs/crash_proof_test.c
@@ -79,6 +79,53 @@
     fixture_clear(&f);
 }
 
+/* Loses the backend server of the task while three others, on which nothing
+ * has just started, fall silent for @silent_ms. Returns the crashes counted.
+ */
+static uint32_t
+crashes_beside_silence(int64_t silent_ms, bool drained)
+{
+    static const char *const others[] = {"b2", "b3", "b4"};
+    struct fleet_fixture f;
+    struct job *job = init_with_start(&f);
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        char host[] = {'m', (char)('2' + i), 0};
+        list(&f, others[i], host, 10);
+    }
+    fixture_reconcile(&f);
+    accept_start(&f, f.now_ms + CLOCK_OFFSET_MS);
+    give_no_answer(&f, "b1");
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        if (drained) {
+            char host[] = {'m', (char)('2' + i), 0};
+            fixture_drain_backend(&f, others[i], "p", host);
+        }
+        give_no_answer(&f, others[i]);
+    }
+    fixture_tick(&f, f.now_ms + silent_ms);
+    f.incarnation_start_ms = 10;
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        fixture_report(&f, others[i], NULL, 0, NULL, 0);
+    }
+    list(&f, "b1", "m1", 20);
+    uint32_t crashes = first_task(job)->crash.crashes;
+    fixture_clear(&f);
+    return crashes;
+}
+
+/* Answers get lost, so that some servers miss one at any moment. */
+static void
+test_lost_answers_are_no_outage(void)
+{
+    CU_ASSERT_EQUAL(crashes_beside_silence(300, false), 1);
+}
+
+static void
+test_outage_is_no_crash(void)
+{
+    CU_ASSERT_EQUAL(crashes_beside_silence(2000, false), 0);
+}
+
 static void
 test_drained_server_has_not_crashed(void)
 {
@@ -315,6 +362,8 @@
 {
     static const struct suite_test tests[] = {
         {"one run is counted once", test_one_run_is_counted_once},
+        {"lost answers are no outage", test_lost_answers_are_no_outage},
+        {"an outage is no crash", test_outage_is_no_crash},
         {"a drained server has not crashed",
          test_drained_server_has_not_crashed},
         {"a moved server has not crashed", test_moved_server_has_not_crashed},
