Don't take servers that an order ends for an outage

Cause: backend servers that a host command or a drain ends fall silent without new runs, several at once, and counted as an outage for every crash in that moment.

Change: a backend server that drains, or whose host has a command in flight or accepted, adds nothing to the silences that prove an outage.

Test: jobs-crash-proof, "drained servers are no outage"; it failed before.

--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -133,11 +133,24 @@
     }
 }
 
+/* Whether a drain or a host command ends the backend server. */
+static bool
+ends_by_order(const struct scheduler *sched, const struct backend *backend)
+{
+    const struct host *host =
+        backend->entry.host == NULL
+            ? NULL
+            : g_hash_table_lookup(sched->hosts, backend->entry.host);
+    return backend->entry.draining ||
+           (host != NULL &&
+            (host->command_accepted || host->command_in_flight));
+}
+
 void
 sched_crash_backend_silent(struct scheduler *sched, struct backend *backend)
 {
     backend->silent_ms = sched_now(sched);
-    if (!has_fresh_run(backend)) {
+    if (!has_fresh_run(backend) && !ends_by_order(sched, backend)) {
         sched->silences[sched->silence_count++ % SILENCES_KEPT] =
             backend->silent_ms;
     }
--- a/tests/jobs/crash_proof_test.c
+++ b/tests/jobs/crash_proof_test.c
@@ -120,6 +120,12 @@
     CU_ASSERT_EQUAL(crashes_beside_silence(300, false), 1);
 }
 
+static void
+test_drained_servers_are_no_outage(void)
+{
+    CU_ASSERT_EQUAL(crashes_beside_silence(2000, true), 1);
+}
+
 static void
 test_outage_is_no_crash(void)
 {
@@ -363,6 +369,7 @@
     static const struct suite_test tests[] = {
         {"one run is counted once", test_one_run_is_counted_once},
         {"lost answers are no outage", test_lost_answers_are_no_outage},
+        {"drained servers are no outage", test_drained_servers_are_no_outage},
         {"an outage is no crash", test_outage_is_no_crash},
         {"a drained server has not crashed",
          test_drained_server_has_not_crashed},
