Keep no record of a backend server that has never answered

Callers would see: the inherited jobs of a pool wait for 3.2 s and more after each takeover (LOST), as long as one entry of another writer, to which nothing answers, names the pool.

Cause: a backend server is stored as possibly holding runs as soon as it is listed, so that its first start doesn't wait for the store; the next leader places nothing inherited in the pool until each one on record has answered or its leases are over. An entry without a backend server never answers, and was stored anew by each leader.

Change: the record of a backend server that has not answered once, and holds no lease, is removed 10 s after the takeover, and written again once it answers. Until then its record tells of crashes around the takeover. A leader that is replaced sooner leaves the record as before.

--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -355,6 +355,27 @@
            !sched_is_out_of_service(sched, backend->entry.data_centre);
 }
 
+/* Whether nothing has ever answered to its entry, which may be that of no
+ * backend server. */
+static bool
+never_answered(const struct backend *backend)
+{
+    return backend->unresponsive && backend->answered_request_ms == 0;
+}
+
+/* A leader that takes over waits for each backend server on record. What was
+ * on record before this one did tells of crashes for a while. */
+static void
+forget_unanswered(struct scheduler *sched, struct backend *backend)
+{
+    if (sched_now(sched) - sched->takeover_ms > LATE_COMMAND_MS &&
+        backend->registered && never_answered(backend) &&
+        backend->runs->len + backend->strays->len == 0) {
+        backend->registered = false;
+        g_ptr_array_add(sched->to_release, g_strdup(backend->entry.id));
+    }
+}
+
 /* Removes backend servers that can no longer hold any of our runs. */
 void
 sched_expire_backends(struct scheduler *sched)
@@ -378,6 +399,9 @@
                 backend->end_explained || backend->unreconciled;
             backend->unreconciled = false;
         }
+        if (expired) {
+            forget_unanswered(sched, backend);
+        }
         if (backend->listed || !expired || backend->runs->len > 0 ||
             backend->strays->len > 0 || backend->report_in_flight ||
             backend->registering) {
@@ -402,7 +426,8 @@
 sched_register_backend(struct scheduler *sched, struct backend *backend)
 {
     if (sched->config == NULL || !backend->listed || backend->registered ||
-        backend->registering || backend->entry.draining) {
+        backend->registering || backend->entry.draining ||
+        never_answered(backend)) {
         return;
     }
     const struct pool_config *pool = sched_pool_config(sched, backend->pool);
--- a/core/jobs/scheduler_store.c
+++ b/core/jobs/scheduler_store.c
@@ -42,6 +42,15 @@
     }
 }
 
+/* Whether a start may be sent to it, or was. */
+static bool
+record_wanted(const struct scheduler *sched, const char *id)
+{
+    const struct backend *backend = scheduler_find_backend(sched, id);
+    return backend != NULL && (backend->registered || backend->registering ||
+                               backend->runs->len + backend->strays->len > 0);
+}
+
 /* A backend server may be listed again since its deletion was decided. */
 static void
 take_releases(struct scheduler *sched, struct store_batch *batch,
@@ -49,7 +58,7 @@
 {
     while (sched->to_release->len > 0 && batch->release_ids->len < most) {
         char *id = g_ptr_array_steal_index(sched->to_release, 0);
-        if (scheduler_find_backend(sched, id) != NULL ||
+        if (record_wanted(sched, id) ||
             !g_hash_table_contains(sched->backend_records, id) ||
             g_ptr_array_find_with_equal_func(batch->release_ids, id,
                                              g_str_equal, NULL)) {
--- a/tests/jobs/incarnation_test.c
+++ b/tests/jobs/incarnation_test.c
@@ -380,6 +380,32 @@
     fixture_clear(&f);
 }
 
+/* An entry of another writer, to which nothing answers, was stored as holding
+ * runs: the inherited jobs of its pool waited for it after each takeover. */
+static void
+test_unanswered_entry_is_not_stored(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    f.incarnation_start_ms = KNOWN_START_MS;
+    add_started(&f, "odd", NULL, LATER_START_MS);
+    for (int i = 0; i < 60; i++) {
+        fixture_tick(&f, f.now_ms + 200);
+        no_answer(&f, "odd");
+    }
+    fixture_tick(&f, f.now_ms + 200);
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(scheduler_backend_record(f.sched, "odd"), 0);
+    /* It was a backend server after all. */
+    report_started(&f, "odd", LATER_START_MS);
+    fixture_add_job(&f, JOB_A, "p", one_task);
+    fixture_tick(&f, f.now_ms + 200);
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_NOT_EQUAL(scheduler_backend_record(f.sched, "odd"), 0);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "odd"), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -406,6 +432,8 @@
          test_entry_without_host_and_start},
         {"a late answer of an ended incarnation",
          test_late_answer_of_ended_one},
+        {"an entry without an answer is not stored",
+         test_unanswered_entry_is_not_stored},
         {"a claim that loses its host", test_claim_loses_its_host},
         {"an incarnation ends with its silence",
          test_unnoticed_one_ends_with_its_silence},
