--- a/tests/membership/peers_test.c
+++ b/tests/membership/peers_test.c
@@ -10,6 +10,8 @@
 
 enum {
     IDLE_TIMEOUT_MS = 400,
+    /* No link is idle for as long while a starved machine gets to the test. */
+    NEVER_IDLE_MS = 60000,
 };
 
 /* The two gateways; their incarnations are "a" and "b". */
@@ -31,11 +33,18 @@
     node_set_members(&high, "a", low_port, "b", high_port);
 }
 
+static void
+start_with_idle_timeout(const char *low_secret, const char *high_secret,
+                        int64_t idle_timeout_ms)
+{
+    node_start(&low, "a", low_secret, 0, idle_timeout_ms);
+    node_start(&high, "b", high_secret, 0, idle_timeout_ms);
+}
+
 static void
 start_both(const char *low_secret, const char *high_secret)
 {
-    node_start(&low, "a", low_secret, 0, IDLE_TIMEOUT_MS);
-    node_start(&high, "b", high_secret, 0, IDLE_TIMEOUT_MS);
+    start_with_idle_timeout(low_secret, high_secret, IDLE_TIMEOUT_MS);
 }
 
 static void
@@ -54,7 +63,7 @@
 static void
 test_one_link_for_a_pair(void)
 {
-    start_both("secret", "secret");
+    start_with_idle_timeout("secret", "secret", NEVER_IDLE_MS);
     set_members_of_both(peers_port(high.peers));
     CU_ASSERT(wait_until(both_linked, NULL));
     node_send_heartbeat(&low);
@@ -105,7 +114,7 @@
     static const uint8_t truncated[] = {0x00, 0x00, 0x00, 0x40, 0x93, 0x01};
     static const uint8_t proof_first[] = {0, 0, 0, 4, 0x93, 1, 2, 0xc0};
     static const char http[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-    start_both("secret", "secret");
+    start_with_idle_timeout("secret", "secret", NEVER_IDLE_MS);
     set_members_of_both(peers_port(high.peers));
     CU_ASSERT(wait_until(both_linked, NULL));
     send_raw(oversized, sizeof(oversized));
