--- a/review/standins/platform_stand.py
+++ b/review/standins/platform_stand.py
@@ -213,6 +213,8 @@
         self.next_lease = 100
         self.changed = asyncio.Condition()
         self.refused_values = []
+        # While it is down it answers 503, and leases run out.
+        self.down = False
 
     def item(self, key):
         value, revision, created, lease = self.items[key]
@@ -285,6 +287,8 @@
 
     async def handle(self, request):
         path = request.path
+        if self.down:
+            return 503, {}
         if path == "/v1/kv-key":
             key = request.query["key"]
             if key not in self.items:
@@ -455,8 +459,10 @@
                 for run in list(self.running.values()):
                     self.end(run, "lapsed", run.saved)
             for run in list(self.running.values()):
+                if self.running.get(run.task) is not run or run.stopping:
+                    continue
                 how = self.platform.outcome(self, run)
-                if how is not None and not run.stopping:
+                if how is not None:
                     self.end(run, how, run.saved)
 
     async def crash(self, down_s):
