--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,17 +1,15 @@
-"""A submission is given up although none of its runs has ended as failed."""
+"""A submission that got 504 and whose cancel was acknowledged runs later."""
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "standins"))
-from platform_stand import TROUBLE, Platform, now, run_case  # noqa: E402
+from platform_stand import BOUNDS, TROUBLE, Platform, now, run_case  # noqa: E402
 
-JOB = "00000000000000f1"
-WORK_S = 3.0
-# When the worker of the first and of the second run crashes, after its start.
-CRASH_AFTER_S = (0.4, 0.12)
-DOWN_S = 4.0
+JOB = "00000000000000d1"
+CUT_S = 5.5
+WORK_S = 10.0
 
 
 class Case(Platform):
@@ -21,32 +19,37 @@
     def percent(self, run):
         return min(99, int(100 * (now() - run.began) / WORK_S))
 
-    def run_started(self, worker, run, body):
-        super().run_started(worker, run, body)
-        n = len(self.starts) - 1
-        if TROUBLE and n < len(CRASH_AFTER_S):
-            asyncio.ensure_future(self.crash_soon(worker, CRASH_AFTER_S[n]))
-
-    async def crash_soon(self, worker, after_s):
-        await asyncio.sleep(after_s)
-        await worker.crash(DOWN_S)
-
 
 async def case(p):
-    await p.start(n_daemons=3, n_workers=8)
-    await p.request(p.daemons[0], "POST", JOB, {
+    await p.start(n_daemons=6, n_workers=6, links=True)
+    first, second = [d for d in p.daemons if d is not p.leader()][:2]
+    cut = []
+    if TROUBLE:
+        cut = p.cut_off(first)
+        p.record("%s is cut off for %.1f s" % (first.name, CUT_S))
+    since = now()
+    status, _ = await p.request(first, "POST", JOB, {
         "spec": "notice", "steps": [
-            {"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 3000}]})
-    state = None
-    for i in range(40):
-        await asyncio.sleep(1)
-        _, value = await p.request(p.daemons[i % 3], "GET", JOB)
-        state = (value or {}).get("state")
-        if state in ("completed", "failed"):
-            break
-    failed = sum(how == "failed" for _, _, _, how in p.ends)
-    p.record("shown as %s; runs that ended as failed: %d" % (state, failed))
-    return not (state == "failed" and failed == 0)
+            {"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 10000}]})
+    # The client gives up and cancels what it sent, at another daemon.
+    acked = None
+    while acked is None:
+        answer, _ = await p.request(second, "DELETE", JOB)
+        if answer in (200, 410):
+            acked = now()
+        else:
+            await asyncio.sleep(0.2)
+    await asyncio.sleep(max(0, CUT_S - (now() - since)))
+    for link in cut:
+        link.heal()
+    p.record("the cut is over")
+    await asyncio.sleep(20)
+    await p.request(second, "GET", JOB)
+    late = [r.task for t, _, r, _ in p.starts
+            if t - acked > BOUNDS["cancel_ms"] / 1000]
+    p.record("the client got %s; starts later than cancel_ms after the "
+             "acknowledged cancel: %s" % (status, late or "none"))
+    return not late
 
 
 run_case(Case(__file__), case)
