--- a/review/standins/platform_stand.py
+++ b/review/standins/platform_stand.py
@@ -602,16 +602,6 @@
     def signal(self, number):
         self.process.send_signal(number)
 
-    def memory_mb(self):
-        try:
-            with open("/proc/%d/status" % self.process.pid, encoding="ascii") as f:
-                for line in f:
-                    if line.startswith("VmRSS:"):
-                        return int(line.split()[1]) // 1024
-        except OSError:
-            pass
-        return 0
-
 
 class Platform:
     """Starts everything; a case overrides outcome() and percent()."""
