--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -374,7 +374,6 @@
             job->steps[s].n_after = 1;
         }
     }
-    job_prepare(job);
     return job;
 }
 
--- a/core/jobs/advice.c
+++ b/core/jobs/advice.c
@@ -168,7 +168,10 @@
     int64_t unix_ms = ms_clock_now(&sched->unix_clock);
     struct advice_request request = {
         .sched = sched, .job = job, .now_ms = sched_now(sched)};
-    for (uint32_t k = 0; k < job->n_occurrences; k++) {
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        uint32_t k = occurrence->number;
         if (job_due_ms(job, k) > unix_ms) {
             return false;
         }
@@ -248,6 +251,11 @@
         finish_advice_call(sched);
         return;
     }
+    if (job_find_occurrence(call->job, call->occurrence) == NULL) {
+        /* It has finished meanwhile. */
+        finish_advice_call(sched);
+        return;
+    }
     struct step_progress *progress =
         job_step_progress(call->job, call->occurrence, call->step);
     if (progress->advice == NULL) {
--- a/core/jobs/crash_runs.c
+++ b/core/jobs/crash_runs.c
@@ -41,21 +41,32 @@
            a->step == b->step && (run_step(a)->gang || a->index == b->index);
 }
 
+static void
+clear_group_of_step(const struct job_step *step,
+                    struct step_progress *progress, uint32_t group,
+                    bool proved)
+{
+    for (uint32_t t = 0; t < step->task_count; t++) {
+        struct job_task *task = &progress->tasks[t];
+        /* One that was lost again has not been cleared by that. */
+        if (task->crash_group == group && task->crash_losses <= 1) {
+            crash_record_other(&task->crash, proved);
+            task->crash_group = proved ? 0 : group;
+        }
+    }
+}
+
 /* Lets the other suspects of the same loss start beside others. Those that run
  * alone are left to it. @proved: the crash of that loss is not theirs. */
 static void
 clear_group(struct job *job, uint32_t group, bool proved)
 {
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
-        for (uint32_t t = 0; t < n_tasks; t++) {
-            struct job_task *task = &job->progress[p].tasks[t];
-            /* One that was lost again has not been cleared by that. */
-            if (task->crash_group == group && task->crash_losses <= 1) {
-                crash_record_other(&task->crash, proved);
-                task->crash_group = proved ? 0 : group;
-            }
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            clear_group_of_step(&job->steps[s], &occurrence->steps[s], group,
+                                proved);
         }
     }
 }
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -25,21 +25,12 @@
     job->n_steps = n_steps;
     job->steps = g_new0(struct job_step, n_steps);
     job->n_occurrences = 1;
+    job->finished = g_array_new(FALSE, FALSE, sizeof(struct occurrence_range));
+    job->open = g_ptr_array_new();
     job->ref_count = 1;
     return job;
 }
 
-void
-job_prepare(struct job *job)
-{
-    size_t n_progress = (size_t)job->n_occurrences * job->n_steps;
-    job->progress = g_new0(struct step_progress, n_progress);
-    for (size_t i = 0; i < n_progress; i++) {
-        uint32_t n_tasks = job->steps[i % job->n_steps].task_count;
-        job->progress[i].tasks = g_new0(struct job_task, n_tasks);
-    }
-}
-
 struct job *
 job_ref(struct job *job)
 {
@@ -47,30 +38,15 @@
     return job;
 }
 
-static void
-progress_free(struct job *job)
-{
-    size_t n_progress = (size_t)job->n_occurrences * job->n_steps;
-    for (size_t i = 0; job->progress != NULL && i < n_progress; i++) {
-        uint32_t n_tasks = job->steps[i % job->n_steps].task_count;
-        for (uint32_t t = 0; t < n_tasks; t++) {
-            g_free(job->progress[i].tasks[t].saved);
-            g_free(job->progress[i].tasks[t].avoid);
-            g_free(job->progress[i].tasks[t].crash_backend);
-        }
-        g_free(job->progress[i].tasks);
-        step_advice_destroy(job->progress[i].advice);
-    }
-    g_free(job->progress);
-}
-
 void
 job_unref(struct job *job)
 {
     if (job == NULL || --job->ref_count > 0) {
         return;
     }
-    progress_free(job);
+    job_free_occurrences(job);
+    g_ptr_array_unref(job->open);
+    g_array_unref(job->finished);
     for (uint32_t i = 0; i < job->n_steps; i++) {
         g_free(job->steps[i].after);
         g_free(job->steps[i].required_label);
@@ -95,19 +71,13 @@
     return need;
 }
 
-struct step_progress *
-job_step_progress(const struct job *job, uint32_t occurrence, uint32_t step)
-{
-    return &job->progress[(size_t)occurrence * job->n_steps + step];
-}
-
 bool
 job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step)
 {
     const struct job_step *this_step = &job->steps[step];
     for (uint32_t i = 0; i < this_step->n_after; i++) {
         uint32_t before = this_step->after[i];
-        if (job_step_progress(job, occurrence, before)->done <
+        if (job_step_done(job, occurrence, before) <
             job->steps[before].task_count) {
             return false;
         }
@@ -124,18 +94,6 @@
     return job->first_ms + (int64_t)occurrence * job->interval_ms;
 }
 
-bool
-job_all_done(const struct job *job)
-{
-    size_t n_progress = (size_t)job->n_occurrences * job->n_steps;
-    for (size_t i = 0; i < n_progress; i++) {
-        if (job->progress[i].done < job->steps[i % job->n_steps].task_count) {
-            return false;
-        }
-    }
-    return true;
-}
-
 bool
 job_is_service(const struct job *job)
 {
--- a/core/jobs/order.c
+++ b/core/jobs/order.c
@@ -10,6 +10,9 @@
 
 #include "scheduler_state.h"
 
+/* Far above any real job; a caller may declare more. */
+#define MILLICORE_MS_MAX 1e18
+
 /* Declared run time of the longest chain of steps that are not done. */
 static int64_t
 remaining_critical_path_ms(const struct job *job)
@@ -23,25 +26,41 @@
         for (uint32_t a = 0; a < step->n_after; a++) {
             start_ms = MAX(start_ms, end_ms[step->after[a]]);
         }
-        bool done = job_step_progress(job, last, i)->done >= step->task_count;
+        bool done = job_step_done(job, last, i) >= step->task_count;
         end_ms[i] = start_ms + (done ? 0 : step->estimate_ms);
         longest_ms = MAX(longest_ms, end_ms[i]);
     }
     return longest_ms;
 }
 
+/* Tasks of a step that are not done, in all occurrences. */
+static int64_t
+remaining_tasks(const struct job *job, uint32_t step)
+{
+    int64_t done = 0;
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (!job_occurrence_finished(job, occurrence->number)) {
+            done += occurrence->steps[step].done;
+        }
+    }
+    return (int64_t)(job->n_occurrences - job->n_finished) *
+               job->steps[step].task_count -
+           done;
+}
+
 /* Declared work that remains, in thousandths of a core times ms. */
 static int64_t
 remaining_millicore_ms(const struct job *job)
 {
-    int64_t sum = 0;
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        const struct job_step *step = &job->steps[p % job->n_steps];
-        sum += (step->task_count - job->progress[p].done) *
-               step->need.cpu_milli * step->estimate_ms;
+    double sum = 0;
+    for (uint32_t s = 0; s < job->n_steps; s++) {
+        const struct job_step *step = &job->steps[s];
+        sum += (double)remaining_tasks(job, s) * (double)step->need.cpu_milli *
+               (double)step->estimate_ms;
     }
-    return sum;
+    return (int64_t)MIN(sum, MILLICORE_MS_MAX);
 }
 
 static int64_t
@@ -60,10 +79,9 @@
 least_need(const struct job *job)
 {
     struct resources least = {INT64_MAX, INT64_MAX, INT64_MAX};
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        const struct job_step *step = &job->steps[p % job->n_steps];
-        if (job->progress[p].done < step->task_count) {
+    for (uint32_t s = 0; s < job->n_steps; s++) {
+        const struct job_step *step = &job->steps[s];
+        if (remaining_tasks(job, s) > 0) {
             struct resources need = job_step_backend_need(step);
             least.cpu_milli = MIN(least.cpu_milli, need.cpu_milli);
             least.mem_mb = MIN(least.mem_mb, need.mem_mb);
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -66,6 +66,7 @@
             backend->entry.id, run->started_ms),
     };
     sched->ops.start(sched->ops.ctx, &command);
+    job_open_occurrence(run->job, run->occurrence)->started = true;
 }
 
 static uint32_t
@@ -320,6 +321,41 @@
     return job->stored_version >= job->left_pool_version;
 }
 
+/* Returns whether nothing is left to place. */
+static bool
+place_occurrence(struct placer *placer, struct job *job, uint32_t number)
+{
+    bool complete = true;
+    for (uint32_t s = 0; s < job->n_steps; s++) {
+        if (job->state == JOB_ACTIVE && job_step_ready(job, number, s)) {
+            complete = place_step(placer, job, number, s) && complete;
+        }
+    }
+    return complete;
+}
+
+/* Opens occurrences that are due, one at a time: if one can't start, neither
+ * can the next, which needs the same. @waiting: one that is open hasn't
+ * started. Returns whether nothing is left to place. */
+static bool
+place_next_occurrences(struct placer *placer, struct job *job, bool waiting)
+{
+    bool complete = true;
+    uint32_t next = job_next_occurrence(job, 0);
+    while (next < job->n_occurrences && job->state == JOB_ACTIVE) {
+        if (waiting || job->open->len >= job_open_max(job) ||
+            job_due_ms(job, next) > placer->unix_ms) {
+            return false;
+        }
+        const struct job_occurrence *occurrence =
+            job_open_occurrence(job, next);
+        complete = place_occurrence(placer, job, next) && complete;
+        waiting = !occurrence->started;
+        next = job_next_occurrence(job, next + 1);
+    }
+    return complete;
+}
+
 /* Returns whether nothing is left to place until the job changes. */
 static bool
 place_job(struct placer *placer, struct job *job)
@@ -329,17 +365,18 @@
         return false;
     }
     bool complete = true;
-    for (uint32_t k = 0; k < job->n_occurrences; k++) {
-        if (job_due_ms(job, k) > placer->unix_ms) {
+    bool waiting = false;
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (job_due_ms(job, occurrence->number) > placer->unix_ms) {
             return false;
         }
-        for (uint32_t s = 0; s < job->n_steps; s++) {
-            if (job->state == JOB_ACTIVE && job_step_ready(job, k, s)) {
-                complete = place_step(placer, job, k, s) && complete;
-            }
-        }
+        complete =
+            place_occurrence(placer, job, occurrence->number) && complete;
+        waiting = waiting || !occurrence->started;
     }
-    return complete;
+    return place_next_occurrences(placer, job, waiting) && complete;
 }
 
 /* After a takeover no inherited job of a pool is placed while a backend server
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -84,16 +84,13 @@
     load->backlog_millicore_ms += work;
 }
 
-/* @allowed_fraction: fraction of the backend servers that may run the step. */
+/* @tasks_left: tasks of the step that may run and are not done.
+ * @allowed_fraction: fraction of the backend servers that may run the step. */
 static void
-measure_step(struct pool_load *load, const struct job *job,
-             uint32_t occurrence, uint32_t index, double allowed_fraction)
+measure_step(struct pool_load *load, const struct job_step *step,
+             int64_t tasks_left, double allowed_fraction)
 {
-    const struct job_step *step = &job->steps[index];
-    const struct step_progress *progress =
-        job_step_progress(job, occurrence, index);
-    int64_t tasks_left = step->task_count - progress->done;
-    if (tasks_left == 0 || !job_step_ready(job, occurrence, index)) {
+    if (tasks_left == 0) {
         return;
     }
     struct resources need = job_step_backend_need(step);
@@ -128,12 +125,22 @@
         queue != NULL && queue->needs_advice
             ? MAX(sched->advice.allowed_fraction, ALLOWED_FRACTION_MIN)
             : 1;
-    for (uint32_t k = 0; k < job->n_occurrences; k++) {
-        if (job_due_ms(job, k) > unix_ms) {
-            return;
+    uint32_t unopened = job_due_unopened(job, unix_ms);
+    for (uint32_t s = 0; s < job->n_steps; s++) {
+        const struct job_step *step = &job->steps[s];
+        for (guint i = 0; i < job->open->len; i++) {
+            const struct job_occurrence *occurrence =
+                g_ptr_array_index(job->open, i);
+            if (job_due_ms(job, occurrence->number) <= unix_ms &&
+                job_step_ready(job, occurrence->number, s)) {
+                measure_step(load, step,
+                             step->task_count - occurrence->steps[s].done,
+                             allowed_fraction);
+            }
         }
-        for (uint32_t s = 0; s < job->n_steps; s++) {
-            measure_step(load, job, k, s, allowed_fraction);
+        if (step->n_after == 0) {
+            measure_step(load, step, (int64_t)unopened * step->task_count,
+                         allowed_fraction);
         }
     }
 }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -108,6 +108,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_destroy);
     sched->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          pool_load_destroy);
+    sched->closing = g_ptr_array_new();
     sched->draining = g_ptr_array_new();
     sched->contenders = g_ptr_array_new();
     sched_crash_init(sched);
@@ -125,6 +126,28 @@
     return sched;
 }
 
+void
+sched_job_closing(struct scheduler *sched, struct job *job)
+{
+    if (!job->closing) {
+        job->closing = true;
+        g_ptr_array_add(sched->closing, job_ref(job));
+    }
+}
+
+/* Not at once: those that handle an event still use the progress. */
+static void
+close_occurrences(struct scheduler *sched)
+{
+    for (guint i = 0; i < sched->closing->len; i++) {
+        struct job *job = g_ptr_array_index(sched->closing, i);
+        job->closing = false;
+        job_close_occurrences(job);
+        job_unref(job);
+    }
+    g_ptr_array_set_size(sched->closing, 0);
+}
+
 void
 scheduler_destroy(struct scheduler *sched)
 {
@@ -133,6 +156,8 @@
     }
     sched_advice_clear(sched);
     sched_crash_clear(sched);
+    close_occurrences(sched);
+    g_ptr_array_unref(sched->closing);
     g_hash_table_unref(sched->crashed_ids);
     sched_strays_clear(sched);
     g_hash_table_unref(sched->runs);
@@ -330,6 +355,10 @@
     }
     job->active_index = sched->active->len;
     g_ptr_array_add(sched->active, job);
+    uint32_t next = job_next_occurrence(job, 0);
+    if (job->open->len == 0 && next < job->n_occurrences) {
+        job_open_occurrence(job, next);
+    }
     sched_job_unplaced(sched, job);
     if (!job->inherited) {
         sched_record_arrival(sched, job);
@@ -348,13 +377,15 @@
 static void
 stop_runs_of(struct scheduler *sched, struct job *job)
 {
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
-        for (uint32_t t = 0; t < n_tasks; t++) {
-            struct run *run = job->progress[p].tasks[t].run;
-            if (run != NULL) {
-                sched_run_stop(sched, run);
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            for (uint32_t t = 0; t < job->steps[s].task_count; t++) {
+                struct run *run = occurrence->steps[s].tasks[t].run;
+                if (run != NULL) {
+                    sched_run_stop(sched, run);
+                }
             }
         }
     }
@@ -380,6 +411,7 @@
                     ms_clock_now(&sched->unix_clock) - job->accepted_unix_ms);
     sched_mark_dirty(sched, job);
     stop_runs_of(sched, job);
+    sched_job_closing(sched, job);
 }
 
 bool
@@ -418,6 +450,7 @@
                         shed_level_name(sched->overload.level),
                         sched->overload.window);
     }
+    close_occurrences(sched);
     sched_settle_incarnations(sched);
     bool full = now_ms >= sched->full_pass_ms;
     if (full) {
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -135,6 +135,7 @@
     struct run *run = sched_run_create(sched, job, name.occurrence, name.step,
                                        name.index, reported->number, backend);
     run->state = RUN_WORKING;
+    job_open_occurrence(job, name.occurrence)->started = true;
     /* The previous leader may have throttled it. */
     run->cpu_limit_percent = -1;
     update_run(sched, run, reported, report);
@@ -170,6 +171,7 @@
         queue_completion(backend, completion->number, NULL);
         return;
     }
+    sched_job_closing(sched, job);
     struct job_task *task =
         &job_step_progress(job, name.occurrence, name.step)->tasks[name.index];
     task->run_number = MAX(task->run_number, completion->run);
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -90,6 +90,9 @@
     if (!task->done) {
         sched_job_unplaced(sched, run->job);
     }
+    if (task->done || run->job->state != JOB_ACTIVE) {
+        sched_job_closing(sched, run->job);
+    }
     g_ptr_array_remove_fast(run->backend->runs, run);
     if (run->backend->runs->len == 0) {
         run->backend->empty_since_ms = sched_now(sched);
@@ -215,6 +218,9 @@
 sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
                 uint32_t step, uint32_t index)
 {
+    if (job_occurrence_finished(job, occurrence)) {
+        return;
+    }
     struct step_progress *progress = job_step_progress(job, occurrence, step);
     struct job_task *task = &progress->tasks[index];
     if (task->done) {
@@ -228,6 +234,7 @@
     if (progress->done >= job->steps[step].task_count) {
         /* Later steps may be ready now. */
         sched_job_unplaced(sched, job);
+        sched_job_closing(sched, job);
     }
     if (task->run != NULL) {
         sched_run_stop(sched, task->run);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -335,6 +335,7 @@
  * @former_backends: struct former_backend by id
  * @jobs: struct job by id, finished ones included
  * @active: the active jobs
+ * @closing: jobs of which occurrences may have finished, referenced
  * @runs: struct run by handle
  * @strays: struct stray by handle
  * @team_usage: struct team_usage by client account
@@ -393,6 +394,7 @@
     GHashTable *former_backends;
     GHashTable *jobs;
     GPtrArray *active;
+    GPtrArray *closing;
     GHashTable *runs;
     GHashTable *strays;
     GHashTable *team_usage;
@@ -437,6 +439,9 @@
 void
 sched_finish_job(struct scheduler *sched, struct job *job,
                  enum job_state state);
+/* Lets the next pass free the progress of its finished occurrences. */
+void
+sched_job_closing(struct scheduler *sched, struct job *job);
 bool
 sched_is_out_of_service(const struct scheduler *sched,
                         const char *data_centre);
--- a/core/jobs/scheduler_store.c
+++ b/core/jobs/scheduler_store.c
@@ -5,6 +5,11 @@
 
 #include "scheduler_state.h"
 
+enum {
+    /* The store may reject a call for a moment, such as while it starts. */
+    STORE_REJECTIONS_MAX = 3,
+};
+
 int64_t
 scheduler_backend_record(const struct scheduler *sched, const char *id)
 {
@@ -100,16 +105,26 @@
     return batch;
 }
 
-static void
+/* Whether the batch takes nothing else, for a job that is stored alone. */
+static bool
 take_dirty(struct scheduler *sched, struct store_batch *batch, uint32_t most)
 {
     while (!g_queue_is_empty(&sched->dirty) && batch->jobs->len < most) {
-        struct job *job = g_queue_pop_head(&sched->dirty);
+        struct job *job = g_queue_peek_head(&sched->dirty);
+        if (job->store_alone &&
+            batch->jobs->len + batch->register_ids->len > 0) {
+            return true;
+        }
+        g_queue_pop_head(&sched->dirty);
         job->dirty = false;
         job->storing = true;
         g_ptr_array_add(batch->jobs, job);
         g_array_append_val(batch->versions, job->version);
+        if (job->store_alone) {
+            return true;
+        }
     }
+    return false;
 }
 
 struct store_batch *
@@ -129,11 +144,12 @@
     struct store_batch *batch = batch_create();
     take_registrations(sched, batch, most);
     uint32_t left = most - batch->register_ids->len;
-    take_dirty(sched, batch, left);
-    left -= batch->jobs->len;
-    take_releases(sched, batch, left);
-    left -= batch->release_ids->len;
-    take_expired(sched, batch, left);
+    if (!take_dirty(sched, batch, left)) {
+        left -= batch->jobs->len;
+        take_releases(sched, batch, left);
+        left -= batch->release_ids->len;
+        take_expired(sched, batch, left);
+    }
     if (batch->register_ids->len + batch->jobs->len + batch->release_ids->len +
             batch->expire_ids->len >
         0) {
@@ -151,6 +167,8 @@
     if (stored) {
         job->stored_version = MAX(job->stored_version, version);
         job->revision = revision;
+        job->store_alone = false;
+        job->store_rejections = 0;
     }
     if (job->stored_version < job->version) {
         job->dirty = true;
@@ -193,6 +211,39 @@
     g_ptr_array_add(sched->to_release, g_strdup(id));
 }
 
+/* The store rejected the progress of @job in a transaction of its own. */
+static void
+job_rejected(struct scheduler *sched, struct job *job)
+{
+    if (++job->store_rejections < STORE_REJECTIONS_MAX) {
+        return;
+    }
+    sched_log_event(sched, "job_unstorable", "\"job\":\"%s\",\"state\":\"%s\"",
+                    job->id, job_state_name(job->state));
+    job->store_rejections = 0;
+    if (job->state == JOB_ACTIVE) {
+        /* The record of a finished job has its state only. */
+        sched_finish_job(sched, job, JOB_FAILED);
+        return;
+    }
+    job->stored_version = job->version;
+}
+
+void
+scheduler_batch_rejected(struct scheduler *sched, struct store_batch *batch)
+{
+    bool alone = batch->jobs->len == 1 && batch->register_ids->len == 0 &&
+                 batch->release_ids->len + batch->expire_ids->len == 0;
+    for (guint i = 0; i < batch->jobs->len; i++) {
+        struct job *job = g_ptr_array_index(batch->jobs, i);
+        job->store_alone = true;
+        if (alone) {
+            job_rejected(sched, job);
+        }
+    }
+    scheduler_batch_stored(sched, batch, false, 0);
+}
+
 void
 scheduler_batch_stored(struct scheduler *sched, struct store_batch *batch,
                        bool stored, int64_t revision)
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -40,9 +40,13 @@
     GIVE_UP_MS = 12000,
 };
 
+#define REJECTED_BODY                                                         \
+    "{\"error\":\"$: the job is too large for the platform's store\"}"
+
 /**
  * struct pending_job - a job that is being written to the store
  * @uncertain: a write got no answer and may still be carried out
+ * @alone: the store rejected a transaction that it shared with others
  * @in_store: its record is stored, but perhaps no inbox message for the
  *            scheduler
  * @replies: callbacks of the callers that wait for it
@@ -54,6 +58,7 @@
     char *value;
     int64_t submitted_ms;
     bool uncertain;
+    bool alone;
     bool in_store;
     GArray *replies;
 };
@@ -89,6 +94,9 @@
     if (status == 503) {
         answer.retry_after_ms = REFUSED_AFTER_MS;
     }
+    if (status == 413) {
+        answer.body = REJECTED_BODY;
+    }
     for (guint i = 0; i < pending->replies->len; i++) {
         struct job_reply *reply =
             &g_array_index(pending->replies, struct job_reply, i);
@@ -197,7 +205,7 @@
     struct acceptor *acceptor = slot->acceptor;
     GPtrArray *batch = slot->batch;
     slot->batch = NULL;
-    bool progress = result->outcome == KV_OK;
+    bool progress = result->outcome == KV_OK || result->outcome == KV_REJECTED;
     for (guint i = 0; i < batch->len; i++) {
         struct pending_job *pending = g_ptr_array_index(batch, i);
         bool found = found_in(result, pending->key);
@@ -211,6 +219,16 @@
             progress = true;
             pending->in_store = true;
         }
+        if (result->outcome == KV_REJECTED && batch->len == 1) {
+            /* The store never takes it, now or late. */
+            pending_finish(acceptor, pending, 413);
+            continue;
+        }
+        if (result->outcome == KV_REJECTED) {
+            pending->alone = true;
+            g_queue_push_head(&acceptor->waiting, pending);
+            continue;
+        }
         if (result->outcome == KV_UNKNOWN) {
             pending->uncertain = true;
         }
@@ -265,7 +283,11 @@
     }
     while (slot->batch->len < batch_max &&
            !g_queue_is_empty(&acceptor->waiting)) {
-        struct pending_job *pending = g_queue_pop_head(&acceptor->waiting);
+        struct pending_job *pending = g_queue_peek_head(&acceptor->waiting);
+        if (pending->alone && slot->batch->len > 0) {
+            break;
+        }
+        g_queue_pop_head(&acceptor->waiting);
         g_ptr_array_add(slot->batch, pending);
         /* A stored job only needs the inbox message for the scheduler. */
         bool inbox_only = pending->in_store && !slot->as_leader;
@@ -279,6 +301,9 @@
             puts[txn.n_puts++] =
                 (struct kv_put){.key = pending->inbox_key, .value = INBOX_JOB};
         }
+        if (pending->alone) {
+            break;
+        }
     }
     committer_commit(slot->committer, &txn,
                      (struct kv_done){.call = on_commit, .ctx = slot});
@@ -444,11 +469,18 @@
         .body = call->body,
         .body_bytes = call->body_bytes,
     };
+    char *value = record_job_encode(&envelope);
+    if (strlen(value) > acceptor->node->settings->value_bytes_max) {
+        g_free(value);
+        struct job_answer answer = {.status = 413, .body = REJECTED_BODY};
+        reply.call(reply.ctx, &answer);
+        return;
+    }
     pending = g_new0(struct pending_job, 1);
     pending->id = g_strdup(call->id);
     pending->key = g_strconcat(RECORD_JOB_PREFIX, call->id, NULL);
     pending->inbox_key = g_strconcat(RECORD_INBOX_PREFIX, call->id, NULL);
-    pending->value = record_job_encode(&envelope);
+    pending->value = value;
     pending->submitted_ms = node_now(acceptor->node);
     pending->uncertain = call->uncertain;
     pending->replies = g_array_new(FALSE, FALSE, sizeof(struct job_reply));
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -11,6 +11,7 @@
 #include "egretjobd/leader.h"
 #include "egretjobd/leadership.h"
 #include "egretjobd/peers.h"
+#include "egretjobd/records.h"
 #include "net/http_server.h"
 #include "platform/decode.h"
 #include "platform/ingress.h"
@@ -222,16 +223,17 @@
 
 static void
 answer_invalid(struct frontend *frontend, struct http_exchange *exchange,
-               const char *error)
+               int status, const char *error)
 {
     frontend->counters.invalid++;
     event_log("request_invalid", "\"why\":\"%s\"", error);
     char *body = g_strdup_printf("{\"error\":\"%s\"}", error);
-    http_exchange_reply(exchange, 400, body);
+    http_exchange_reply(exchange, status, body);
     g_free(body);
 }
 
-/* Replies 400 to a malformed job, with the position of the error. */
+/* Replies 400 to a malformed job, with the position of the error, and 413 to
+ * one whose progress the store could never take. */
 static bool
 check_body(struct frontend *frontend, struct http_exchange *exchange)
 {
@@ -240,12 +242,22 @@
     char *error = NULL;
     struct job *job = decode_job(body, bytes, &error);
     if (job == NULL) {
-        answer_invalid(frontend, exchange, error);
+        answer_invalid(frontend, exchange, 400, error);
         g_free(error);
         return false;
     }
+    size_t bytes_max = frontend->node->settings->value_bytes_max;
+    bool storable = record_open_max(job, bytes_max) > 0;
+    if (!storable) {
+        char *why =
+            g_strdup_printf("$.steps: progress of %u tasks doesn't fit into "
+                            "%" G_GSIZE_FORMAT " bytes",
+                            job_task_count(job), bytes_max);
+        answer_invalid(frontend, exchange, 413, why);
+        g_free(why);
+    }
     job_unref(job);
-    return true;
+    return storable;
 }
 
 static void
@@ -311,7 +323,7 @@
     if (!find_call_kind(http_exchange_method(exchange), rest, &kind) ||
         (kind != JOB_CALL_QUEUE_LENGTH && !is_job_id(rest))) {
         answer_invalid(
-            frontend, exchange,
+            frontend, exchange, 400,
             "path does not end in a job id of 16 hexadecimal digits");
         return;
     }
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -341,6 +341,8 @@
         event_log("record_unreadable", "\"job\":\"%s\"", id);
         return;
     }
+    job->open_max =
+        record_open_max(job, leader->node->settings->value_bytes_max);
     scheduler_add_job(leader->sched, job);
     char steps[STEPS_TEXT_BYTES];
     job_describe(job, steps, sizeof(steps));
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -44,6 +44,8 @@
         event_log("record_unreadable", "\"key\":\"%s\"", item->key);
         return;
     }
+    job->open_max =
+        record_open_max(job, leader->node->settings->value_bytes_max);
     job->inherited = leader->stage < STAGE_READY;
     const struct kv_item *progress = g_hash_table_lookup(leader->progress, id);
     if (progress != NULL) {
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -51,10 +51,20 @@
     }
     slot->batch = NULL;
     bool stored = result->outcome == KV_OK;
-    scheduler_batch_stored(leader->sched, batch, stored, result->revision);
+    bool rejected = result->outcome == KV_REJECTED;
+    bool has_jobs = batch->jobs->len > 0;
+    if (rejected) {
+        event_log("store_rejected",
+                  "\"what\":\"progress\",\"status\":%d,\"jobs\":%u",
+                  result->status, batch->jobs->len);
+        scheduler_batch_rejected(leader->sched, batch);
+    }
+    else {
+        scheduler_batch_stored(leader->sched, batch, stored, result->revision);
+    }
     answer_cancels(leader);
     leader_schedule_tick(leader);
-    if (stored || result->outcome == KV_CONFLICT) {
+    if (stored || result->outcome == KV_CONFLICT || (rejected && has_jobs)) {
         leader_store_changes(leader);
         return;
     }
@@ -68,7 +78,8 @@
 {
     struct leader *leader = slot->leader;
     struct txn_builder builder =
-        store_txn_build(leader->sched, slot->batch, leader->token);
+        store_txn_build(leader->sched, slot->batch, leader->token,
+                        leader->node->settings->value_bytes_max);
     struct kv_txn txn = txn_builder_txn(&builder);
     slot->sent_ms = node_now(leader->node);
     committer_commit(slot->committer, &txn,
@@ -149,6 +160,11 @@
         leader_set_wave_revision(leader, leader->wave_status_sent,
                                  result->revision);
     }
+    else if (result->outcome == KV_REJECTED) {
+        /* Kept, so that it isn't written again before it changes. */
+        event_log("store_rejected", "\"what\":\"wave\",\"status\":%d",
+                  result->status);
+    }
     else {
         /* Forgotten, so that it is written again. */
         g_hash_table_remove(leader->wave_status, leader->wave_status_sent);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -5,6 +5,31 @@
 #include "platform/decode.h"
 #include "platform/json_text.h"
 
+enum {
+    /* The fields of a progress record beside its occurrences. */
+    RECORD_FIXED_BYTES = 200,
+    /* The number of an open occurrence, and the range of finished ones before
+     * it. */
+    RECORD_OCCURRENCE_BYTES = 40,
+    /* Quotes and a comma. */
+    RECORD_STEP_BYTES = 3,
+};
+
+/**
+ * enum record_detail - what a progress record has of the tasks that are not
+ * done; each has what those before it have
+ * @RECORD_DONE: nothing
+ * @RECORD_FAILURES: numbers of their failed runs
+ * @RECORD_CRASHES: what crashes of backend servers say about them
+ * @RECORD_CHECKPOINTS: their checkpoints
+ */
+enum record_detail {
+    RECORD_DONE,
+    RECORD_FAILURES,
+    RECORD_CRASHES,
+    RECORD_CHECKPOINTS,
+};
+
 static void
 add_text_member(GString *out, const char *member, const char *text)
 {
@@ -62,44 +87,85 @@
 /* One character for each task of a step in one occurrence: 'd' if it is done,
  * else '.'. */
 static void
-encode_step_progress(GString *out, const struct job *job,
-                     uint32_t progress_index)
+encode_step_progress(GString *out, const struct job_step *step,
+                     const struct step_progress *progress)
 {
-    const struct step_progress *progress = &job->progress[progress_index];
-    uint32_t n_tasks = job->steps[progress_index % job->n_steps].task_count;
-    if (progress_index > 0) {
-        g_string_append_c(out, ',');
-    }
     g_string_append_c(out, '"');
-    for (uint32_t t = 0; t < n_tasks; t++) {
+    for (uint32_t t = 0; t < step->task_count; t++) {
         g_string_append_c(out, progress->tasks[t].done ? 'd' : '.');
     }
     g_string_append_c(out, '"');
 }
 
-/* Rows of step progress index, task, checkpoint and numbers of failed runs. */
+static bool
+has_done_tasks(const struct job *job, const struct job_occurrence *occurrence)
+{
+    for (uint32_t s = 0; s < job->n_steps; s++) {
+        if (occurrence->steps[s].done > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Finished occurrences as rows of the first and the last, then the numbers of
+ * the open ones with progress, and marks for each step of each of these. */
 static void
-encode_tasks(GString *out, const struct job *job)
+encode_occurrences(GString *out, const struct job *job)
 {
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    bool first = true;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
-        for (uint32_t t = 0; t < n_tasks; t++) {
-            const struct job_task *task = &job->progress[p].tasks[t];
-            if (task->failures == 0 && task->saved == NULL) {
-                continue;
-            }
-            g_string_append_printf(out, "%s[%u,%u,", first ? "" : ",", p, t);
-            json_text_add(out, task->saved == NULL ? "" : task->saved);
-            uint32_t n_failed = MIN(task->failures, JOB_FAILED_RUNS_MAX);
-            for (uint32_t i = 0; i < n_failed; i++) {
-                g_string_append_printf(out, ",%u", task->failed_runs[i]);
+    if (job->n_finished > 0) {
+        g_string_append(out, ",\"finished\":[");
+        for (guint i = 0; i < job->finished->len; i++) {
+            const struct occurrence_range *range =
+                &g_array_index(job->finished, struct occurrence_range, i);
+            g_string_append_printf(out, "%s[%u,%u]", i == 0 ? "" : ",",
+                                   range->first, range->last);
+        }
+        g_string_append_c(out, ']');
+    }
+    GString *numbers = g_string_new(NULL);
+    GString *parts = g_string_new(NULL);
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (job_occurrence_finished(job, occurrence->number) ||
+            !has_done_tasks(job, occurrence)) {
+            continue;
+        }
+        g_string_append_printf(numbers, "%s%u", numbers->len == 0 ? "" : ",",
+                               occurrence->number);
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            if (parts->len > 0) {
+                g_string_append_c(parts, ',');
             }
-            g_string_append_c(out, ']');
-            first = false;
+            encode_step_progress(parts, &job->steps[s], &occurrence->steps[s]);
         }
     }
+    g_string_append_printf(out, ",\"occurrences\":[%s],\"parts\":[%s]",
+                           numbers->str, parts->str);
+    g_string_free(numbers, TRUE);
+    g_string_free(parts, TRUE);
+}
+
+/* Row of step progress index, task, checkpoint and numbers of failed runs. */
+static void
+encode_task(GString *out, uint32_t progress_index, uint32_t index,
+            const struct job_task *task, enum record_detail detail)
+{
+    const char *saved =
+        detail == RECORD_CHECKPOINTS && task->saved != NULL ? task->saved : "";
+    if (task->failures == 0 && saved[0] == '\0') {
+        return;
+    }
+    g_string_append_printf(out, "%s[%u,%u,",
+                           g_str_has_suffix(out->str, "[") ? "" : ",",
+                           progress_index, index);
+    json_text_add(out, saved);
+    uint32_t n_failed = MIN(task->failures, JOB_FAILED_RUNS_MAX);
+    for (uint32_t i = 0; i < n_failed; i++) {
+        g_string_append_printf(out, ",%u", task->failed_runs[i]);
+    }
+    g_string_append_c(out, ']');
 }
 
 enum {
@@ -107,54 +173,69 @@
     ROW_SHARED = 2,
 };
 
-/* Rows of step progress index, task, counted crashes, those alone, whether the
+/* Row of step progress index, task, counted crashes, those alone, whether the
  * task is a suspect, and where it starts alone or has started beside others.
  */
 static void
-encode_crashes(GString *out, const struct job *job)
+encode_crash(GString *out, uint32_t progress_index, uint32_t index,
+             const struct job_task *task, enum record_detail detail)
 {
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    bool first = true;
-    for (uint32_t p = 0; p < n_progress; p++) {
-        uint32_t n_tasks = job->steps[p % job->n_steps].task_count;
-        for (uint32_t t = 0; t < n_tasks; t++) {
-            const struct job_task *task = &job->progress[p].tasks[t];
-            const struct crash_record *crash = &task->crash;
-            if (crash->crashes == 0 && !crash->suspect &&
-                !task->crash_shared) {
-                continue;
+    const struct crash_record *crash = &task->crash;
+    (void)detail;
+    if (crash->crashes == 0 && !crash->suspect && !task->crash_shared) {
+        return;
+    }
+    g_string_append_printf(out, "%s[%u,%u,%u,%u,%d,",
+                           g_str_has_suffix(out->str, "[") ? "" : ",",
+                           progress_index, index, crash->crashes, crash->alone,
+                           (crash->suspect ? ROW_SUSPECT : 0) +
+                               (task->crash_shared ? ROW_SHARED : 0));
+    const char *backend = task->crash_backend;
+    json_text_add(out, backend == NULL ? "" : backend);
+    g_string_append_c(out, ']');
+}
+
+/* Rows of the tasks that are not done; nothing of the others matters. */
+static void
+encode_rows(GString *out, const char *member, const struct job *job,
+            enum record_detail detail,
+            void (*encode)(GString *out, uint32_t progress_index,
+                           uint32_t index, const struct job_task *task,
+                           enum record_detail detail))
+{
+    GString *rows = g_string_new("[");
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            uint32_t p = occurrence->number * job->n_steps + s;
+            for (uint32_t t = 0; t < job->steps[s].task_count; t++) {
+                const struct job_task *task = &occurrence->steps[s].tasks[t];
+                if (!task->done) {
+                    encode(rows, p, t, task, detail);
+                }
             }
-            g_string_append_printf(out, "%s[%u,%u,%u,%u,%d,",
-                                   first ? ",\"crashes\":[" : ",", p, t,
-                                   crash->crashes, crash->alone,
-                                   (crash->suspect ? ROW_SUSPECT : 0) +
-                                       (task->crash_shared ? ROW_SHARED : 0));
-            const char *backend = task->crash_backend;
-            json_text_add(out, backend == NULL ? "" : backend);
-            g_string_append_c(out, ']');
-            first = false;
         }
     }
-    if (!first) {
-        g_string_append_c(out, ']');
+    if (rows->len > 1) {
+        g_string_append_printf(out, ",\"%s\":%s]", member, rows->str);
     }
+    g_string_free(rows, TRUE);
 }
 
-char *
-record_progress_encode(const struct job *job)
+static char *
+encode_progress(const struct job *job, enum record_detail detail)
 {
     GString *out = g_string_new("{");
     add_text_member(out, "state", job_state_name(job->state));
     if (job->state == JOB_ACTIVE) {
-        g_string_append(out, ",\"parts\":[");
-        uint32_t n_progress = job->n_occurrences * job->n_steps;
-        for (uint32_t p = 0; p < n_progress; p++) {
-            encode_step_progress(out, job, p);
+        encode_occurrences(out, job);
+        if (detail >= RECORD_FAILURES) {
+            encode_rows(out, "tasks", job, detail, encode_task);
+        }
+        if (detail >= RECORD_CRASHES) {
+            encode_rows(out, "crashes", job, detail, encode_crash);
         }
-        g_string_append(out, "],\"tasks\":[");
-        encode_tasks(out, job);
-        g_string_append_c(out, ']');
-        encode_crashes(out, job);
         if (job->left_pool) {
             add_int_member(out, "left_pool", 1);
         }
@@ -163,6 +244,38 @@
     return g_string_free(out, FALSE);
 }
 
+char *
+record_progress_encode(const struct job *job, size_t bytes_max)
+{
+    for (int detail = RECORD_CHECKPOINTS;; detail--) {
+        char *record = encode_progress(job, (enum record_detail)detail);
+        if (strlen(record) <= bytes_max || detail == RECORD_DONE) {
+            return record;
+        }
+        g_free(record);
+    }
+}
+
+static size_t
+occurrence_bytes(const struct job *job)
+{
+    return RECORD_OCCURRENCE_BYTES + job_task_count(job) +
+           (size_t)job->n_steps * RECORD_STEP_BYTES;
+}
+
+size_t
+record_progress_bytes(const struct job *job, size_t n_open)
+{
+    return RECORD_FIXED_BYTES + n_open * occurrence_bytes(job);
+}
+
+uint32_t
+record_open_max(const struct job *job, size_t bytes_max)
+{
+    size_t left = bytes_max - MIN(bytes_max, (size_t)RECORD_FIXED_BYTES);
+    return (uint32_t)MIN(left / occurrence_bytes(job), (size_t)UINT32_MAX);
+}
+
 static bool
 state_of(const cJSON *record, enum job_state *state)
 {
@@ -177,61 +290,70 @@
 }
 
 static void
-apply_step_progress(struct job *job, uint32_t progress_index,
+apply_step_progress(struct job *job, uint32_t occurrence, uint32_t step,
                     const char *task_marks)
 {
-    struct step_progress *progress = &job->progress[progress_index];
-    uint32_t n_tasks = job->steps[progress_index % job->n_steps].task_count;
+    struct step_progress *progress = job_step_progress(job, occurrence, step);
+    uint32_t n_tasks = job->steps[step].task_count;
     for (uint32_t t = 0; t < n_tasks && task_marks[t] != '\0'; t++) {
-        if (task_marks[t] == 'd') {
+        if (task_marks[t] == 'd' && !progress->tasks[t].done) {
             progress->tasks[t].done = true;
             progress->done++;
             job->started = true;
+            job_open_occurrence(job, occurrence)->started = true;
         }
     }
 }
 
+static int64_t
+row_number(const cJSON *row, int column)
+{
+    const cJSON *item = cJSON_GetArrayItem(row, column);
+    return cJSON_IsNumber(item) ? item->valueint : -1;
+}
+
+/* Task that @row names by step progress index and task, or NULL. */
+static struct job_task *
+row_task(struct job *job, const cJSON *row)
+{
+    int64_t p = row_number(row, 0);
+    int64_t t = row_number(row, 1);
+    if (p < 0 || t < 0 || p >= (int64_t)job->n_occurrences * job->n_steps ||
+        t >= (int64_t)job->steps[p % job->n_steps].task_count) {
+        return NULL;
+    }
+    uint32_t occurrence = (uint32_t)(p / job->n_steps);
+    job_open_occurrence(job, occurrence)->started = true;
+    return &job_step_progress(job, occurrence, (uint32_t)(p % job->n_steps))
+                ->tasks[t];
+}
+
 static void
 apply_task_record(struct job *job, const cJSON *row)
 {
-    const cJSON *p = cJSON_GetArrayItem(row, 0);
-    const cJSON *t = cJSON_GetArrayItem(row, 1);
+    struct job_task *task = row_task(job, row);
     const char *saved = cJSON_GetStringValue(cJSON_GetArrayItem(row, 2));
-    if (!cJSON_IsNumber(p) || !cJSON_IsNumber(t) ||
-        p->valueint >= (int)(job->n_occurrences * job->n_steps) ||
-        t->valueint >=
-            (int)job->steps[p->valueint % (int)job->n_steps].task_count) {
+    if (task == NULL) {
         return;
     }
-    struct job_task *task = &job->progress[p->valueint].tasks[t->valueint];
     for (int i = 3; i < cJSON_GetArraySize(row); i++) {
         job_task_record_failure(
             task, (uint32_t)cJSON_GetArrayItem(row, i)->valueint);
     }
     if (saved != NULL && saved[0] != '\0') {
+        g_free(task->saved);
         task->saved = g_strdup(saved);
     }
 }
 
-static int64_t
-row_number(const cJSON *row, int column)
-{
-    const cJSON *item = cJSON_GetArrayItem(row, column);
-    return cJSON_IsNumber(item) ? item->valueint : -1;
-}
-
 static void
 apply_crash_record(struct job *job, const cJSON *row)
 {
-    int64_t p = row_number(row, 0);
-    int64_t t = row_number(row, 1);
     int64_t crashes = row_number(row, 2);
-    if (p < 0 || t < 0 || crashes < 0 ||
-        p >= (int64_t)job->n_occurrences * job->n_steps ||
-        t >= (int64_t)job->steps[p % job->n_steps].task_count) {
+    struct job_task *task = crashes < 0 ? NULL : row_task(job, row);
+    if (task == NULL) {
         return;
     }
-    struct job_task *task = &job->progress[p].tasks[t];
     int64_t marks = row_number(row, 4);
     /* It may have crashed the backend server that fell silent. */
     task->crash_shared =
@@ -243,26 +365,64 @@
     };
     const char *backend = cJSON_GetStringValue(cJSON_GetArrayItem(row, 5));
     if (backend != NULL && backend[0] != '\0') {
+        g_free(task->crash_backend);
         task->crash_backend = g_strdup(backend);
     }
 }
 
+static void
+apply_finished(struct job *job, const cJSON *row)
+{
+    int64_t first = row_number(row, 0);
+    int64_t last = row_number(row, 1);
+    if (first >= 0 && first <= last && last < job->n_occurrences) {
+        job_finish_occurrences(job, (uint32_t)first, (uint32_t)last);
+        job->started = true;
+    }
+}
+
+/* Records of earlier versions have the marks of every occurrence, and name
+ * none. */
+static void
+apply_parts(struct job *job, const cJSON *record)
+{
+    const cJSON *numbers =
+        cJSON_GetObjectItemCaseSensitive(record, "occurrences");
+    const cJSON *number = numbers == NULL ? NULL : numbers->child;
+    uint32_t index = 0;
+    const cJSON *item;
+    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "parts"))
+    {
+        int64_t occurrence = index / job->n_steps;
+        if (numbers != NULL) {
+            occurrence = cJSON_IsNumber(number) ? number->valueint : -1;
+        }
+        if (cJSON_IsString(item) && occurrence >= 0 &&
+            occurrence < job->n_occurrences &&
+            strchr(item->valuestring, 'd') != NULL) {
+            apply_step_progress(job, (uint32_t)occurrence,
+                                index % job->n_steps, item->valuestring);
+        }
+        index++;
+        if (index % job->n_steps == 0 && number != NULL) {
+            number = number->next;
+        }
+    }
+}
+
 bool
 record_progress_apply(struct job *job, const char *value, size_t bytes)
 {
     cJSON *record = cJSON_ParseWithLength(value, bytes);
     bool known = state_of(record, &job->state);
     job->left_pool = json_int_get(record, "left_pool", 0) == 1;
-    uint32_t n_progress = job->n_occurrences * job->n_steps;
-    uint32_t index = 0;
     const cJSON *item;
-    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "parts"))
+    cJSON_ArrayForEach(item,
+                       cJSON_GetObjectItemCaseSensitive(record, "finished"))
     {
-        if (index < n_progress && cJSON_IsString(item)) {
-            apply_step_progress(job, index, item->valuestring);
-        }
-        index++;
+        apply_finished(job, item);
     }
+    apply_parts(job, record);
     cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "tasks"))
     {
         apply_task_record(job, item);
@@ -272,6 +432,7 @@
     {
         apply_crash_record(job, item);
     }
+    job_close_occurrences(job);
     cJSON_Delete(record);
     return known;
 }
--- a/egretjobd/store_txn.c
+++ b/egretjobd/store_txn.c
@@ -65,14 +65,16 @@
 }
 
 static void
-add_jobs(struct txn_builder *builder, const struct store_batch *batch)
+add_jobs(struct txn_builder *builder, const struct store_batch *batch,
+         size_t value_bytes_max)
 {
     for (guint i = 0; i < batch->jobs->len; i++) {
         const struct job *job = g_ptr_array_index(batch->jobs, i);
         const char *key =
             txn_builder_key(builder, RECORD_PROGRESS_PREFIX, job->id);
         txn_builder_condition(builder, key, job->revision);
-        txn_builder_put(builder, key, record_progress_encode(job));
+        txn_builder_put(builder, key,
+                        record_progress_encode(job, value_bytes_max));
     }
 }
 
@@ -116,11 +118,11 @@
 
 struct txn_builder
 store_txn_build(const struct scheduler *sched, const struct store_batch *batch,
-                int64_t token)
+                int64_t token, size_t value_bytes_max)
 {
     struct txn_builder builder = txn_builder_create();
     txn_builder_condition(&builder, RECORD_LEADER_KEY, token);
-    add_jobs(&builder, batch);
+    add_jobs(&builder, batch, value_bytes_max);
     add_registrations(sched, &builder, batch);
     return builder;
 }
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -17,6 +17,12 @@
     /* Bounds the memory of one job: 64 steps of 1,000 tasks. */
     JOB_STEPS_MAX = 64,
     JOB_STEP_TASKS_MAX = 1000,
+    /* Occurrences and steps have to be numbered within 31 bits. */
+    JOB_OCCURRENCES_MAX = INT32_MAX / JOB_STEPS_MAX,
+    /* Bound the memory and the record of a scheduled job whose occurrences
+     * are due faster than they end. The first is the largest occurrence. */
+    JOB_OPEN_TASKS_MAX = JOB_STEPS_MAX * JOB_STEP_TASKS_MAX,
+    JOB_OPEN_OCCURRENCES_MAX = 1000,
     /* More attempts than any queue allows. */
     JOB_FAILED_RUNS_MAX = 8,
 };
@@ -145,6 +151,24 @@
     struct step_advice *advice;
 };
 
+/**
+ * struct job_occurrence - progress of an occurrence that is open
+ * @number: counts from 0
+ * @started: a task of it may have started
+ * @steps: its progress, for each step of the job
+ */
+struct job_occurrence {
+    uint32_t number;
+    bool started;
+    struct step_progress *steps;
+};
+
+/** struct occurrence_range - occurrences @first to @last, both included */
+struct occurrence_range {
+    uint32_t first;
+    uint32_t last;
+};
+
 /**
  * enum job_state - state of a job
  * @JOB_ACTIVE: accepted and not finished
@@ -223,13 +247,21 @@
  * @interval_ms: time between occurrences
  * @n_occurrences: number of occurrences, 1 without a schedule
  * @steps: the steps; @n_steps of them
- * @progress: of each step of each occurrence, @n_occurrences x @n_steps
+ * @open: struct job_occurrence, by number; those that may have progress and
+ *        are not finished, and the next one to start
+ * @finished: struct occurrence_range, in order and with gaps between them;
+ *            occurrences that are done and no longer open
+ * @n_finished: number of occurrences in @finished
+ * @open_max: most occurrences whose progress fits into one record; 0: no such
+ *            limit
  * @state: state of the job
  * @started: whether a task is known to have started
  * @version: counts changes of the progress
  * @stored_version: newest version known to be stored
  * @revision: store revision of the stored progress; 0: none
  * @storing: a write of the progress is in flight
+ * @store_alone: its progress is written in a transaction of its own
+ * @store_rejections: how often the store rejected that
  * @inherited: accepted before the current scheduler took over
  * @left_pool: tasks may have started in another pool than @pool
  * @left_pool_version: version of the progress that contains @left_pool
@@ -240,6 +272,7 @@
  * @unplaced: it may have tasks to place, and is among the unplaced jobs of its
  *            pool
  * @dirty: its progress is waiting to be stored
+ * @closing: occurrences of it may have finished since the last pass
  * @ref_count: references to this struct
  */
 struct job {
@@ -255,13 +288,18 @@
     uint32_t n_occurrences;
     struct job_step *steps;
     uint32_t n_steps;
-    struct step_progress *progress;
+    GPtrArray *open;
+    GArray *finished;
+    uint32_t n_finished;
+    uint32_t open_max;
     enum job_state state;
     bool started;
     uint64_t version;
     uint64_t stored_version;
     int64_t revision;
     bool storing;
+    bool store_alone;
+    uint32_t store_rejections;
     bool inherited;
     bool left_pool;
     uint64_t left_pool_version;
@@ -271,6 +309,7 @@
     uint32_t active_index;
     bool unplaced;
     bool dirty;
+    bool closing;
     int ref_count;
 };
 
@@ -278,10 +317,6 @@
 struct job *
 job_create(uint32_t n_steps);
 
-/** job_prepare() - allocate the progress once the steps are filled in. */
-void
-job_prepare(struct job *job);
-
 struct job *
 job_ref(struct job *job);
 void
@@ -294,9 +329,65 @@
 struct resources
 job_step_backend_need(const struct job_step *step);
 
-/** job_step_progress() - progress of step @step of occurrence @occurrence. */
+/**
+ * job_step_progress() - progress of step @step of occurrence @occurrence,
+ * which is opened if it is not open.
+ */
 struct step_progress *
-job_step_progress(const struct job *job, uint32_t occurrence, uint32_t step);
+job_step_progress(struct job *job, uint32_t occurrence, uint32_t step);
+
+/** job_find_occurrence() - @occurrence if it is open, or NULL. */
+struct job_occurrence *
+job_find_occurrence(const struct job *job, uint32_t occurrence);
+
+/** job_open_occurrence() - @occurrence, opened if it is not open. */
+struct job_occurrence *
+job_open_occurrence(struct job *job, uint32_t occurrence);
+
+/** job_occurrence_finished() - whether it is done and no longer open. */
+bool
+job_occurrence_finished(const struct job *job, uint32_t occurrence);
+
+/** job_finish_occurrences() - count @first to @last as done; none is open. */
+void
+job_finish_occurrences(struct job *job, uint32_t first, uint32_t last);
+
+/**
+ * job_next_occurrence() - first occurrence from @from on that is neither open
+ * nor finished; @n_occurrences if there is none.
+ */
+uint32_t
+job_next_occurrence(const struct job *job, uint32_t from);
+
+/**
+ * job_close_occurrences() - free the progress of open occurrences that are
+ * done, or of all if the job is; not while runs refer to them.
+ */
+void
+job_close_occurrences(struct job *job);
+
+/**
+ * job_due_unopened() - number of occurrences that are due at Unix time
+ * @unix_ms and are neither open nor finished.
+ */
+uint32_t
+job_due_unopened(const struct job *job, int64_t unix_ms);
+
+/** job_free_occurrences() - free the progress of all open occurrences. */
+void
+job_free_occurrences(struct job *job);
+
+/** job_open_max() - most occurrences that may be open at once. */
+uint32_t
+job_open_max(const struct job *job);
+
+/** job_step_done() - number of tasks of the step that are done. */
+uint32_t
+job_step_done(const struct job *job, uint32_t occurrence, uint32_t step);
+
+/** job_task_count() - tasks of one occurrence. */
+uint32_t
+job_task_count(const struct job *job);
 
 /** job_step_ready() - whether all steps before @step are done. */
 bool
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -472,6 +472,15 @@
 scheduler_batch_stored(struct scheduler *sched, struct store_batch *batch,
                        bool stored, int64_t revision);
 
+/**
+ * scheduler_batch_rejected() - the store never accepts the batch; frees it.
+ *
+ * The jobs are stored one by one then. One whose progress is rejected even so
+ * is given up, since its record can't grow with it any more.
+ */
+void
+scheduler_batch_rejected(struct scheduler *sched, struct store_batch *batch);
+
 /**
  * scheduler_backend_record() - revision of the record of backend server @id
  *
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -49,9 +49,24 @@
 struct job *
 record_job_decode(const char *id, const char *value, size_t bytes);
 
-/** record_progress_encode() - value of a job's progress; g_free(). */
+/**
+ * record_progress_encode() - value of a job's progress; g_free().
+ *
+ * Omits what a job can do without if it would have more than @bytes_max bytes:
+ * first checkpoints, then what crashes say, then numbers of failed runs.
+ */
 char *
-record_progress_encode(const struct job *job);
+record_progress_encode(const struct job *job, size_t bytes_max);
+
+/** record_progress_bytes() - most bytes that the least record of the progress
+ * of @n_open open occurrences takes. */
+size_t
+record_progress_bytes(const struct job *job, size_t n_open);
+
+/** record_open_max() - most open occurrences whose progress fits into
+ * @bytes_max bytes; 0: not even one does. */
+uint32_t
+record_open_max(const struct job *job, size_t bytes_max);
 
 /** record_progress_apply() - apply a stored progress record to @job; false if
  * its state is not known. */
--- a/include/egretjobd/store_txn.h
+++ b/include/egretjobd/store_txn.h
@@ -51,10 +51,11 @@
 /**
  * store_txn_build() - the transaction that stores @batch
  * @token: fencing token of the leader, the revision of its record
+ * @value_bytes_max: longest value that the store accepts
  */
 struct txn_builder
 store_txn_build(const struct scheduler *sched, const struct store_batch *batch,
-                int64_t token);
+                int64_t token, size_t value_bytes_max);
 
 /**
  * store_txn_conflict() - handle a transaction whose conditions do not hold
--- a/include/platform/job_settings.h
+++ b/include/platform/job_settings.h
@@ -22,6 +22,7 @@
  * @cores: processor capacity of this host, in cores
  * @stop_grace_ms: time between SIGTERM and SIGKILL
  * @config_age_max_ms: time within which a stored configuration must be active
+ * @value_bytes_max: longest value that the store accepts
  * @min_ttl_ms: shortest time to live of a lease that the store grants
  * @timings: time limits of the scheduler
  */
@@ -38,6 +39,7 @@
     double cores;
     int64_t stop_grace_ms;
     int64_t config_age_max_ms;
+    size_t value_bytes_max;
     int64_t min_ttl_ms;
     struct sched_timings timings;
 };
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -11,6 +11,8 @@
 enum {
     /* The store accepts at most this many entries in a transaction. */
     KV_TXN_ENTRIES_MAX = 32,
+    /* Longest value that it accepts unless the settings name another limit. */
+    KV_VALUE_BYTES_DEFAULT = 1048576,
 };
 
 /**
@@ -20,6 +22,7 @@
  * @KV_COMPACTED: the history to watch has been compacted; read everything
  * again
  * @KV_REFUSED: certainly not carried out
+ * @KV_REJECTED: the same, and the call is one that the store never accepts
  * @KV_UNKNOWN: no answer; it may have been carried out, or may be later
  */
 enum kv_outcome {
@@ -28,6 +31,7 @@
     KV_CONFLICT,
     KV_COMPACTED,
     KV_REFUSED,
+    KV_REJECTED,
     KV_UNKNOWN,
 };
 
--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -53,6 +53,8 @@
  * @violations: violations found
  * @moves: moves and reboots of hosts that were accepted
  * @reads: reads of single keys
+ * @value_bytes_max: a transaction with a longer value is rejected
+ * @rejected: transactions rejected for that
  */
 struct emulator {
     struct event_base *base;
@@ -74,6 +76,8 @@
     uint64_t violations;
     uint64_t moves;
     uint64_t reads;
+    size_t value_bytes_max;
+    uint64_t rejected;
 };
 
 int64_t
--- a/standins/jobs/emulator_kv.c
+++ b/standins/jobs/emulator_kv.c
@@ -219,12 +219,33 @@
     }
 }
 
+static bool
+values_too_long(const struct emulator *emulator, const cJSON *puts)
+{
+    const cJSON *row;
+    cJSON_ArrayForEach(row, puts)
+    {
+        gsize bytes = 0;
+        g_free(g_base64_decode(json_text_get(row, "value"), &bytes));
+        if (bytes > emulator->value_bytes_max) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 serve_txn(struct emulator *emulator, struct http_exchange *exchange)
 {
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
     cJSON *body = cJSON_ParseWithLength(text, bytes);
+    if (values_too_long(emulator, cJSON_GetObjectItem(body, "puts"))) {
+        emulator->rejected++;
+        cJSON_Delete(body);
+        http_exchange_reply(exchange, 400, "{}");
+        return;
+    }
     GString *items = g_string_new(NULL);
     bool met =
         conditions_met(emulator, cJSON_GetObjectItem(body, "expected"), items);
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -12,6 +12,7 @@
 
 #include "emulator.h"
 #include "platform/json_text.h"
+#include "platform/kv.h"
 
 enum {
     PORT_STORE,
@@ -23,6 +24,7 @@
 
 struct arguments {
     int first_port;
+    size_t value_bytes;
     const char *config;
 };
 
@@ -63,15 +65,15 @@
 static void
 serve_stats(struct emulator *emulator, struct http_exchange *exchange)
 {
-    char text[200];
+    char text[240];
     snprintf(text, sizeof(text),
              "{\"checks\":%" G_GUINT64_FORMAT
              ",\"tickets_missing\":%" G_GUINT64_FORMAT
              ",\"violations\":%" G_GUINT64_FORMAT
              ",\"moves\":%" G_GUINT64_FORMAT ",\"reads\":%" G_GUINT64_FORMAT
-             "}",
+             ",\"rejected\":%" G_GUINT64_FORMAT "}",
              emulator->checks, emulator->tickets_missing, emulator->violations,
-             emulator->moves, emulator->reads);
+             emulator->moves, emulator->reads, emulator->rejected);
     http_exchange_reply(exchange, 200, text);
 }
 
@@ -207,6 +209,10 @@
         arguments->first_port = atoi(arg);
         return 0;
     }
+    if (key == 'v') {
+        arguments->value_bytes = strtoul(arg, NULL, 10);
+        return 0;
+    }
     if (key == ARGP_KEY_ARG) {
         arguments->config = arg;
         return 0;
@@ -219,6 +225,7 @@
 {
     static const struct argp_option options[] = {
         {"port", 'p', "FIRST", 0, "first port", 0},
+        {"value-bytes", 'v', "BYTES", 0, "longest value of the store", 0},
         {0},
     };
     static const struct argp argp = {
@@ -227,7 +234,8 @@
         .args_doc = "CONFIG",
         .doc = "Emulates the prepared platform on loopback.",
     };
-    struct arguments arguments = {.first_port = 7600};
+    struct arguments arguments = {.first_port = 7600,
+                                  .value_bytes = KV_VALUE_BYTES_DEFAULT};
     argp_parse(&argp, argc, argv, 0, NULL, &arguments);
     if (arguments.config == NULL) {
         fprintf(stderr, "missing argument: CONFIG\n");
@@ -241,6 +249,7 @@
     emulator.done_acked =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     kv_model_init(&emulator.kv);
+    emulator.value_bytes_max = arguments.value_bytes;
     if (!read_config(&emulator, &arguments)) {
         return EXIT_FAILURE;
     }
--- a/tests/jobs/crash_proof_test.c
+++ b/tests/jobs/crash_proof_test.c
@@ -3,6 +3,7 @@
 
 #include "../suite.h"
 #include "egretjobd/records.h"
+#include "platform/kv.h"
 #include "fleet_fixture.h"
 
 #define JOB_A "00000000000000aa"
@@ -18,7 +19,7 @@
                               "\"estimate_ms\":500,\"long_running\":true}]";
 
 static struct job_task *
-first_task(const struct job *job)
+first_task(struct job *job)
 {
     return &job_step_progress(job, 0, 0)->tasks[0];
 }
@@ -261,7 +262,7 @@
     give_no_answer(&f, "b1");
     list(&f, "b1x", "m1", 20);
     CU_ASSERT_EQUAL(first_task(job)->crash.crashes, 1);
-    char *record = record_progress_encode(job);
+    char *record = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
     struct fleet_fixture next;
     fixture_init_at(&next, 1, f.now_ms);
     job = inherit_job(&next, record, one_task);
--- a/tests/jobs/crash_record_test.c
+++ b/tests/jobs/crash_record_test.c
@@ -3,6 +3,7 @@
 
 #include "../suite.h"
 #include "egretjobd/records.h"
+#include "platform/kv.h"
 #include "crash_world.h"
 
 #define JOB_A "00000000000000aa"
@@ -61,7 +62,7 @@
     task->crash =
         (struct crash_record){.suspect = true, .crashes = 2, .alone = 1};
     task->crash_backend = g_strdup("b1");
-    char *record = record_progress_encode(job);
+    char *record = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
     job_unref(job);
     job = fixture_create_job(&f, JOB_A, "p", one_task);
     CU_ASSERT_TRUE(record_progress_apply(job, record, strlen(record)));
@@ -90,7 +91,7 @@
         task->crash.suspect = suspect == 1;
         task->crash_backend = g_strdup("b1");
         task->crash_shared = true;
-        char *record = record_progress_encode(job);
+        char *record = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
         job_unref(job);
         job = fixture_create_job(&f, JOB_A, "p", one_task);
         CU_ASSERT_TRUE(record_progress_apply(job, record, strlen(record)));
--- a/tests/jobs/crash_world.c
+++ b/tests/jobs/crash_world.c
@@ -5,6 +5,7 @@
 
 #include "../suite.h"
 #include "egretjobd/records.h"
+#include "platform/kv.h"
 
 enum {
     STEP_MS = 20,
@@ -359,7 +360,8 @@
     for (uint32_t i = 0; i < world->n_jobs; i++) {
         struct world_job *entry = &world->jobs[i];
         if (entry->record == NULL) {
-            entry->record = record_progress_encode(entry->job);
+            entry->record =
+                record_progress_encode(entry->job, KV_VALUE_BYTES_DEFAULT);
         }
     }
     int64_t end_ms = world->f.now_ms + duration_ms;
@@ -396,9 +398,10 @@
     }
     for (uint32_t i = 0; i < world->n_jobs; i++) {
         struct world_job *entry = &world->jobs[i];
-        char *record = entry->record != NULL
-                           ? g_steal_pointer(&entry->record)
-                           : record_progress_encode(entry->job);
+        char *record =
+            entry->record != NULL
+                ? g_steal_pointer(&entry->record)
+                : record_progress_encode(entry->job, KV_VALUE_BYTES_DEFAULT);
         job_unref(entry->job);
         entry->job =
             fixture_create_job(&world->f, entry->id, "p", entry->steps);
--- a/tests/jobs/model_store.c
+++ b/tests/jobs/model_store.c
@@ -58,14 +58,16 @@
     struct message *message =
         send_message(sim, MESSAGE_COMMIT, leader, 3 + network_ms(sim));
     message->batch = batch;
-    message->txn = store_txn_build(leader->sched, batch, leader->token);
+    message->txn = store_txn_build(leader->sched, batch, leader->token,
+                                   KV_VALUE_BYTES_DEFAULT);
     if (sim->faults.late_writes && faults_active(sim) &&
         chance(sim, LATE_COMMIT_CHANCE)) {
         int64_t delay_ms = g_rand_int_range(sim->random, LATE_COMMIT_MIN_MS,
                                             LATE_COMMIT_MAX_MS);
         struct message *late =
             send_message(sim, MESSAGE_LATE_COMMIT, leader, delay_ms);
-        late->txn = store_txn_build(leader->sched, batch, leader->token);
+        late->txn = store_txn_build(leader->sched, batch, leader->token,
+                                    KV_VALUE_BYTES_DEFAULT);
     }
 }
 
--- a/tests/jobs/moved_queue_test.c
+++ b/tests/jobs/moved_queue_test.c
@@ -4,6 +4,7 @@
 
 #include "../suite.h"
 #include "egretjobd/records.h"
+#include "platform/kv.h"
 #include "fleet_fixture.h"
 
 #define JOB_A "00000000000000aa"
@@ -41,7 +42,7 @@
         fixture_tick(&f, f.now_ms + 10);
     }
     CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 1);
-    char *progress = record_progress_encode(job);
+    char *progress = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
     fixture_clear(&f);
     return progress;
 }
--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -81,13 +81,14 @@
         "{\"node_name\":\"entry-%d\",\"zone\":\"dc-a\",\"ip\":\"127.0.0.1\","
         "\"internal_ports\":[%d,%d],\"listen\":{\"front\":\"127.0.0.1:%d\","
         "\"ready\":\"127.0.0.1:%d\"},\"platform\":{\"address\":"
-        "\"127.0.0.1:%d\"},\"cloud\":{\"address\":\"127.0.0.1:%d\"},"
+        "\"127.0.0.1:%d\",\"value_bytes\":%d},\"cloud\":{\"address\":\"127.0."
+        "0.1:%d\"},"
         "\"advice\":\"127.0.0.1:%d\","
         "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
         "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
         "\"config_ms\":2000,\"lease_ms\":3000}}",
         entry, port + 2, port + 5, port, port + 1, store_port,
-        fixture.first_port + 1, fixture.first_port + 1);
+        STORE_VALUE_BYTES, fixture.first_port + 1, fixture.first_port + 1);
     char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
     char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
     char *program =
@@ -171,8 +172,12 @@
     char *config =
         g_build_filename(build_root, "..", "examples", "jobs.json", NULL);
     char *log = g_strdup_printf("%s/emulator.log", fixture.directory);
-    char *const argv[] = {program, (char *)"--port", port, config, NULL};
+    char *value_bytes = g_strdup_printf("%d", STORE_VALUE_BYTES);
+    char *const argv[] = {
+        program,     (char *)"--port", port, (char *)"--value-bytes",
+        value_bytes, config,           NULL};
     fixture.emulator = spawn(log, argv);
+    g_free(value_bytes);
     g_free(program);
     g_free(port);
     g_free(config);
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -14,6 +14,9 @@
 
 enum {
     ENTRY_HOST_COUNT = 3,
+    /* Longest value of the emulated store; far below the platform's, so that
+     * tests of it stay small. */
+    STORE_VALUE_BYTES = 50000,
 };
 
 /** job_body - a job of two steps of short tasks */
--- a/tests/jobs/store_process_test.c
+++ b/tests/jobs/store_process_test.c
@@ -273,6 +273,89 @@
     CU_ASSERT_EQUAL(emulator_stat("checks"), 0);
 }
 
+/* Hourly occurrences for a year, of which one is due. Its progress took a byte
+ * for each task of each occurrence: the store rejected every transaction with
+ * it, and with it the changes of other jobs, for good. */
+static void
+test_timed_for_a_year(void)
+{
+    char *body = g_strdup_printf(
+        "{\"spec\":\"ms=200\",\"times\":8760,\"interval_ms\":3600000,"
+        "\"first_ms\":%" G_GINT64_FORMAT
+        ",\"steps\":[{\"count\":40,\"cpu\":100,\"mem_mb\":10,"
+        "\"estimate_ms\":200}]}",
+        g_get_real_time() / 1000);
+    run_for(1000, true);
+    CU_ASSERT_EQUAL(
+        submit_job("/draft/00000000000000a1", "key-skela", body, NULL), 200);
+    g_free(body);
+    run_for(3000, true);
+    int killed = find_leader();
+    CU_ASSERT_FATAL(killed >= 0);
+    end_process(&fixture.entry_pids[killed], SIGKILL);
+    run_for(5000, true);
+    start_entry_host(killed);
+    wait_ready(killed);
+    run_until_finished();
+    check_invariants();
+    CU_ASSERT_EQUAL(emulator_stat("rejected"), 0);
+    char *state = NULL;
+    http_call_sync(fixture.base, fixture.frontends[killed], "GET",
+                   "/draft/00000000000000a1", "key-skela", NULL, &state);
+    CU_ASSERT(state != NULL && strstr(state, "running") != NULL);
+    g_free(state);
+}
+
+/* Steps of 1,000 tasks and a label of @label_bytes; g_free(). */
+static char *
+large_job(int n_steps, size_t label_bytes)
+{
+    char *label = g_strnfill(label_bytes, 'l');
+    GString *steps = g_string_new(NULL);
+    for (int i = 0; i < n_steps; i++) {
+        g_string_append_printf(steps,
+                               "%s{\"count\":%d,\"cpu\":1,\"requires\":"
+                               "\"%s\"}",
+                               i == 0 ? "" : ",", label_bytes > 0 ? 1 : 1000,
+                               label);
+    }
+    char *body = g_strdup_printf("{\"spec\":\"\",\"steps\":[%s]}", steps->str);
+    g_string_free(steps, TRUE);
+    g_free(label);
+    return body;
+}
+
+/* Jobs whose record, or the record of whose progress, the store never takes:
+ * they got 503 again and again, and so did others that were submitted at the
+ * same time. */
+static void
+test_too_large(void)
+{
+    char *bodies[] = {large_job(64, 0), large_job(64, 900)};
+    run_for(1000, true);
+    for (int i = 0; i < 6; i++) {
+        char *path = g_strdup_printf("/draft/00000000000000a%d", i);
+        char *answer = NULL;
+        int status = http_call_sync(
+            fixture.base, fixture.frontends[i % ENTRY_HOST_COUNT], "POST",
+            path, "key-skela", bodies[i % 2], &answer);
+        CU_ASSERT_EQUAL(status, 413);
+        CU_ASSERT(answer != NULL && strstr(answer, "error") != NULL);
+        printf("%d %s\n", status, answer == NULL ? "" : answer);
+        CU_ASSERT_EQUAL(http_call_sync(fixture.base, fixture.frontends[0],
+                                       "GET", path, "key-skela", NULL, NULL),
+                        410);
+        g_free(answer);
+        g_free(path);
+        run_for(300, true);
+    }
+    run_until_finished();
+    check_invariants();
+    CU_ASSERT_EQUAL(emulator_stat("rejected"), 0);
+    g_free(bodies[0]);
+    g_free(bodies[1]);
+}
+
 static const struct scenario scenarios[] = {
     {"store-refuses", test_store_refuses},
     {"store-silent", test_store_unresponsive},
@@ -284,6 +367,8 @@
     {"slow-store", test_slow_store, .proxied = true},
     {"refusal-with-dead-holder", test_refusal_with_dead_leader},
     {"no-false-refusal", test_no_false_refusal},
+    {"timed-for-a-year", test_timed_for_a_year},
+    {"too-large", test_too_large},
 };
 
 int
--- a/tests/jobs/store_txn_test.c
+++ b/tests/jobs/store_txn_test.c
@@ -68,7 +68,8 @@
     store->batch =
         scheduler_take_batch(store->fixture.sched, BATCH_CHANGES_MAX);
     CU_ASSERT_PTR_NOT_NULL_FATAL(store->batch);
-    return store_txn_build(store->fixture.sched, store->batch, TOKEN);
+    return store_txn_build(store->fixture.sched, store->batch, TOKEN,
+                           KV_VALUE_BYTES_DEFAULT);
 }
 
 /* Carries out a transaction if its conditions hold; else returns the state of
@@ -136,8 +137,8 @@
     scheduler_tick(store->fixture.sched);
     while ((store->batch = scheduler_take_batch(store->fixture.sched,
                                                 BATCH_CHANGES_MAX)) != NULL) {
-        struct txn_builder builder =
-            store_txn_build(store->fixture.sched, store->batch, TOKEN);
+        struct txn_builder builder = store_txn_build(
+            store->fixture.sched, store->batch, TOKEN, KV_VALUE_BYTES_DEFAULT);
         commit(store, &builder);
     }
 }
@@ -197,8 +198,8 @@
     commit_all(&s);
     leave(&s);
     struct txn_builder copy = take(&s);
-    struct txn_builder deletion =
-        store_txn_build(s.fixture.sched, s.batch, TOKEN);
+    struct txn_builder deletion = store_txn_build(
+        s.fixture.sched, s.batch, TOKEN, KV_VALUE_BYTES_DEFAULT);
     CU_ASSERT(commit(&s, &deletion));
     CU_ASSERT_EQUAL(revision_of(&s, B1_KEY), 0);
     fixture_add_backend(&s.fixture, "b1", "p", NULL);
