Let an acknowledged cancel bind a submission that is still on its way

Cause: a cancel of a job that isn't stored left nothing behind, while the entry host went on storing the job for 12 s, under the only condition that it has no record yet. On related paths a leader that takes over started jobs before it had read the cancels that wait in its inbox, and one whose reads of the inbox failed while its renewals succeeded went on starting.

Change: such a cancel stores a tombstone in place of the job's record, in a transaction that requires that there is none, so that either the job or the cancel comes first and the other one finds it. A submission that finds a tombstone gets 410. The next leader reads the inbox with the other records; nothing starts while the last complete read of it is too old. A suspended process doesn't send what it has given up on. A record without a pool or an account ended each leader that read it; now it is read.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -449,6 +449,9 @@
 {
     update_unreconciled(sched);
     sched->start_waits = false;
+    if (sched_cancels_outdated(sched)) {
+        return;
+    }
     sched->pass++;
     const GPtrArray *pools = sched->config->pools;
     for (int services = 1; services >= 0; services--) {
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -425,6 +425,20 @@
     return true;
 }
 
+void
+scheduler_cancels_read(struct scheduler *sched, int64_t requested_ms)
+{
+    sched->cancels_read_ms = MAX(sched->cancels_read_ms, requested_ms);
+}
+
+bool
+sched_cancels_outdated(const struct scheduler *sched)
+{
+    return sched->cancels_read_ms != 0 &&
+           sched_now(sched) - sched->cancels_read_ms >
+               sched->timings.cancel_ms - CANCEL_MARGIN_MS;
+}
+
 int64_t
 scheduler_waiting(const struct scheduler *sched, const char *queue)
 {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -35,6 +35,8 @@
      * each, since what delays the answers may be too many commands. */
     STOP_RETRY_MS = 400,
     STOP_RETRY_DOUBLINGS_MAX = 3,
+    /* For the way of a start to its backend server. */
+    CANCEL_MARGIN_MS = 700,
     /* A start that waited longer to be sent was decided by old facts. */
     START_AGE_MAX_MS = 1000,
     /* A start without an answer was carried out more often than not, so a run
@@ -324,6 +326,8 @@
  * @pass: counts passes of placement
  * @out_of_service: data centres that get no new work, or NULL
  * @leadership_valid: commands may be sent now
+ * @cancels_read_ms: cancels acknowledged before this time are known; 0: the
+ *                   scheduler is told of each
  * @outage: the store is unreachable; leases of the longest duration are used
  * @long_lease_granted_ms: when a lease of the longest duration was last
  *                         granted; 0: never
@@ -383,6 +387,7 @@
     uint64_t pass;
     char **out_of_service;
     bool leadership_valid;
+    int64_t cancels_read_ms;
     bool outage;
     int64_t long_lease_granted_ms;
     int64_t inherited_leases_expire_ms;
@@ -450,6 +455,9 @@
                      const struct backend *backend);
 struct pool_load *
 sched_pool_load(struct scheduler *sched, const char *pool);
+/* Whether a cancel may have to bind already that isn't known yet. */
+bool
+sched_cancels_outdated(const struct scheduler *sched);
 
 static inline int64_t
 sched_stop_retry_ms(uint32_t stop_count)
--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -40,6 +40,8 @@
     GIVE_UP_MS = 12000,
 };
 
+#define CANCELLED_BODY                                                        \
+    "{\"error\":\"$: the job was cancelled before it was accepted\"}"
 #define REJECTED_BODY                                                         \
     "{\"error\":\"$: the job is too large for the platform's store\"}"
 
@@ -97,6 +99,9 @@
     if (status == 413) {
         answer.body = REJECTED_BODY;
     }
+    if (status == 410) {
+        answer.body = CANCELLED_BODY;
+    }
     for (guint i = 0; i < pending->replies->len; i++) {
         struct job_reply *reply =
             &g_array_index(pending->replies, struct job_reply, i);
@@ -132,6 +137,14 @@
 static void
 send_batches(struct acceptor *acceptor);
 
+static void
+give_up(struct acceptor *acceptor, struct pending_job *pending)
+{
+    event_log("job_unresolved", "\"job\":\"%s\"", pending->id);
+    pending_finish(acceptor, pending,
+                   pending->uncertain || pending->in_store ? 504 : 503);
+}
+
 static void
 requeue(struct acceptor *acceptor, struct pending_job *pending, bool refused)
 {
@@ -141,8 +154,7 @@
         return;
     }
     if (age_ms > GIVE_UP_MS) {
-        event_log("job_unresolved", "\"job\":\"%s\"", pending->id);
-        pending_finish(acceptor, pending, 504);
+        give_up(acceptor, pending);
         return;
     }
     if (age_ms > UNKNOWN_AFTER_MS) {
@@ -173,16 +185,17 @@
     }
 }
 
-static bool
-found_in(const struct kv_result *result, const char *key)
+/* Item that a transaction was conditional on and that exists, or NULL. */
+static const struct kv_item *
+find_item(const struct kv_result *result, const char *key)
 {
     for (guint i = 0; i < result->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(result->items, i);
         if (item->revision > 0 && strcmp(item->key, key) == 0) {
-            return true;
+            return item;
         }
     }
-    return false;
+    return NULL;
 }
 
 static bool
@@ -208,14 +221,21 @@
     bool progress = result->outcome == KV_OK || result->outcome == KV_REJECTED;
     for (guint i = 0; i < batch->len; i++) {
         struct pending_job *pending = g_ptr_array_index(batch, i);
-        bool found = found_in(result, pending->key);
-        if (result->outcome == KV_OK || found_in(result, pending->inbox_key) ||
-            (found && slot->as_leader)) {
+        const struct kv_item *found = find_item(result, pending->key);
+        if (found != NULL && found->value != NULL &&
+            record_is_tombstone(found->value, found->value_bytes)) {
+            progress = true;
+            pending_finish(acceptor, pending, 410);
+            continue;
+        }
+        if (result->outcome == KV_OK ||
+            find_item(result, pending->inbox_key) != NULL ||
+            (found != NULL && slot->as_leader)) {
             progress = true;
             pending_stored(acceptor, pending);
             continue;
         }
-        if (found) {
+        if (found != NULL) {
             progress = true;
             pending->in_store = true;
         }
@@ -288,6 +308,11 @@
             break;
         }
         g_queue_pop_head(&acceptor->waiting);
+        /* The process may have been suspended. */
+        if (slot->sent_ms - pending->submitted_ms > GIVE_UP_MS) {
+            give_up(acceptor, pending);
+            continue;
+        }
         g_ptr_array_add(slot->batch, pending);
         /* A stored job only needs the inbox message for the scheduler. */
         bool inbox_only = pending->in_store && !slot->as_leader;
@@ -305,6 +330,11 @@
             break;
         }
     }
+    if (slot->batch->len == 0) {
+        g_ptr_array_unref(slot->batch);
+        slot->batch = NULL;
+        return;
+    }
     committer_commit(slot->committer, &txn,
                      (struct kv_done){.call = on_commit, .ctx = slot});
 }
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -118,7 +118,7 @@
         job_queries_state(node->job_queries, request->id, reply);
         break;
     case JOB_CALL_CANCEL:
-        job_queries_cancel(node->job_queries, request->id, reply);
+        job_queries_cancel(node->job_queries, &request->call, reply);
         break;
     case JOB_CALL_QUEUE_LENGTH:
         request_answer(request, &refused);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -411,7 +411,8 @@
 handle_submit(struct leader *leader, const struct job_call *call,
               struct job_reply reply)
 {
-    if (scheduler_find_job(leader->sched, call->id) != NULL) {
+    const struct job *known = scheduler_find_job(leader->sched, call->id);
+    if (known != NULL && !known->tombstone) {
         reply_with(&reply, 200, NULL);
         return;
     }
@@ -428,7 +429,8 @@
              struct job_reply reply)
 {
     const struct job *job = scheduler_find_job(leader->sched, call->id);
-    if (job == NULL || strcmp(job->queue, call->queue) != 0) {
+    if (job == NULL || job->tombstone ||
+        strcmp(job->queue, call->queue) != 0) {
         job_queries_state(leader->node->job_queries, call->id, reply);
         return;
     }
@@ -445,7 +447,11 @@
 {
     struct job *job = scheduler_find_job(leader->sched, call->id);
     if (job == NULL) {
-        job_queries_cancel(leader->node->job_queries, call->id, reply);
+        job_queries_cancel(leader->node->job_queries, call, reply);
+        return;
+    }
+    if (job->tombstone) {
+        reply_with(&reply, 410, NULL);
         return;
     }
     scheduler_cancel(leader->sched, call->id);
--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -19,12 +19,26 @@
     DELETES_MAX = 15,
 };
 
-/** struct inbox_fetch - a read of the job that a message names */
+/**
+ * struct inbox_fetch - a read of the job that a message names
+ * @cancel: the message cancels it
+ */
 struct inbox_fetch {
     struct leader *leader;
     char *id;
+    bool cancel;
 };
 
+/* Sets when the next pass begins, once nothing of this one is open. */
+static void
+next_pass(struct leader *leader)
+{
+    if (!leader->inbox_reading && leader->inbox_fetches == 0) {
+        timer_set(leader->inbox_timer,
+                  leader->inbox_progress ? 0 : INBOX_INTERVAL_MS);
+    }
+}
+
 static void
 on_job(void *ctx, const struct kv_result *result)
 {
@@ -34,6 +48,9 @@
     if (result->outcome == KV_OK && result->items->len > 0) {
         leader_add_stored_job(leader, fetch->id,
                               g_ptr_array_index(result->items, 0));
+        if (fetch->cancel) {
+            scheduler_cancel(leader->sched, fetch->id);
+        }
         leader->inbox_progress = true;
         leader_schedule_tick(leader);
     }
@@ -44,14 +61,11 @@
     }
     g_free(fetch->id);
     g_free(fetch);
-    if (leader->inbox_fetches == 0) {
-        timer_set(leader->inbox_timer,
-                  leader->inbox_progress ? 0 : INBOX_INTERVAL_MS);
-    }
+    next_pass(leader);
 }
 
 static void
-fetch_job(struct leader *leader, const char *id)
+fetch_job(struct leader *leader, const char *id, bool cancel)
 {
     if (leader->inbox_fetches >= FETCH_MAX) {
         return;
@@ -59,6 +73,7 @@
     struct inbox_fetch *fetch = g_new0(struct inbox_fetch, 1);
     fetch->leader = leader;
     fetch->id = g_strdup(id);
+    fetch->cancel = cancel;
     leader->inbox_fetches++;
     char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
     /* The calls of one connection wait for one another. */
@@ -73,14 +88,15 @@
                 const struct kv_item *item)
 {
     const struct job *job = scheduler_find_job(leader->sched, id);
+    bool cancel = strcmp(item->value, INBOX_CANCEL) == 0;
     if (job == NULL && g_hash_table_contains(leader->inbox_obsolete, id)) {
         return true;
     }
     if (job == NULL) {
-        fetch_job(leader, id);
+        fetch_job(leader, id, cancel);
         return false;
     }
-    if (strcmp(item->value, INBOX_CANCEL) == 0) {
+    if (cancel) {
         scheduler_cancel(leader->sched, id);
     }
     return job->stored_version == job->version;
@@ -142,7 +158,8 @@
 {
     struct leader *leader = ctx;
     if (result->outcome != KV_OK) {
-        timer_set(leader->inbox_timer, INBOX_INTERVAL_MS);
+        leader->inbox_reading = false;
+        next_pass(leader);
         return;
     }
     leader_update_validity(leader);
@@ -165,9 +182,9 @@
         read_page(leader, last->key);
         return;
     }
-    if (leader->inbox_fetches == 0) {
-        timer_set(leader->inbox_timer, INBOX_INTERVAL_MS);
-    }
+    scheduler_cancels_read(leader->sched, leader->inbox_requested_ms);
+    leader->inbox_reading = false;
+    next_pass(leader);
 }
 
 static void
@@ -181,5 +198,7 @@
 leader_read_inbox(struct leader *leader)
 {
     leader->inbox_progress = false;
+    leader->inbox_reading = true;
+    leader->inbox_requested_ms = node_now(leader->node);
     read_page(leader, NULL);
 }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -30,6 +30,7 @@
     [STAGE_WAVES] = RECORD_WAVE_PREFIX,
     [STAGE_HOST_COMMANDS] = RECORD_HOSTS_PREFIX,
     [STAGE_BACKENDS] = PLATFORM_BACKEND_PREFIX,
+    [STAGE_INBOX] = RECORD_INBOX_PREFIX,
 };
 
 void
@@ -168,17 +169,35 @@
     case STAGE_BACKENDS:
         apply_backend(leader, id, item);
         break;
+    case STAGE_INBOX:
     case STAGE_READY:
         break;
     }
 }
 
+/* Messages of jobs that aren't known yet are left to the next pass over the
+ * inbox. */
+static void
+apply_cancels(struct leader *leader)
+{
+    struct record_range *range = &leader->ranges[STAGE_INBOX];
+    for (guint i = 0; i < range->items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(range->items, i);
+        if (g_strcmp0(item->value, INBOX_CANCEL) == 0) {
+            scheduler_cancel(leader->sched,
+                             item->key + strlen(RECORD_INBOX_PREFIX));
+        }
+    }
+    g_ptr_array_set_size(range->items, 0);
+    scheduler_cancels_read(leader->sched, range->requested_ms);
+}
+
 static void
 finish_load(struct leader *leader)
 {
     /* Entries of pools that don't exist are told by it. */
     leader_config_changed(leader);
-    for (int stage = 0; stage < STAGE_READY; stage++) {
+    for (int stage = 0; stage < STAGE_INBOX; stage++) {
         struct record_range *range = &leader->ranges[stage];
         leader->stage = (enum leader_stage)stage;
         for (guint i = 0; i < range->items->len; i++) {
@@ -197,6 +216,7 @@
     leader_config_changed(leader);
     leader_operator_records_changed(leader);
     leader_add_early_jobs(leader);
+    apply_cancels(leader);
     leader_watch_backends(leader);
     leader_read_inbox(leader);
     leader_schedule_tick(leader);
@@ -226,6 +246,7 @@
 static void
 load_range(struct record_range *range)
 {
+    range->requested_ms = node_now(range->leader->node);
     kv_range_all(range->kv, stage_prefixes[range->stage],
                  (struct kv_done){.call = on_range, .ctx = range});
 }
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -15,6 +15,7 @@
  * @STAGE_REGISTERED: backend servers on which an earlier leader may have
  *                    started runs
  * @STAGE_BACKENDS: backend servers that the platform lists
+ * @STAGE_INBOX: messages; a cancelled job must not start before it is read
  */
 enum leader_stage {
     STAGE_PROGRESS,
@@ -23,6 +24,7 @@
     STAGE_WAVES,
     STAGE_HOST_COMMANDS,
     STAGE_BACKENDS,
+    STAGE_INBOX,
     STAGE_READY,
 };
 
@@ -30,6 +32,7 @@
  * struct record_range - read of one kind of record after a takeover
  * @items: struct kv_item
  * @as_of: revision of the store from which on a change may be missing
+ * @requested_ms: when it was last requested
  * @complete: it was read
  */
 struct record_range {
@@ -39,6 +42,7 @@
     struct event *retry;
     GPtrArray *items;
     int64_t as_of;
+    int64_t requested_ms;
     bool complete;
 };
 
@@ -83,6 +87,8 @@
  * @backends_as_of: revision after which to watch backend servers; 0: read all
  * @inbox_fetches: jobs that messages name and that are being read
  * @inbox_progress: one of them was found, or is certainly not stored
+ * @inbox_reading: a pass over the inbox is open
+ * @inbox_requested_ms: when the pass over the inbox that is open was begun
  * @inbox_obsolete: ids of jobs that messages name and that are not stored
  * @cancels: struct cancel_waiter
  * @wave_status: number of a maintenance wave to the status stored last
@@ -122,6 +128,8 @@
     int64_t backends_as_of;
     uint32_t inbox_fetches;
     bool inbox_progress;
+    bool inbox_reading;
+    int64_t inbox_requested_ms;
     GHashTable *inbox_obsolete;
     struct record_range ranges[STAGE_READY];
     GPtrArray *cancels;
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -60,6 +60,52 @@
     return g_string_free(out, FALSE);
 }
 
+char *
+record_tombstone_encode(const char *queue, const char *pool, const char *team,
+                        int64_t unix_ms)
+{
+    GString *out = g_string_new("{");
+    add_text_member(out, "queue", queue);
+    add_text_member(out, "pool", pool);
+    add_text_member(out, "team", team);
+    add_int_member(out, "accepted_unix_ms", unix_ms);
+    add_int_member(out, "tombstone", 1);
+    g_string_append_c(out, '}');
+    return g_string_free(out, FALSE);
+}
+
+static bool
+is_tombstone(const cJSON *record)
+{
+    return json_int_get(record, "tombstone", 0) == 1;
+}
+
+bool
+record_is_tombstone(const char *value, size_t bytes)
+{
+    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    bool tombstone = is_tombstone(record);
+    cJSON_Delete(record);
+    return tombstone;
+}
+
+static struct job *
+tombstone_job(void)
+{
+    struct job *job = job_create(1);
+    job->state = JOB_CANCELLED;
+    job->tombstone = true;
+    return job;
+}
+
+/* Empty if it is missing. */
+static char *
+dup_text(const cJSON *record, const char *member)
+{
+    const char *text = json_text_get(record, member);
+    return g_strdup(text == NULL ? "" : text);
+}
+
 struct job *
 record_job_decode(const char *id, const char *value, size_t bytes)
 {
@@ -67,7 +113,10 @@
     const char *body = json_text_get(record, "body");
     const char *queue = json_text_get(record, "queue");
     struct job *job = NULL;
-    if (body != NULL && queue != NULL && strlen(id) == JOB_ID_CHARS) {
+    if (is_tombstone(record) && queue != NULL && strlen(id) == JOB_ID_CHARS) {
+        job = tombstone_job();
+    }
+    else if (body != NULL && queue != NULL && strlen(id) == JOB_ID_CHARS) {
         char *error = NULL;
         job = decode_job(body, strlen(body), &error);
         g_free(error);
@@ -75,8 +124,8 @@
     if (job != NULL) {
         g_strlcpy(job->id, id, sizeof(job->id));
         job->queue = g_strdup(queue);
-        job->pool = g_strdup(json_text_get(record, "pool"));
-        job->team = g_strdup(json_text_get(record, "team"));
+        job->pool = dup_text(record, "pool");
+        job->team = dup_text(record, "team");
         job->attempts = (uint32_t)json_int_get(record, "attempts", 1);
         job->accepted_unix_ms = json_int_get(record, "accepted_unix_ms", 0);
     }
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -263,6 +263,7 @@
  * @store_alone: its progress is written in a transaction of its own
  * @store_rejections: how often the store rejected that
  * @inherited: accepted before the current scheduler took over
+ * @tombstone: it was cancelled before it was accepted, and never will be
  * @left_pool: tasks may have started in another pool than @pool
  * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
@@ -301,6 +302,7 @@
     bool store_alone;
     uint32_t store_rejections;
     bool inherited;
+    bool tombstone;
     bool left_pool;
     uint64_t left_pool_version;
     struct job_rank rank;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -19,6 +19,7 @@
  * struct sched_timings - limits given by the platform's settings
  * @lease_max_ms: longest lease that a backend server accepts
  * @stop_ms: longest time that a stop takes
+ * @cancel_ms: after that time an acknowledged cancel has to bind
  * @move_ms: time that a host is unavailable while it moves
  * @reboot_ms: time that a host is unavailable for maintenance
  * @command_gap_ms: delay of host commands after a takeover
@@ -28,6 +29,7 @@
 struct sched_timings {
     int64_t lease_max_ms;
     int64_t stop_ms;
+    int64_t cancel_ms;
     int64_t move_ms;
     int64_t reboot_ms;
     int64_t command_gap_ms;
@@ -304,6 +306,18 @@
 bool
 scheduler_cancel(struct scheduler *sched, const char *id);
 
+/**
+ * scheduler_cancels_read() - every cancel that was acknowledged before
+ * @requested_ms, on the scheduler's clock, has been passed to
+ * scheduler_cancel() if its job is known.
+ *
+ * Once this has been called, nothing starts when the last such time is too
+ * long ago. A scheduler for which it is never called has no other source of
+ * cancels.
+ */
+void
+scheduler_cancels_read(struct scheduler *sched, int64_t requested_ms);
+
 /** scheduler_waiting() - number of jobs of @queue without a started task. */
 int64_t
 scheduler_waiting(const struct scheduler *sched, const char *queue);
--- a/include/egretjobd/job_queries.h
+++ b/include/egretjobd/job_queries.h
@@ -16,11 +16,16 @@
 job_queries_state(struct job_queries *queries, const char *id,
                   struct job_reply reply);
 
-/** job_queries_cancel() - store a cancel message for the scheduler: 200, 410
- * if there is no such job, 503 if nothing was stored, 504 if the outcome is
- * unknown. */
+/**
+ * job_queries_cancel() - store a cancel message for the scheduler: 200, 410 if
+ * there is no such job, 503 if nothing was stored, 504 if the outcome is
+ * unknown.
+ *
+ * For a job that isn't stored a tombstone is, so that a submission which is
+ * still on its way is not accepted any more.
+ */
 void
-job_queries_cancel(struct job_queries *queries, const char *id,
+job_queries_cancel(struct job_queries *queries, const struct job_call *call,
                    struct job_reply reply);
 
 #endif
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -45,7 +45,23 @@
 char *
 record_job_encode(const struct job_envelope *envelope);
 
-/** record_job_decode() - job of a record, without its progress, or NULL. */
+/**
+ * record_tombstone_encode() - record in place of that of a job which was
+ * cancelled before it was accepted; g_free().
+ *
+ * A submission that is still on its way finds it and is not accepted any more.
+ * It is deleted like the record of a finished job.
+ */
+char *
+record_tombstone_encode(const char *queue, const char *pool, const char *team,
+                        int64_t unix_ms);
+
+/** record_is_tombstone() - whether a job's record is a tombstone. */
+bool
+record_is_tombstone(const char *value, size_t bytes);
+
+/** record_job_decode() - job of a record, without its progress, or NULL; that
+ * of a tombstone has no tasks. */
 struct job *
 record_job_decode(const char *id, const char *value, size_t bytes);
 
