Count what may run unseen against an account's maximum after a takeover

Cause: the use of an account counts runs that a report has shown to this leader. After a takeover that is nothing; inherited jobs of the same pool wait for the backend servers on record, new jobs and other pools don't.

Change: until every backend server on record is reconciled, the use includes the tasks of inherited jobs that may run there unseen, up to the capacity of these servers, which their records have now. Jobs that were cancelled or have failed count as long as their stops may be late; the record of an ended job says since when it has ended.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -39,13 +39,14 @@
     if (team == NULL) {
         return true;
     }
-    const struct resources *used = &job->refs.team->used;
+    struct resources used = job->refs.team->used;
     const struct resources *maximum = &team->maximum;
+    resources_add(&used, &job->refs.team->unseen, 1);
     return (maximum->cpu_milli == 0 ||
-            used->cpu_milli + need->cpu_milli <= maximum->cpu_milli) &&
+            used.cpu_milli + need->cpu_milli <= maximum->cpu_milli) &&
            (maximum->mem_mb == 0 ||
-            used->mem_mb + need->mem_mb <= maximum->mem_mb) &&
-           (maximum->gpus == 0 || used->gpus + need->gpus <= maximum->gpus);
+            used.mem_mb + need->mem_mb <= maximum->mem_mb) &&
+           (maximum->gpus == 0 || used.gpus + need->gpus <= maximum->gpus);
 }
 
 static void
@@ -291,6 +292,13 @@
                               : place_tasks(placer, job, &request);
 }
 
+bool
+sched_runs_in_pool(const struct job *job, const struct pool_load *pool)
+{
+    return pool != NULL && g_strcmp0(job->pool, pool->pool) == 0 &&
+           !job->left_pool;
+}
+
 /* Whether runs of a previous leader may be in progress. If its queue has been
  * moved since it was accepted, they may be in any pool. */
 static bool
@@ -299,7 +307,7 @@
     if (!job->inherited) {
         return false;
     }
-    return g_strcmp0(job->pool, placer->pool->pool) == 0 && !job->left_pool
+    return sched_runs_in_pool(job, placer->pool)
                ? placer->pool->unreconciled
                : placer->sched->maybe_unreconciled;
 }
@@ -448,6 +456,7 @@
 sched_place_tasks(struct scheduler *sched)
 {
     update_unreconciled(sched);
+    sched_measure_unseen(sched);
     sched->start_waits = false;
     if (sched_cancels_outdated(sched)) {
         return;
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -36,6 +36,9 @@
 team_usage_destroy(void *data)
 {
     struct team_usage *usage = data;
+    if (usage->unseen_by_pool != NULL) {
+        g_hash_table_unref(usage->unseen_by_pool);
+    }
     g_free(usage->team);
     g_free(usage);
 }
@@ -399,6 +402,7 @@
         return;
     }
     job->state = state;
+    job->ended_unix_ms = ms_clock_now(&sched->unix_clock);
     struct job *last =
         g_ptr_array_index(sched->active, sched->active->len - 1);
     last->active_index = job->active_index;
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -168,14 +168,29 @@
     int64_t seen_ms;
 };
 
+/**
+ * struct unseen_capacity - capacity of unreconciled backend servers that no
+ * known run takes
+ * @unknown: the capacity of some is not known
+ */
+struct unseen_capacity {
+    struct resources free;
+    bool unknown;
+};
+
 /**
  * struct team_usage - what a client account uses
+ * @used: what its known runs take
+ * @unseen: the most that runs of a previous leader may take in addition
+ * @unseen_by_pool: pool to tasks that may be such runs, see unseen_runs.c
  * @config: its configuration, NULL: none
  * @generation: configuration for which @config was looked up
  */
 struct team_usage {
     char *team;
     struct resources used;
+    struct resources unseen;
+    GHashTable *unseen_by_pool;
     const struct team_config *config;
     uint64_t generation;
 };
@@ -228,6 +243,7 @@
  * @unplaced: its jobs that may have tasks to place
  * @unreconciled: some backend server of it is unreconciled, as of the last
  *                pass
+ * @unseen: capacity on which runs of a previous leader may not be known
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_first: task that has waited longest for a backend server to
  *                   itself, as of the last pass; only compared
@@ -242,6 +258,7 @@
     struct pool_index index;
     GPtrArray *unplaced;
     bool unreconciled;
+    struct unseen_capacity unseen;
     double arrival_milli;
     double recent_milli;
     double recent_jobs;
@@ -323,6 +340,8 @@
  * @overload: how late this process and its links are
  * @full_pass_ms: when the next pass over everything is due
  * @maybe_unreconciled: some backend server may be unreconciled
+ * @unseen_measured_ms: when the runs that are not known were last counted; 0:
+ *                      none are left
  * @pass: counts passes of placement
  * @out_of_service: data centres that get no new work, or NULL
  * @leadership_valid: commands may be sent now
@@ -384,6 +403,7 @@
     struct overload overload;
     int64_t full_pass_ms;
     bool maybe_unreconciled;
+    int64_t unseen_measured_ms;
     uint64_t pass;
     char **out_of_service;
     bool leadership_valid;
@@ -701,9 +721,18 @@
 void
 sched_strays_clear(struct scheduler *sched);
 
+/* unseen_runs.c */
+/* Counts what runs of a previous leader may take that no report has shown. */
+void
+sched_measure_unseen(struct scheduler *sched);
+
 /* place.c */
 void
 sched_place_tasks(struct scheduler *sched);
+/* Whether runs of @job that a previous leader has started can only be in
+ * @pool, which its queue has now. */
+bool
+sched_runs_in_pool(const struct job *job, const struct pool_load *pool);
 /* Whether another backend server of its pool could take over @run. */
 bool
 sched_fits_elsewhere(struct scheduler *sched, const struct run *run);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -289,6 +289,9 @@
             add_int_member(out, "left_pool", 1);
         }
     }
+    else {
+        add_int_member(out, "ended_unix_ms", job->ended_unix_ms);
+    }
     g_string_append_c(out, '}');
     return g_string_free(out, FALSE);
 }
@@ -465,6 +468,7 @@
     cJSON *record = cJSON_ParseWithLength(value, bytes);
     bool known = state_of(record, &job->state);
     job->left_pool = json_int_get(record, "left_pool", 0) == 1;
+    job->ended_unix_ms = json_int_get(record, "ended_unix_ms", 0);
     const cJSON *item;
     cJSON_ArrayForEach(item,
                        cJSON_GetObjectItemCaseSensitive(record, "finished"))
@@ -504,6 +508,9 @@
     add_text_member(out, "data_centre", entry->data_centre);
     add_text_member(out, "host", entry->host);
     add_int_member(out, "born_ms", entry->incarnation_start_ms);
+    add_int_member(out, "cpu_milli", entry->capacity.cpu_milli);
+    add_int_member(out, "mem_mb", entry->capacity.mem_mb);
+    add_int_member(out, "gpus", entry->capacity.gpus);
     g_string_append_c(out, '}');
     return g_string_free(out, FALSE);
 }
@@ -527,6 +534,11 @@
         const char *host = json_text_get(record, "host");
         entry->host = host == NULL || host[0] == '\0' ? NULL : g_strdup(host);
         entry->incarnation_start_ms = json_int_get(record, "born_ms", 0);
+        entry->capacity = (struct resources){
+            .cpu_milli = json_int_get(record, "cpu_milli", 0),
+            .mem_mb = json_int_get(record, "mem_mb", 0),
+            .gpus = json_int_get(record, "gpus", 0),
+        };
     }
     cJSON_Delete(record);
     return valid;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -255,6 +255,8 @@
  * @open_max: most occurrences whose progress fits into one record; 0: no such
  *            limit
  * @state: state of the job
+ * @ended_unix_ms: when it was completed, failed or cancelled; 0: it was not,
+ * or that is not known
  * @started: whether a task is known to have started
  * @version: counts changes of the progress
  * @stored_version: newest version known to be stored
@@ -294,6 +296,7 @@
     uint32_t n_finished;
     uint32_t open_max;
     enum job_state state;
+    int64_t ended_unix_ms;
     bool started;
     uint64_t version;
     uint64_t stored_version;
--- a/tests/jobs/model.c
+++ b/tests/jobs/model.c
@@ -61,6 +61,8 @@
            (sim->faults.late_writes ? LATE_FAULTS_END_MS : FAULTS_END_MS);
 }
 
+#define LIMITED_TEAM "t"
+
 void
 record_violation(struct sim *sim, const char *what)
 {
@@ -207,15 +209,17 @@
 static void
 submit(struct sim *sim, int index)
 {
-    static const char body[] =
-        "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":1500,\"mem_mb\":100,"
-        "\"estimate_ms\":600},{\"count\":2,\"cpu\":2500,\"mem_mb\":100,"
-        "\"estimate_ms\":900,\"after\":[0]}]}";
+    char body[256];
+    g_snprintf(body, sizeof(body),
+               "{\"spec\":\"x\",\"steps\":[{\"count\":3,\"cpu\":%d,"
+               "\"mem_mb\":100,\"estimate_ms\":600},{\"count\":2,\"cpu\":%d,"
+               "\"mem_mb\":100,\"estimate_ms\":900,\"after\":[0]}]}",
+               FIRST_STEP_MILLI, SECOND_STEP_MILLI);
     struct stored_job *stored = &sim->jobs[index];
     struct job_envelope envelope = {
         .queue = "q",
         .pool = "p",
-        .team = "",
+        .team = sim->faults.limited ? LIMITED_TEAM : "",
         .attempts = 50,
         .accepted_unix_ms = sim_unix(sim),
         .body = body,
@@ -261,6 +265,10 @@
     struct pool_config *pool = g_new0(struct pool_config, 1);
     pool->name = g_strdup("p");
     g_ptr_array_add(sim->config->pools, pool);
+    struct team_config *team = g_new0(struct team_config, 1);
+    team->name = g_strdup(LIMITED_TEAM);
+    team->maximum.cpu_milli = MAXIMUM_MILLI;
+    g_ptr_array_add(sim->config->teams, team);
     for (int i = 0; i < BACKEND_COUNT; i++) {
         model_backend_init(&sim->backends[i], i,
                            98 + g_rand_int_range(sim->random, 0, 3),
--- a/tests/jobs/model.h
+++ b/tests/jobs/model.h
@@ -83,6 +83,7 @@
  * @new_ids: with @restarts, an incarnation has an id of its own; entries of
  *           ended ones stay in the list for a while, and lists of hosts arrive
  *           late
+ * @limited: the jobs' client account has a maximum below their demand
  * @late_answers: answers take up to the time-out of a call and overtake each
  *                other
  */
@@ -92,6 +93,7 @@
     bool late_to_next;
     bool late_writes;
     bool new_ids;
+    bool limited;
     bool late_answers;
 };
 
--- a/tests/jobs/model_deliver.c
+++ b/tests/jobs/model_deliver.c
@@ -8,6 +8,32 @@
 
 #define LATE_ANSWER_CHANCE 0.15
 
+/* Processor capacity that the task with this name takes, see submit(). */
+static int64_t
+need_milli(const char *task)
+{
+    uint32_t step = 0;
+    sscanf(task + JOB_ID_CHARS, ".%*u.%u", &step);
+    return step == 0 ? FIRST_STEP_MILLI : SECOND_STEP_MILLI;
+}
+
+/* What all backend servers run, in touch or not. */
+static void
+check_limit(struct sim *sim)
+{
+    int64_t running_milli = 0;
+    for (int i = 0; i < BACKEND_COUNT; i++) {
+        for (guint r = 0; r < sim->backends[i].runs->len; r++) {
+            const struct model_task_run *run =
+                g_ptr_array_index(sim->backends[i].runs, r);
+            running_milli += need_milli(run->task);
+        }
+    }
+    if (sim->faults.limited && running_milli > MAXIMUM_MILLI) {
+        record_violation(sim, "a client account runs more than its maximum");
+    }
+}
+
 /* No task has two runs at once, none starts after its completion was
  * acknowledged, and none long after its job was cancelled. */
 static void
@@ -157,6 +183,7 @@
             g_ptr_array_index(backend->runs, backend->runs->len - 1);
         run->stalls = faults_active(sim) && is_long;
         check_start(sim, command);
+        check_limit(sim);
     }
     trace_event(sim,
                 "start of %s run %u at b%d, token %" G_GINT64_FORMAT
--- a/tests/jobs/model_state.h
+++ b/tests/jobs/model_state.h
@@ -27,6 +27,10 @@
      * leadership meanwhile. */
     SLOW_MAX_MS = 4000,
     POOL_CORES_MILLI = 8000,
+    FIRST_STEP_MILLI = 1500,
+    SECOND_STEP_MILLI = 2500,
+    /* Of the jobs' client account, in limited schedules. */
+    MAXIMUM_MILLI = 7000,
 };
 
 struct sim;
--- a/tests/jobs/model_test.c
+++ b/tests/jobs/model_test.c
@@ -68,6 +68,32 @@
     CU_ASSERT_EQUAL(unfinished, 0);
 }
 
+/* After one takeover or several in a row, what backend servers that are cut
+ * off run under an earlier leader counts against a client account's maximum.
+ */
+static void
+test_limited(void)
+{
+    uint32_t violating = 0;
+    uint32_t unfinished = 0;
+    for (uint32_t seed = first_seed; seed < first_seed + schedules; seed++) {
+        struct model_result result = model_run_faults(
+            seed, (struct model_faults){.limited = true,
+                                        .slow_leaders = seed % 2 == 0});
+        unfinished += result.unfinished;
+        if (result.violation != NULL && violating++ < 5) {
+            printf("seed %u: %s\n", seed, result.violation);
+        }
+        if (result.unfinished > 0 && unfinished < 10) {
+            printf("seed %u: %u unfinished\n", seed, result.unfinished);
+        }
+    }
+    printf("%u schedules, %u violating, %u unfinished\n", schedules, violating,
+           unfinished);
+    CU_ASSERT_EQUAL(violating, 0);
+    CU_ASSERT_EQUAL(unfinished, 0);
+}
+
 /* A leader stood still until it gave a report request up. The answer, made
  * before a run started, was read as that to the next request. */
 static void
@@ -142,6 +168,7 @@
         {"slow leaders violate no invariant", test_slow_leaders},
         {"a late run report shows no absence", test_late_report},
         {"late writes of the store violate no invariant", test_late_writes},
+        {"takeovers violate no limit of a client account", test_limited},
         {"the model detects each missing mechanism", test_mutations},
     };
     return suite_main("jobs model", tests, sizeof(tests) / sizeof(tests[0]));
