Keep hosts of earlier leaders' commands on record over several takeovers

Callers could see: more hosts of a wave away than its maximum, or two leaders that command one host within the gap, after two takeovers in a row.

Cause: a leader stored the hosts of its own commands only, so its first command dropped those of the leader before it. The next leader then counted no command of the first that may still be carried out.

Change: hosts that were inherited stay in the record for as long as the scheduler counts them after a takeover.

--- a/egretjobd/leader_host_commands.c
+++ b/egretjobd/leader_host_commands.c
@@ -10,12 +10,15 @@
 
 #include "common/event_log.h"
 #include "egretjobd/leadership.h"
+#include "egretjobd/recent_hosts.h"
 #include "egretjobd/records.h"
 
 enum {
     /* A host stays in the record this much longer than the time in which two
      * leaders must not both send commands about it. */
     RECORD_MARGIN_MS = 1000,
+    /* A command of a previous leader may be carried out this late. */
+    RECORD_INHERITED_MS = 10000,
     WRITE_TIMEOUT_MS = 1200,
 };
 
@@ -34,7 +37,7 @@
  * struct host_commands - commands to send, and hosts of recent commands
  * @queue: struct queued_host_command
  * @recorded: length of the head of the queue that the open write covers
- * @recent: host to the time of its last command, on the node's clock
+ * @recent: hosts that stay in the record
  * @revision: revision of the record; 0: there is none
  */
 struct host_commands {
@@ -42,7 +45,7 @@
     struct committer *committer;
     GPtrArray *queue;
     guint recorded;
-    GHashTable *recent;
+    struct recent_hosts *recent;
     int64_t revision;
     bool writing;
 };
@@ -66,8 +69,7 @@
         committer_create(node->base, node->settings->store_address,
                          WRITE_TIMEOUT_MS, store_route_any(node->store_route));
     commands->queue = g_ptr_array_new_with_free_func(queued_host_command_free);
-    commands->recent =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    commands->recent = recent_hosts_create();
     return commands;
 }
 
@@ -76,7 +78,7 @@
 {
     committer_destroy(commands->committer);
     g_ptr_array_unref(commands->queue);
-    g_hash_table_unref(commands->recent);
+    recent_hosts_destroy(commands->recent);
     g_free(commands);
 }
 
@@ -88,6 +90,12 @@
     return leadership_valid(leader->node->leadership);
 }
 
+static void
+on_inherited_host(void *sched, const char *host)
+{
+    scheduler_host_commanded_before(sched, host);
+}
+
 void
 host_commands_load(struct host_commands *commands, const struct kv_item *item)
 {
@@ -96,13 +104,10 @@
         return;
     }
     commands->revision = item->revision;
-    char **hosts = g_strsplit(item->value, " ", 0);
-    for (char **host = hosts; *host != NULL; host++) {
-        if ((*host)[0] != '\0') {
-            scheduler_host_commanded_before(commands->leader->sched, *host);
-        }
-    }
-    g_strfreev(hosts);
+    recent_hosts_inherit(commands->recent, item->value,
+                         node_now(commands->leader->node) +
+                             RECORD_INHERITED_MS,
+                         on_inherited_host, commands->leader->sched);
 }
 
 void
@@ -200,23 +205,10 @@
     for (guint i = 0; i < commands->queue->len; i++) {
         const struct queued_host_command *command =
             g_ptr_array_index(commands->queue, i);
-        g_hash_table_replace(commands->recent, g_strdup(command->host),
-                             g_memdup2(&now_ms, sizeof(now_ms)));
-    }
-    GString *text = g_string_new(NULL);
-    GHashTableIter iter;
-    void *host;
-    void *sent_ms;
-    g_hash_table_iter_init(&iter, commands->recent);
-    while (g_hash_table_iter_next(&iter, &host, &sent_ms)) {
-        if (now_ms - *(const int64_t *)sent_ms > retention_ms) {
-            g_hash_table_iter_remove(&iter);
-            continue;
-        }
-        g_string_append_printf(text, "%s%s", text->len > 0 ? " " : "",
-                               (const char *)host);
+        recent_hosts_add(commands->recent, command->host,
+                         now_ms + retention_ms);
     }
-    return g_string_free(text, FALSE);
+    return recent_hosts_encode(commands->recent, now_ms);
 }
 
 void
