Remember every failed run of a task over a takeover

Cause: a task kept and stored the numbers of its first eight failed runs only, so that the next leader counted at most eight.

Change: it keeps and stores all of them.

Measured: "failed runs beyond the eighth count" in jobs-takeover-limit fails with eight numbers stored (8 of 12 counted) and passes now.

--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -185,16 +185,14 @@
 bool
 job_task_record_failure(struct job_task *task, uint32_t run_number)
 {
-    uint32_t known = MIN(task->failures, JOB_FAILED_RUNS_MAX);
-    for (uint32_t i = 0; i < known; i++) {
+    for (uint32_t i = 0; i < task->failures; i++) {
         if (task->failed_runs[i] == run_number) {
             return false;
         }
     }
-    if (task->failures < JOB_FAILED_RUNS_MAX) {
-        task->failed_runs[task->failures] = run_number;
-    }
-    task->failures++;
+    task->failed_runs =
+        g_renew(uint32_t, task->failed_runs, task->failures + 1);
+    task->failed_runs[task->failures++] = run_number;
     return true;
 }
 
--- a/core/jobs/occurrence.c
+++ b/core/jobs/occurrence.c
@@ -174,6 +174,7 @@
         for (uint32_t t = 0; t < job->steps[s].task_count; t++) {
             g_free(progress->tasks[t].saved);
             g_free(progress->tasks[t].avoid);
+            g_free(progress->tasks[t].failed_runs);
             g_free(progress->tasks[t].crash_backend);
         }
         g_free(progress->tasks);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -210,8 +210,7 @@
                            g_str_has_suffix(out->str, "[") ? "" : ",",
                            progress_index, index);
     json_text_add(out, saved);
-    uint32_t n_failed = MIN(task->failures, JOB_FAILED_RUNS_MAX);
-    for (uint32_t i = 0; i < n_failed; i++) {
+    for (uint32_t i = 0; i < task->failures; i++) {
         g_string_append_printf(out, ",%u", task->failed_runs[i]);
     }
     g_string_append_c(out, ']');
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -23,8 +23,6 @@
      * are due faster than they end. The first is the largest occurrence. */
     JOB_OPEN_TASKS_MAX = JOB_STEPS_MAX * JOB_STEP_TASKS_MAX,
     JOB_OPEN_OCCURRENCES_MAX = 1000,
-    /* More attempts than any queue allows. */
-    JOB_FAILED_RUNS_MAX = 8,
 };
 
 /**
@@ -98,9 +96,8 @@
  * @run: run that may be in progress, or NULL
  * @run_number: highest number given to a run of this task
  * @failures: runs that ended as failed
- * @failed_runs: numbers of the first JOB_FAILED_RUNS_MAX failed runs, so that
- *               a completion that is reported again after a takeover counts
- *               once
+ * @failed_runs: their numbers, so that a completion that is reported again
+ * after a takeover counts once
  * @done: a run ended as done
  * @saved: last checkpoint, or NULL
  * @wait_until_ms: no start before this time, on the scheduler's clock
@@ -124,7 +121,7 @@
     struct run *run;
     uint32_t run_number;
     uint32_t failures;
-    uint32_t failed_runs[JOB_FAILED_RUNS_MAX];
+    uint32_t *failed_runs;
     bool done;
     char *saved;
     int64_t wait_until_ms;
--- a/tests/jobs/takeover_limit_test.c
+++ b/tests/jobs/takeover_limit_test.c
@@ -292,6 +292,31 @@
     fixture_clear(&f);
 }
 
+/* Of a task's failed runs those beyond the eighth were forgotten with each
+ * leader, and the task started more often than its queue allows. */
+static void
+test_attempts(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    struct job *job = fixture_create_job(&f, JOB_A, "p", four);
+    struct job_task *task = &job_step_progress(job, 0, 0)->tasks[1];
+    for (uint32_t run = 1; run <= 12; run++) {
+        CU_ASSERT_TRUE(job_task_record_failure(task, run));
+        CU_ASSERT_FALSE(job_task_record_failure(task, run));
+    }
+    char *record = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
+    job_unref(job);
+    job = fixture_create_job(&f, JOB_A, "p", four);
+    CU_ASSERT(record_progress_apply(job, record, strlen(record)));
+    task = &job_step_progress(job, 0, 0)->tasks[1];
+    CU_ASSERT_EQUAL(task->failures, 12);
+    CU_ASSERT_FALSE(job_task_record_failure(task, 12));
+    job_unref(job);
+    g_free(record);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -302,6 +327,7 @@
         {"a cancelled job counts until its runs have ended", test_cancelled},
         {"runs that reports show count once", test_reported},
         {"two takeovers in a row count the same", test_two_takeovers},
+        {"failed runs beyond the eighth count", test_attempts},
     };
     return suite_main("limits after a takeover", tests, G_N_ELEMENTS(tests));
 }
