Keep a finished job readable from its end on

Cause: the retention time was counted from the acceptance.

Change: it is counted from the end, which the record of an ended job names.

Measured: "a job is kept from its end on" in jobs-timed-job fails before and passes now.

--- a/core/jobs/scheduler_store.c
+++ b/core/jobs/scheduler_store.c
@@ -82,7 +82,9 @@
     while (batch->expire_ids->len < most) {
         struct job *job = g_queue_peek_head(&sched->finished);
         if (job == NULL || job->storing ||
-            job->accepted_unix_ms + sched->timings.retention_ms > now_ms ||
+            MAX(job->accepted_unix_ms, job->ended_unix_ms) +
+                    sched->timings.retention_ms >
+                now_ms ||
             job->stored_version != job->version || job->ref_count > 1) {
             return;
         }
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -23,7 +23,7 @@
  * @move_ms: time that a host is unavailable while it moves
  * @reboot_ms: time that a host is unavailable for maintenance
  * @command_gap_ms: delay of host commands after a takeover
- * @retention_ms: how long after its acceptance a finished job stays readable
+ * @retention_ms: how long after its end a job stays readable
  * @host_commands_per_s: host commands that the platform accepts per second
  */
 struct sched_timings {
--- a/tests/jobs/timed_job_test.c
+++ b/tests/jobs/timed_job_test.c
@@ -16,6 +16,8 @@
     HOUR_MS = 3600000,
     /* Four times what one open occurrence of 120 tasks takes. */
     YEAR_RECORD_BYTES_MAX = 1000,
+    /* Longer than the fixture keeps finished jobs. */
+    RETENTION_MS = 1100000,
     BATCH = 15,
     REJECTIONS_MAX = 20,
 };
@@ -252,6 +254,32 @@
     fixture_clear(&f);
 }
 
+/* A job that took longer than finished jobs are kept was unknown right after
+ * its end. */
+static void
+test_kept_after_end(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    struct job *job = add_timed(&f, JOB_A, two_tasks, 2, RETENTION_MS);
+    int64_t number = 0;
+    for (int i = 0; i < 2; i++) {
+        fixture_tick(&f, f.now_ms + 10);
+        fixture_accept_starts(&f);
+        end_runs(&f, "b0", &number);
+        fixture_tick(&f, f.now_ms + (i == 0 ? RETENTION_MS : 10));
+        fixture_report(&f, "b0", NULL, 0, NULL, 0);
+    }
+    CU_ASSERT_EQUAL(job->state, JOB_COMPLETED);
+    fixture_tick(&f, f.now_ms + RETENTION_MS / 2);
+    CU_ASSERT_PTR_EQUAL(scheduler_find_job(f.sched, JOB_A), job);
+    fixture_tick(&f, f.now_ms + RETENTION_MS);
+    CU_ASSERT_PTR_NULL(scheduler_find_job(f.sched, JOB_A));
+    fixture_clear(&f);
+}
+
 static bool
 has_job(const struct store_batch *batch, const char *id)
 {
@@ -343,6 +371,7 @@
         {"a long record leaves out checkpoints first", test_long_record},
         {"open occurrences fit into a record", test_open_occurrences},
         {"a job that the store rejects holds up no other", test_rejected},
+        {"a job is kept from its end on", test_kept_after_end},
         {"schedules that can't be kept are refused", test_bad_schedules},
     };
     return suite_main("timed jobs", tests, G_N_ELEMENTS(tests));
