Give up jobs, kill leaders in series and reach limits in the soak

The soak had no caller that cancels what isn't accepted yet, no client account at its maximum, no timed job, and no faults that follow one another on purpose. Callers now give up every fourth job, accepted or not, and repeat half of these late; timed jobs are due faster than they end; every other seed has a maximum below the demand; kills of the leader, SIGHUP and new configurations come in series and overlap the other faults.

The emulator checks two more invariants at each start: none 3 s after an acknowledged cancel, and none that brings an account above its maximum by more than a tenth and one task, counted over all backend servers, reachable or not. soak-breaks-cancelled and soak-breaks-maximum show that they can fail.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -20,8 +20,26 @@
     RUN_MS = 10000,
     SLICE_MS = 50,
     SERVICE_JOB_COUNT = 4,
+    /* Every so many slices a job is given up soon after its submission. */
+    GIVE_UP_SLICES = 4,
+    GIVE_UP_MAX_MS = 2500,
+    /* Half of what the jobs would use at once. */
+    MAXIMUM_MILLI = 8000,
+    TIMED_JOB_COUNT = 2,
+    OCCURRENCES = 25,
 };
 
+/**
+ * struct process_faults - faults that end or stop an entry host; one at a time
+ * @owner: fault in effect, or NULL
+ */
+static struct process_faults {
+    const struct soak_fault *owner;
+} process_faults[ENTRY_HOST_COUNT];
+
+/* Jobs that callers give up. */
+static struct caller_queue abandoned;
+
 static uint32_t seed;
 static int first_port;
 static const char *violated_invariant;
@@ -44,13 +62,51 @@
     g_free(path);
 }
 
+static bool
+hits_process(enum soak_fault_kind kind)
+{
+    return kind == FAULT_KILL || kind == FAULT_PAUSE || kind == FAULT_LEAVE ||
+           kind == FAULT_KILL_LEADER;
+}
+
+/* Entry host that the fault hits; -1: none, or another fault has it. */
+static int
+acquire_entry(const struct soak_fault *fault)
+{
+    int entry =
+        fault->kind == FAULT_KILL_LEADER ? find_leader() : fault->target;
+    if (entry < 0 || process_faults[entry].owner != NULL) {
+        return -1;
+    }
+    process_faults[entry].owner = fault;
+    return entry;
+}
+
+/* Entry host that the fault has hit, which is released; -1: none. */
+static int
+release_entry(const struct soak_fault *fault)
+{
+    for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+        if (process_faults[i].owner == fault) {
+            process_faults[i].owner = NULL;
+            return i;
+        }
+    }
+    return -1;
+}
+
 static void
 begin_fault(const struct soak_fault *fault)
 {
     char path[32];
-    int target = fault->target;
+    int target =
+        hits_process(fault->kind) ? acquire_entry(fault) : fault->target;
+    if (target < 0) {
+        return;
+    }
     switch (fault->kind) {
     case FAULT_KILL:
+    case FAULT_KILL_LEADER:
         end_process(&fixture.entry_pids[target], SIGKILL);
         break;
     case FAULT_PAUSE:
@@ -87,6 +143,14 @@
         g_snprintf(path, sizeof(path), "/crash/%d", target);
         send_request(fixture.admin, "POST", path);
         break;
+    case FAULT_HANGUP:
+        if (process_faults[target].owner == NULL) {
+            kill(fixture.entry_pids[target], SIGHUP);
+        }
+        break;
+    case FAULT_CONFIG:
+        send_request(fixture.admin, "POST", "/config");
+        break;
     case FAULT_KIND_COUNT:
         break;
     }
@@ -95,9 +159,14 @@
 static void
 end_fault(const struct soak_fault *fault)
 {
-    int target = fault->target;
+    int target =
+        hits_process(fault->kind) ? release_entry(fault) : fault->target;
+    if (target < 0) {
+        return;
+    }
     switch (fault->kind) {
     case FAULT_KILL:
+    case FAULT_KILL_LEADER:
         start_entry_host(target);
         break;
     case FAULT_PAUSE:
@@ -122,11 +191,23 @@
         toggle_reachable(target);
         break;
     case FAULT_HOST_CRASH:
+    case FAULT_HANGUP:
+    case FAULT_CONFIG:
     case FAULT_KIND_COUNT:
         break;
     }
 }
 
+/* Gives up every so many jobs, some of which aren't accepted yet. */
+static void
+abandon_job(GRand *rng, uint32_t slice)
+{
+    if (slice % GIVE_UP_SLICES == 0) {
+        job_caller_submit_to_give_up(fixture.caller, &abandoned, job_body,
+                                     g_rand_int_range(rng, 0, GIVE_UP_MAX_MS));
+    }
+}
+
 /* Runs the plan: faults begin and end while jobs are submitted. */
 static void
 run_plan(const GArray *plan)
@@ -136,6 +217,8 @@
     guint n_ended = 0;
     int64_t start_ms = g_get_monotonic_time() / 1000;
     int64_t now_ms = 0;
+    uint32_t slice = 0;
+    GRand *rng = g_rand_new_with_seed(seed);
     while (now_ms < RUN_MS || n_ended < plan->len) {
         for (guint i = 0; i < plan->len; i++) {
             const struct soak_fault *fault =
@@ -151,9 +234,13 @@
                 end_fault(fault);
             }
         }
+        if (now_ms < RUN_MS) {
+            abandon_job(rng, slice++);
+        }
         run_for(SLICE_MS * 3, now_ms < RUN_MS);
         now_ms = g_get_monotonic_time() / 1000 - start_ms;
     }
+    g_rand_free(rng);
     g_free(begun);
     g_free(ended);
 }
@@ -172,10 +259,32 @@
     }
 }
 
+/* Jobs whose occurrences overlap, and are due faster than they end. */
+static void
+submit_timed_jobs(void)
+{
+    char *body = g_strdup_printf(
+        "{\"spec\":\"ms=300\",\"times\":%d,\"interval_ms\":150,"
+        "\"first_ms\":%" G_GINT64_FORMAT
+        ",\"steps\":[{\"count\":2,\"cpu\":300,\"mem_mb\":10,"
+        "\"estimate_ms\":300},{\"count\":1,\"cpu\":300,\"mem_mb\":10,"
+        "\"estimate_ms\":300,\"after\":[0]}]}",
+        OCCURRENCES, g_get_real_time() / 1000);
+    for (int i = 0; i < TIMED_JOB_COUNT; i++) {
+        job_caller_submit(fixture.caller, &fixture.quick, body);
+    }
+    g_free(body);
+}
+
 static void
 run_seed(void)
 {
+    bool limited = seed % 2 == 1;
+    fixture_limit_teams(limited ? MAXIMUM_MILLI : 0);
     fixture_set_up(first_port, true);
+    abandoned = fixture.quick;
+    caller_queue_init(&abandoned);
+    job_caller_report_cancels(fixture.caller, fixture.admin);
     GArray *plan = soak_plan_create(seed, ENTRY_HOST_COUNT, BACKEND_COUNT,
                                     RUN_MS * 8 / 10);
     for (guint i = 0; i < plan->len; i++) {
@@ -195,6 +304,7 @@
         job_caller_submit_to_cancel(fixture.caller, &fixture.service,
                                     service_job_body, 4000 + 1500 * i);
     }
+    submit_timed_jobs();
     if (g_strcmp0(violated_invariant, "ends") == 0) {
         job_caller_submit(fixture.caller, &fixture.service, service_job_body);
     }
@@ -213,11 +323,11 @@
                         g_strdup("/draft/00000000000000ff"));
     }
     printf("  %u jobs, %u accepted, %u completed, %u failed, %u refused; "
-           "%ld starts checked; logs in %s\n",
+           "%u given up; %ld starts checked; logs in %s\n",
            fixture.quick.submitted, fixture.quick.accepted,
            fixture.quick.completed, fixture.quick.failed,
-           fixture.quick.refused, (long)emulator_stat("checks"),
-           fixture.directory);
+           fixture.quick.refused, abandoned.given_up,
+           (long)emulator_stat("checks"), fixture.directory);
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
     CU_ASSERT(emulator_stat("checks") > 0);
     CU_ASSERT_EQUAL(job_caller_pending(fixture.caller), 0);
@@ -225,6 +335,7 @@
     CU_ASSERT_EQUAL(fixture.quick.completed, fixture.quick.accepted);
     CU_ASSERT_EQUAL(fixture.service.cancelled, fixture.service.accepted);
     check_refused();
+    caller_queue_clear(&abandoned);
     g_array_unref(plan);
     fixture_tear_down();
 }
--- a/soak/soak_plan.c
+++ b/soak/soak_plan.c
@@ -7,6 +7,11 @@
     FAULTS_MAX = 9,
     DURATION_MIN_MS = 300,
     DURATION_MAX_MS = 5000,
+    SERIES_MIN = 2,
+    SERIES_MAX = 4,
+    SERIES_DURATION_MAX_MS = 700,
+    /* Shorter than a takeover takes, and longer. */
+    SERIES_GAP_MAX_MS = 4000,
     /* Jobs run before the first fault. */
     FIRST_FAULT_MS = 1000,
 };
@@ -15,7 +20,8 @@
 hits_entry_host(enum soak_fault_kind kind)
 {
     return kind != FAULT_STORE_DOWN && kind != FAULT_STORE_UNRESPONSIVE &&
-           kind != FAULT_BACKEND_UNREACHABLE && kind != FAULT_HOST_CRASH;
+           kind != FAULT_BACKEND_UNREACHABLE && kind != FAULT_HOST_CRASH &&
+           kind != FAULT_KILL_LEADER && kind != FAULT_CONFIG;
 }
 
 static bool
@@ -72,6 +78,26 @@
     return x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms;
 }
 
+/* Kills of the leader, signals and configurations follow one another, so that
+ * each finds the effects of the one before. */
+static void
+add_series(GArray *plan, GRand *rng, struct soak_fault fault)
+{
+    bool series = fault.kind == FAULT_KILL_LEADER ||
+                  fault.kind == FAULT_HANGUP || fault.kind == FAULT_CONFIG;
+    int length =
+        series ? g_rand_int_range(rng, SERIES_MIN, SERIES_MAX + 1) : 1;
+    for (int i = 0; i < length; i++) {
+        if (series) {
+            fault.duration_ms =
+                g_rand_int_range(rng, DURATION_MIN_MS, SERIES_DURATION_MAX_MS);
+        }
+        g_array_append_val(plan, fault);
+        fault.at_ms +=
+            fault.duration_ms + g_rand_int_range(rng, 0, SERIES_GAP_MAX_MS);
+    }
+}
+
 GArray *
 soak_plan_create(uint32_t seed, int n_entries, int n_backends,
                  int64_t length_ms)
@@ -90,7 +116,7 @@
         fault.target = g_rand_int_range(
             rng, 0, hits_entry_host(fault.kind) ? n_entries : n_backends);
         if (can_add(plan, &fault)) {
-            g_array_append_val(plan, fault);
+            add_series(plan, rng, fault);
         }
     }
     g_rand_free(rng);
@@ -114,6 +140,9 @@
         [FAULT_LINK_RESET] = "link reset",
         [FAULT_BACKEND_UNREACHABLE] = "backend dark",
         [FAULT_HOST_CRASH] = "host crash",
+        [FAULT_KILL_LEADER] = "kill leader",
+        [FAULT_HANGUP] = "hangup",
+        [FAULT_CONFIG] = "config",
     };
     return names[kind];
 }
--- a/soak/soak_plan.h
+++ b/soak/soak_plan.h
@@ -21,6 +21,10 @@
  *                    not
  * @FAULT_BACKEND_UNREACHABLE: a backend server is unreachable and runs on
  * @FAULT_HOST_CRASH: a host restarts and loses its runs
+ * @FAULT_KILL_LEADER: the entry host that leads gets SIGKILL and is started
+ *                     again; comes in series
+ * @FAULT_HANGUP: an entry host gets SIGHUP
+ * @FAULT_CONFIG: the operator writes a newer configuration
  */
 enum soak_fault_kind {
     FAULT_KILL,
@@ -35,6 +39,9 @@
     FAULT_LINK_RESET,
     FAULT_BACKEND_UNREACHABLE,
     FAULT_HOST_CRASH,
+    FAULT_KILL_LEADER,
+    FAULT_HANGUP,
+    FAULT_CONFIG,
     FAULT_KIND_COUNT,
 };
 
--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -48,6 +48,9 @@
  * @violated_invariant: invariant that the emulator violates on purpose, to
  *                      show that its check fails; NULL: none
  * @done_acked: tasks whose completion as done was acknowledged
+ * @cancelled_ms: id of a job to the time at which its cancel was acknowledged
+ * @maximum_milli: processor capacity that a client account may use at once; 0:
+ *                 as much as its configuration says, which is not checked
  * @checks: starts checked
  * @tickets_missing: starts refused for lack of a valid ticket
  * @violations: violations found
@@ -71,6 +74,8 @@
     GPtrArray *withheld;
     char *violated_invariant;
     GHashTable *done_acked;
+    GHashTable *cancelled_ms;
+    int64_t maximum_milli;
     uint64_t checks;
     uint64_t tickets_missing;
     uint64_t violations;
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -9,6 +9,8 @@
 enum {
     HEARTBEAT_MS = 500,
     STOP_MS = 200,
+    /* After that time an acknowledged cancel has to bind. */
+    CANCEL_MS = 3000,
     RUN_MS_DEFAULT = 300,
     UNAVAILABLE_MS = 1000,
 };
@@ -113,11 +115,81 @@
         run->ends_ms = emulator_now_ms();
         g_ptr_array_add(other->backend.runs, run);
     }
+    if (violates(emulator, "cancelled")) {
+        int64_t cancelled_ms = emulator_now_ms() - 2 * CANCEL_MS;
+        g_hash_table_insert(emulator->cancelled_ms, g_strndup(task, 16),
+                            g_memdup2(&cancelled_ms, sizeof(cancelled_ms)));
+    }
     if (violates(emulator, "once-done")) {
         g_hash_table_add(emulator->done_acked, g_strdup(task));
     }
 }
 
+/* Account of the task's job and what the task takes, from the job's record;
+ * g_free(). */
+static char *
+account_of(struct emulator *emulator, const char *task, int64_t *need_milli)
+{
+    char *key = g_strdup_printf("eg/job/%.16s", task);
+    const struct kv_row *row = kv_model_get(&emulator->kv, key);
+    g_free(key);
+    *need_milli = 0;
+    if (row == NULL) {
+        return g_strdup("");
+    }
+    gsize bytes = 0;
+    char *text = (char *)g_base64_decode(row->value, &bytes);
+    cJSON *record = cJSON_ParseWithLength(text, bytes);
+    g_free(text);
+    cJSON *body = cJSON_Parse(json_text_get(record, "body"));
+    int step = 0;
+    sscanf(task, "%*[^.].%*d.%d", &step);
+    *need_milli = json_int_get(
+        cJSON_GetArrayItem(cJSON_GetObjectItem(body, "steps"), step), "cpu",
+        0);
+    char *account = g_strdup(json_text_get(record, "team"));
+    cJSON_Delete(body);
+    cJSON_Delete(record);
+    return account == NULL ? g_strdup("") : account;
+}
+
+/* What its client account runs everywhere, reachable or not, may exceed the
+ * maximum by a tenth and one task. */
+static void
+check_maximum(struct emulator *emulator, const char *task)
+{
+    int64_t need_milli = 0;
+    char *account = account_of(emulator, task, &need_milli);
+    int64_t most_milli = emulator->maximum_milli * 11 / 10 + need_milli;
+    int64_t running_milli = 0;
+    for (int i = 0; account[0] != '\0' && i < emulator->n_hosts; i++) {
+        const GPtrArray *runs = emulator->hosts[i].backend.runs;
+        for (guint r = 0; r < runs->len; r++) {
+            const struct model_task_run *run = g_ptr_array_index(runs, r);
+            char *other = account_of(emulator, run->task, &need_milli);
+            running_milli += strcmp(other, account) == 0 ? need_milli : 0;
+            g_free(other);
+        }
+    }
+    g_free(account);
+    if (running_milli > most_milli || violates(emulator, "maximum")) {
+        violation(emulator, "a client account above its maximum", task);
+    }
+}
+
+static void
+check_cancelled(struct emulator *emulator, const char *task)
+{
+    char *id = g_strndup(task, 16);
+    const int64_t *cancelled_ms =
+        g_hash_table_lookup(emulator->cancelled_ms, id);
+    g_free(id);
+    if (cancelled_ms != NULL &&
+        emulator_now_ms() - *cancelled_ms > CANCEL_MS) {
+        violation(emulator, "a start after its job was cancelled", task);
+    }
+}
+
 static void
 check_start(struct emulated_host *host, const char *task)
 {
@@ -142,6 +214,10 @@
         violation(emulator, "a start without a stored job", task);
     }
     g_free(key);
+    check_cancelled(emulator, task);
+    if (emulator->maximum_milli > 0) {
+        check_maximum(emulator, task);
+    }
 }
 
 /* Whether the policy allows @step on this backend server; it allows half of
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -25,6 +25,7 @@
 struct arguments {
     int first_port;
     size_t value_bytes;
+    int64_t maximum_milli;
     const char *config;
 };
 
@@ -89,9 +90,28 @@
     g_ptr_array_set_size(emulator->withheld, 0);
 }
 
+/* Writes the configuration again, as a newer version. */
+static void
+renew_config(struct emulator *emulator)
+{
+    const struct kv_row *row = kv_model_get(&emulator->kv, "op/config");
+    gsize bytes = 0;
+    char *text = (char *)g_base64_decode(row->value, &bytes);
+    cJSON *config = cJSON_ParseWithLength(text, bytes);
+    g_free(text);
+    cJSON_ReplaceItemInObject(
+        config, "version",
+        cJSON_CreateNumber((double)json_int_get(config, "version", 0) + 3));
+    text = cJSON_PrintUnformatted(config);
+    put_text(emulator, "op/config", text, strlen(text));
+    cJSON_free(text);
+    cJSON_Delete(config);
+}
+
 /* POST /put/KEY writes a key; POST /store/up|down|silent; POST /crash/N;
  * POST /dark/N toggles whether backend server N is reachable;
- * POST /break/INVARIANT; GET /figures. */
+ * POST /config writes the configuration again; POST /cancelled/ID tells that a
+ * cancel was acknowledged; POST /break/INVARIANT; GET /figures. */
 static void
 on_admin(void *ctx, struct http_exchange *exchange)
 {
@@ -114,6 +134,15 @@
             release_withheld(emulator);
         }
     }
+    else if (strcmp(path, "/config") == 0) {
+        renew_config(emulator);
+    }
+    else if (g_str_has_prefix(path, "/cancelled/")) {
+        int64_t now_ms = emulator_now_ms();
+        g_hash_table_insert(emulator->cancelled_ms,
+                            g_strdup(path + strlen("/cancelled/")),
+                            g_memdup2(&now_ms, sizeof(now_ms)));
+    }
     else if (g_str_has_prefix(path, "/break/")) {
         g_free(emulator->violated_invariant);
         emulator->violated_invariant = g_strdup(path + strlen("/break/"));
@@ -165,6 +194,18 @@
                              emulator_backend_request, host);
 }
 
+static void
+set_maxima(cJSON *config, double maximum_milli)
+{
+    cJSON *team;
+    cJSON_ArrayForEach(team, cJSON_GetObjectItem(config, "tenants"))
+    {
+        cJSON *maximum = cJSON_GetObjectItem(team, "maximum");
+        cJSON_ReplaceItemInObject(maximum, "cpu",
+                                  cJSON_CreateNumber(maximum_milli));
+    }
+}
+
 /* Reads the configuration: "hosts" is the number of hosts of each pool, the
  * rest is the operator's configuration in the store. */
 static bool
@@ -193,6 +234,9 @@
             add_host(emulator, pool->string, arguments->first_port);
         }
     }
+    if (arguments->maximum_milli > 0) {
+        set_maxima(body, (double)arguments->maximum_milli);
+    }
     char *config = cJSON_PrintUnformatted(body);
     put_text(emulator, "op/config", config, strlen(config));
     cJSON_free(config);
@@ -213,6 +257,10 @@
         arguments->value_bytes = strtoul(arg, NULL, 10);
         return 0;
     }
+    if (key == 'm') {
+        arguments->maximum_milli = g_ascii_strtoll(arg, NULL, 10);
+        return 0;
+    }
     if (key == ARGP_KEY_ARG) {
         arguments->config = arg;
         return 0;
@@ -225,6 +273,7 @@
 {
     static const struct argp_option options[] = {
         {"port", 'p', "FIRST", 0, "first port", 0},
+        {"maximum", 'm', "CPU", 0, "maximum of each client account", 0},
         {"value-bytes", 'v', "BYTES", 0, "longest value of the store", 0},
         {0},
     };
@@ -250,6 +299,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     kv_model_init(&emulator.kv);
     emulator.value_bytes_max = arguments.value_bytes;
+    emulator.maximum_milli = arguments.maximum_milli;
+    emulator.cancelled_ms =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     if (!read_config(&emulator, &arguments)) {
         return EXIT_FAILURE;
     }
--- a/standins/jobs/job_caller.c
+++ b/standins/jobs/job_caller.c
@@ -11,6 +11,7 @@
     RETRY_MS = 200,
     POLL_MS = 100,
     ATTEMPTS_MAX = 40,
+    LATE_REPEAT_MS = 1500,
     HEADER_SLOTS = 3,
 };
 
@@ -23,11 +24,14 @@
     uint32_t run_id;
     uint32_t answered;
     GPtrArray *refused;
+    struct http_client *admin;
 };
 
 /**
  * struct tracked_job - a job that has not ended
  * @cancel_ms: how long after its arrival it is cancelled; 0: never
+ * @give_up: it is cancelled even if it isn't accepted by then
+ * @gave_up: that cancel was acknowledged
  * @uncertain: an attempt got no answer, or one that leaves open whether the
  * job will run
  */
@@ -40,6 +44,8 @@
     int64_t submitted_ms;
     int64_t cancel_ms;
     uint32_t attempts;
+    bool give_up;
+    bool gave_up;
     bool accepted;
     bool uncertain;
 };
@@ -92,6 +98,7 @@
     g_hash_table_unref(caller->jobs);
     g_ptr_array_unref(caller->clients);
     g_ptr_array_unref(caller->refused);
+    http_client_destroy(caller->admin);
     g_free(caller);
 }
 
@@ -175,10 +182,58 @@
     set_timer(job, POLL_MS);
 }
 
+static void
+on_reported(void *ctx, const struct http_reply *reply)
+{
+    (void)ctx;
+    (void)reply;
+}
+
+static void
+report_cancel(const struct tracked_job *job)
+{
+    if (job->caller->admin == NULL) {
+        return;
+    }
+    char *path = g_strconcat("/cancelled/", strrchr(job->path, '/') + 1, NULL);
+    struct http_call call = {
+        .method = "POST", .path = path, .done = on_reported};
+    http_client_send(job->caller->admin, &call);
+    g_free(path);
+}
+
+static void
+on_late_repeat(void *ctx, const struct http_reply *reply)
+{
+    (void)reply;
+    finish(ctx);
+}
+
+static void
+on_gave_up(void *ctx, const struct http_reply *reply)
+{
+    struct tracked_job *job = ctx;
+    if (reply->status != 200 && reply->status != 410) {
+        set_timer(job, RETRY_MS);
+        return;
+    }
+    report_cancel(job);
+    job->gave_up = true;
+    job->queue->given_up++;
+    if (job->queue->given_up % 2 == 0) {
+        finish(job);
+        return;
+    }
+    set_timer(job, LATE_REPEAT_MS);
+}
+
 static void
 on_cancelled(void *ctx, const struct http_reply *reply)
 {
     struct tracked_job *job = ctx;
+    if (reply->status == 200) {
+        report_cancel(job);
+    }
     if (reply->status == 200) {
         job->cancel_ms = 0;
     }
@@ -201,6 +256,10 @@
     job->uncertain =
         job->uncertain ||
         (reply->status != 503 && reply->status != 429 && !reply->never_sent);
+    if (job->give_up) {
+        set_timer(job, RETRY_MS);
+        return;
+    }
     if (reply->status == 400 || ++job->attempts >= ATTEMPTS_MAX) {
         job->queue->refused++;
         if (!job->uncertain) {
@@ -218,7 +277,13 @@
     (void)fd;
     (void)events;
     struct tracked_job *job = ctx;
-    if (!job->accepted) {
+    if (job->gave_up) {
+        send_call(job, "POST", job->body, on_late_repeat);
+    }
+    else if (job->give_up && now_ms() - job->submitted_ms >= job->cancel_ms) {
+        send_call(job, "DELETE", NULL, on_gave_up);
+    }
+    else if (!job->accepted) {
         send_call(job, "POST", job->body, on_submitted);
     }
     else if (job->cancel_ms > 0 &&
@@ -230,10 +295,9 @@
     }
 }
 
-void
-job_caller_submit_to_cancel(struct job_caller *caller,
-                            struct caller_queue *queue, const char *body,
-                            int64_t cancel_ms)
+static struct tracked_job *
+track(struct job_caller *caller, struct caller_queue *queue, const char *body,
+      int64_t cancel_ms)
 {
     struct tracked_job *job = g_new0(struct tracked_job, 1);
     job->caller = caller;
@@ -247,6 +311,29 @@
     queue->submitted++;
     g_hash_table_add(caller->jobs, job);
     set_timer(job, 0);
+    return job;
+}
+
+void
+job_caller_submit_to_cancel(struct job_caller *caller,
+                            struct caller_queue *queue, const char *body,
+                            int64_t cancel_ms)
+{
+    track(caller, queue, body, cancel_ms);
+}
+
+void
+job_caller_submit_to_give_up(struct job_caller *caller,
+                             struct caller_queue *queue, const char *body,
+                             int64_t give_up_ms)
+{
+    track(caller, queue, body, give_up_ms)->give_up = true;
+}
+
+void
+job_caller_report_cancels(struct job_caller *caller, const char *address)
+{
+    caller->admin = http_client_create(caller->base, address, CALL_TIMEOUT_MS);
 }
 
 void
--- a/standins/jobs/job_caller.h
+++ b/standins/jobs/job_caller.h
@@ -15,6 +15,7 @@
  * @key: key of a client account, or NULL on an open queue
  * @objective_ms: objective of the completion time
  * @refused: jobs given up before they were accepted
+ * @given_up: jobs given up whose cancel was acknowledged
  * @times_ms: int64_t, time from arrival to completion of each job
  */
 struct caller_queue {
@@ -30,6 +31,7 @@
     uint32_t within_objective;
     uint32_t failed;
     uint32_t cancelled;
+    uint32_t given_up;
     GArray *times_ms;
 };
 
@@ -54,6 +56,23 @@
                             struct caller_queue *queue, const char *body,
                             int64_t cancel_ms);
 
+/**
+ * job_caller_submit_to_give_up() - submit a job and cancel it after
+ * @give_up_ms, whether it is accepted by then or not.
+ *
+ * It counts as given up once the cancel is acknowledged. Every other one is
+ * then submitted once more, as by a request that was delayed.
+ */
+void
+job_caller_submit_to_give_up(struct job_caller *caller,
+                             struct caller_queue *queue, const char *body,
+                             int64_t give_up_ms);
+
+/** job_caller_report_cancels() - tell the emulator with this administration
+ * address of acknowledged cancels. */
+void
+job_caller_report_cancels(struct job_caller *caller, const char *address);
+
 /** job_caller_pending() - number of jobs that have not ended. */
 uint32_t
 job_caller_pending(const struct job_caller *caller);
--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -158,6 +158,14 @@
     g_free(log);
 }
 
+static int team_maximum_milli;
+
+void
+fixture_limit_teams(int maximum_milli)
+{
+    team_maximum_milli = maximum_milli;
+}
+
 void
 fixture_set_up(int first_port, bool proxied)
 {
@@ -173,11 +181,14 @@
         g_build_filename(build_root, "..", "examples", "jobs.json", NULL);
     char *log = g_strdup_printf("%s/emulator.log", fixture.directory);
     char *value_bytes = g_strdup_printf("%d", STORE_VALUE_BYTES);
+    char *maximum = g_strdup_printf("%d", team_maximum_milli);
     char *const argv[] = {
-        program,     (char *)"--port", port, (char *)"--value-bytes",
-        value_bytes, config,           NULL};
+        program,     (char *)"--port",    port,    (char *)"--value-bytes",
+        value_bytes, (char *)"--maximum", maximum, config,
+        NULL};
     fixture.emulator = spawn(log, argv);
     g_free(value_bytes);
+    g_free(maximum);
     g_free(program);
     g_free(port);
     g_free(config);
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -66,6 +66,11 @@
 scenario_main(int argc, char **argv, const struct scenario *scenarios,
               size_t n_scenarios);
 
+/** fixture_limit_teams() - the next fixture_set_up() gives client accounts
+ * this maximum, in thousandths of a core; 0: that of the configuration. */
+void
+fixture_limit_teams(int maximum_milli);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
