Let schedules with a maximum last until their work is done

The traces show tasks of up to 7 s that run one after the other under the maximum, the last one at 29.8 s of 33 s, with nothing waiting that the maximum has room for. The end now comes from the work: all runs at their longest, at two thirds of the maximum.

--- a/tests/jobs/model_state.h
+++ b/tests/jobs/model_state.h
@@ -19,6 +19,9 @@
     LATE_FAULTS_END_MS = 20000,
     /* As long after the last backend server is back. */
     LATE_SCHEDULE_MS = 50000,
+    /* With a maximum: the work of all jobs, each run at its longest, at two
+     * thirds of the maximum, after the faults. */
+    LIMITED_SCHEDULE_MS = 85000,
     LEADERSHIP_MS = 3000,
     LEASE_MAX_MS = 6000,
     STOP_MS = 300,
