Read occurrences of a record without a null pointer, and name new terms

The refusal of a job that the store rejects no longer says that it is too large, which isn't known then.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -43,7 +43,7 @@
 #define CANCELLED_BODY                                                        \
     "{\"error\":\"$: the job was cancelled before it was accepted\"}"
 #define REJECTED_BODY                                                         \
-    "{\"error\":\"$: the job is too large for the platform's store\"}"
+    "{\"error\":\"$: the platform's store can't hold the job\"}"
 
 /**
  * struct pending_job - a job that is being written to the store
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -439,14 +439,13 @@
 {
     const cJSON *numbers =
         cJSON_GetObjectItemCaseSensitive(record, "occurrences");
-    const cJSON *number = numbers == NULL ? NULL : numbers->child;
     uint32_t index = 0;
     const cJSON *item;
     cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "parts"))
     {
         int64_t occurrence = index / job->n_steps;
         if (numbers != NULL) {
-            occurrence = cJSON_IsNumber(number) ? number->valueint : -1;
+            occurrence = row_number(numbers, (int)(index / job->n_steps));
         }
         if (cJSON_IsString(item) && occurrence >= 0 &&
             occurrence < job->n_occurrences &&
@@ -455,9 +454,6 @@
                                 index % job->n_steps, item->valuestring);
         }
         index++;
-        if (index % job->n_steps == 0 && number != NULL) {
-            number = number->next;
-        }
     }
 }
 
