--- a/core/jobs/unseen_runs.c
+++ b/core/jobs/unseen_runs.c
@@ -8,8 +8,7 @@
 #include "scheduler_state.h"
 
 enum {
-    /* A start or a stop may be carried out this late, and the time of day of
-     * two hosts may differ by as much. */
+    /* The times of day of two hosts may differ by as much. */
     CLOCK_DIFFERENCE_MS = 5000,
     /* Between two measurements runs that a report shows count twice, which is
      * on the safe side. */
