Mark an occurrence as started before its start command is sent

Cause: a command that can't be sent is answered at once, which frees its run.

Evidence: the kernel's log names job_open_occurrence() called by send_start() as the place.

Change: the marking comes first.

Measured: "a start that isn't sent frees its run" in jobs-timed-job, built with sanitizers: heap-use-after-free before, passes now.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -66,8 +66,9 @@
             job_step_progress(run->job, run->occurrence, run->step)->advice,
             backend->entry.id, run->started_ms),
     };
-    sched->ops.start(sched->ops.ctx, &command);
     job_open_occurrence(run->job, run->occurrence)->started = true;
+    /* May answer at once that it wasn't sent, which frees the run. */
+    sched->ops.start(sched->ops.ctx, &command);
 }
 
 static uint32_t
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -49,6 +49,10 @@
     recorded->task = g_strdup_printf("%s.%u.%u.%u", command->run->job->id,
                                      command->run->occurrence,
                                      command->run->step, command->run->index);
+    struct fleet_fixture *fixture = ctx;
+    if (fixture->refuse_starts) {
+        scheduler_on_start(fixture->sched, command->handle, START_NOT_SENT, 0);
+    }
 }
 
 static void
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -53,6 +53,7 @@
  * struct fleet_fixture - a scheduler and its recorded commands
  * @now_ms: the scheduler's clock
  * @incarnation_start_ms: Unix time at which every backend server started
+ * @refuse_starts: each start is answered at once: it was not sent
  * @commands: struct recorded_command, oldest first
  */
 struct fleet_fixture {
@@ -60,6 +61,7 @@
     struct fleet_config *config;
     int64_t now_ms;
     int64_t incarnation_start_ms;
+    bool refuse_starts;
     GPtrArray *commands;
 };
 
--- a/tests/jobs/timed_job_test.c
+++ b/tests/jobs/timed_job_test.c
@@ -280,6 +280,25 @@
     fixture_clear(&f);
 }
 
+/* A start that is answered at once as not sent frees its run, which was still
+ * used: the leader's process ended (seen under sanitizers). */
+static void
+test_start_not_sent(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 0);
+    fixture_add_backend(&f, "b0", "p", "m0");
+    fixture_reconcile(&f);
+    f.refuse_starts = true;
+    add_timed(&f, JOB_A, two_tasks, 3, HOUR_MS);
+    fixture_tick(&f, f.now_ms + 10);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b0"), 2);
+    f.refuse_starts = false;
+    fixture_tick(&f, f.now_ms + 200);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b0"), 4);
+    fixture_clear(&f);
+}
+
 static bool
 has_job(const struct store_batch *batch, const char *id)
 {
@@ -372,6 +391,7 @@
         {"open occurrences fit into a record", test_open_occurrences},
         {"a job that the store rejects holds up no other", test_rejected},
         {"a job is kept from its end on", test_kept_after_end},
+        {"a start that isn't sent frees its run", test_start_not_sent},
         {"schedules that can't be kept are refused", test_bad_schedules},
     };
     return suite_main("timed jobs", tests, G_N_ELEMENTS(tests));
