--- a/include/egretjobd/job_queries.h
+++ b/include/egretjobd/job_queries.h
@@ -21,7 +21,7 @@
  * there is no such job, 503 if nothing was stored, 504 if the outcome is
  * unknown.
  *
- * For a job that isn't stored a tombstone is, so that a submission which is
+ * For a job that isn't stored a tombstone is, so that a request which is
  * still on its way is not accepted any more.
  */
 void
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -49,7 +49,7 @@
  * record_tombstone_encode() - record in place of that of a job which was
  * cancelled before it was accepted; g_free().
  *
- * A submission that is still on its way finds it and is not accepted any more.
+ * A request to store the job that is still on its way finds it and is refused.
  * It is deleted like the record of a finished job.
  */
 char *
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -20,7 +20,7 @@
     RUN_MS = 10000,
     SLICE_MS = 50,
     SERVICE_JOB_COUNT = 4,
-    /* Every so many slices a job is given up soon after its submission. */
+    /* Every so many slices a job is cancelled soon after it is sent. */
     GIVE_UP_SLICES = 4,
     GIVE_UP_MAX_MS = 2500,
     /* Half of what the jobs would use at once. */
--- a/tests/jobs/cancel_process_test.c
+++ b/tests/jobs/cancel_process_test.c
@@ -63,7 +63,7 @@
     run_for(RETRY_MS, false);
     for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
         CU_ASSERT_EQUAL(call_job(i, "GET", path, NULL), 410);
-        /* A late repetition of the submission. */
+        /* A late repetition of the request. */
         CU_ASSERT_EQUAL(call_job(i, "POST", path, job_body), 410);
         CU_ASSERT_EQUAL(call_job(i, "DELETE", path, NULL), 410);
     }
