Keep texts whole when they hold U+0000, and refuse what is not UTF-8

Callers saw 200 for a job whose spec held U+0000, and the backend servers were told and ran the part before it, an empty spec if it stood in front. A body that was not UTF-8 got 200 too, and the start commands that followed were no JSON.

Cause: cJSON hands out strings as C strings. It writes U+0000 into them as a byte 0, at which every reader stops, does not check UTF-8, and ignores what follows the document. A copy of a store's value lost what stood after a NUL.

Change: jansson reads JSON, which keeps lengths and refuses what is not UTF-8, lone surrogates and anything after the document, with its position. A text in memory holds U+0000 as C0 80, which UTF-8 never contains, so strcmp() and strlen() see all of it; it is U+0000 again where it leaves the process. Lengths are those of the UTF-8. Control characters that should be escaped stay accepted. Records of earlier versions are read leniently, without the limit of spec, which was measured on the part before U+0000. What can't be used of a configuration is logged with its position; so are waves.

--- a/core/jobs/fleet_config.c
+++ b/core/jobs/fleet_config.c
@@ -37,6 +37,7 @@
     config->teams = g_ptr_array_new_with_free_func(team_destroy);
     config->queues = g_ptr_array_new_with_free_func(queue_destroy);
     config->pools = g_ptr_array_new_with_free_func(pool_destroy);
+    config->unusable = g_ptr_array_new_with_free_func(g_free);
     config->queues_by_name = g_hash_table_new(g_str_hash, g_str_equal);
     return config;
 }
@@ -51,6 +52,7 @@
     g_ptr_array_unref(config->teams);
     g_ptr_array_unref(config->queues);
     g_ptr_array_unref(config->pools);
+    g_ptr_array_unref(config->unusable);
     g_free(config);
 }
 
--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "egretjobd/frontend.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/peers.h"
@@ -35,6 +36,7 @@
  * @strongest_cores: processor capacity of the strongest of them, 0: unknown
  * @peers: peer addresses of the other processes, NULL-terminated, or NULL
  * @watch_after: revision after which to watch; 0: read everything first
+ * @unreadable_revision: newest record that was reported as unreadable
  * @confirmed_ms: when the last call was sent whose answer showed that the
  *                records are current
  */
@@ -53,6 +55,7 @@
     double strongest_cores;
     int64_t as_of;
     int64_t watch_after;
+    int64_t unreadable_revision;
     int64_t confirmed_ms;
     int64_t sent_ms;
     int64_t peer_requested_ms;
@@ -77,13 +80,22 @@
     if (item->revision <= active_revision) {
         return;
     }
+    char *error = NULL;
     struct fleet_config *config =
-        decode_config(item->value, item->value_bytes, item->revision);
+        decode_config(item->value, item->value_bytes, item->revision, &error);
     if (config == NULL) {
-        event_log("config_unreadable", "\"revision\":%" G_GINT64_FORMAT,
-                  item->revision);
+        event_log("config_unreadable",
+                  "\"revision\":%" G_GINT64_FORMAT ",\"why\":%s",
+                  item->revision, text_quote(error));
+        g_free(error);
         return;
     }
+    for (guint i = 0; i < config->unusable->len; i++) {
+        event_log("config_entry_unusable",
+                  "\"revision\":%" G_GINT64_FORMAT ",\"why\":%s",
+                  item->revision,
+                  text_quote(g_ptr_array_index(config->unusable, i)));
+    }
     event_log("config_in_force",
               "\"version\":%" G_GINT64_FORMAT ",\"revision\":%" G_GINT64_FORMAT
               ",\"queues\":%u,\"teams\":%u",
@@ -110,6 +122,26 @@
     return *seen_ms;
 }
 
+static void
+read_wave(struct config_feed *feed, const struct kv_item *item)
+{
+    struct host_wave wave;
+    char *error = NULL;
+    if (decode_wave(item->value, item->value_bytes, &wave, &error)) {
+        struct host_wave *copy = g_memdup2(&wave, sizeof(wave));
+        copy->seen_ms = first_seen_ms(feed, item->key);
+        g_ptr_array_add(feed->waves, copy);
+        return;
+    }
+    /* The records are applied again with each change of one of them. */
+    if (item->revision > feed->unreadable_revision) {
+        feed->unreadable_revision = item->revision;
+        event_log("wave_unreadable", "\"key\":%s,\"why\":%s",
+                  text_quote(item->key), text_quote(error));
+    }
+    g_free(error);
+}
+
 static void
 apply_fleet_commands(struct config_feed *feed)
 {
@@ -123,13 +155,7 @@
                 g_strdup(item->key + strlen(PLATFORM_OUT_OF_SERVICE_PREFIX)));
         }
         else if (g_str_has_prefix(item->key, PLATFORM_WAVE_PREFIX)) {
-            struct host_wave wave;
-            if (decode_wave(item->value, item->value_bytes, &wave)) {
-                struct host_wave *copy = g_new(struct host_wave, 1);
-                *copy = wave;
-                copy->seen_ms = first_seen_ms(feed, item->key);
-                g_ptr_array_add(feed->waves, copy);
-            }
+            read_wave(feed, item);
         }
     }
     g_ptr_array_add(out_of_service, NULL);
@@ -170,13 +196,15 @@
     if (reply->status != 200) {
         return;
     }
-    cJSON *body = cJSON_ParseWithLength(reply->body, reply->body_bytes);
+    json_t *body = json_document_read(reply->body, reply->body_bytes, NULL);
     int64_t age_ms = json_int_get(body, "age_ms", -1);
     int64_t as_of = json_int_get(body, "as_of", 0);
     if (age_ms >= 0 && as_of >= feed->as_of) {
         g_ptr_array_set_size(feed->next_items, 0);
-        const cJSON *row;
-        cJSON_ArrayForEach(row, cJSON_GetObjectItem(body, "items"))
+        const json_t *rows = json_object_get(body, "items");
+        const json_t *row;
+        size_t index;
+        json_array_foreach(rows, index, row)
         {
             const char *value = json_text_get(row, "value");
             const char *key = json_text_get(row, "key");
@@ -194,7 +222,7 @@
         apply_items(feed, as_of, feed->peer_requested_ms - age_ms);
         feed->watch_after = 0;
     }
-    cJSON_Delete(body);
+    json_decref(body);
 }
 
 static void
@@ -449,11 +477,11 @@
     for (guint i = 0; i < feed->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(feed->items, i);
         g_string_append(text, i == 0 ? "{\"key\":" : ",{\"key\":");
-        json_text_add(text, item->key);
+        text_add_json(text, item->key);
         g_string_append_printf(
             text,
             ",\"revision\":%" G_GINT64_FORMAT ",\"value\":", item->revision);
-        json_text_add(text, item->value);
+        text_add_json(text, item->value);
         g_string_append_c(text, '}');
     }
     g_string_append(text, "]}");
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "egretjobd/acceptor.h"
 #include "egretjobd/config_feed.h"
 #include "egretjobd/job_call.h"
@@ -80,15 +81,15 @@
         frontend->counters.refused++;
         add_retry_after(request->exchange, answer->retry_after_ms);
         event_log("request_refused",
-                  "\"job\":\"%s\",\"queue\":\"%s\",\"status\":%d,"
+                  "\"job\":\"%s\",\"queue\":%s,\"status\":%d,"
                   "\"after_ms\":%" G_GINT64_FORMAT,
-                  request->id, request->queue, status,
+                  request->id, text_quote(request->queue), status,
                   node_now(frontend->node) - request->received_ms);
     }
     else if (status == 504) {
         frontend->counters.unknown++;
-        event_log("request_unknown", "\"job\":\"%s\",\"queue\":\"%s\"",
-                  request->id, request->queue);
+        event_log("request_unknown", "\"job\":\"%s\",\"queue\":%s",
+                  request->id, text_quote(request->queue));
     }
     else if (status == 200 && request->call.kind == JOB_CALL_SUBMIT) {
         frontend->counters.accepted++;
@@ -226,8 +227,8 @@
                int status, const char *error)
 {
     frontend->counters.invalid++;
-    event_log("request_invalid", "\"why\":\"%s\"", error);
-    char *body = g_strdup_printf("{\"error\":\"%s\"}", error);
+    event_log("request_invalid", "\"why\":%s", text_quote(error));
+    char *body = g_strdup_printf("{\"error\":%s}", text_quote(error));
     http_exchange_reply(exchange, status, body);
     g_free(body);
 }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "egretjobd/leadership.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
@@ -19,8 +20,6 @@
     BACKEND_WATCH_MS = 1000,
     LOAD_TIMEOUT_MS = 1500,
     WATCH_RETRY_MS = 100,
-    /* A log line has 1,000 bytes, of which an escaped byte takes up to 6. */
-    LOGGED_ID_BYTES_MAX = 64,
 };
 
 static const char *const stage_prefixes[] = {
@@ -42,7 +41,7 @@
     }
     struct job *job = record_job_decode(id, item->value, item->value_bytes);
     if (job == NULL) {
-        event_log("record_unreadable", "\"key\":\"%s\"", item->key);
+        event_log("record_unreadable", "\"key\":%s", text_quote(item->key));
         return;
     }
     job->open_max =
@@ -76,16 +75,8 @@
     if (!g_hash_table_add(leader->unusable_ids, g_strdup(id))) {
         return;
     }
-    char *start = g_strndup(id, LOGGED_ID_BYTES_MAX);
-    char *valid = g_utf8_make_valid(start, -1);
-    GString *fields = g_string_new("\"backend\":");
-    json_text_add(fields, valid);
-    g_string_append(fields, ",\"reason\":");
-    json_text_add(fields, error);
-    event_log("backend_entry_unusable", "%s", fields->str);
-    g_string_free(fields, TRUE);
-    g_free(valid);
-    g_free(start);
+    event_log("backend_entry_unusable", "\"backend\":%s,\"reason\":%s",
+              text_quote(id), text_quote(error));
 }
 
 /* An entry that can't be used is treated like a missing one: it takes nothing
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "core/jobs/election_backoff.h"
 #include "egretjobd/config_feed.h"
 #include "egretjobd/leader.h"
@@ -126,11 +127,11 @@
     if (item == NULL || item->deleted || item->value == NULL) {
         return;
     }
-    cJSON *value = cJSON_ParseWithLength(item->value, item->value_bytes);
+    json_t *value = json_document_read(item->value, item->value_bytes, NULL);
     leadership->leader_peer = g_strdup(json_text_get(value, "peer"));
     leadership->leader_node = g_strdup(json_text_get(value, "node"));
     leadership->record_revision = item->revision;
-    cJSON_Delete(value);
+    json_decref(value);
 }
 
 /* There is no leader, or it is an earlier incarnation of this process. */
@@ -325,9 +326,9 @@
 {
     const struct job_settings *settings = leadership->node->settings;
     GString *value = g_string_new("{\"node\":");
-    json_text_add(value, settings->node_name);
+    text_add_json(value, settings->node_name);
     g_string_append(value, ",\"peer\":");
-    json_text_add(value, settings->peer_address);
+    text_add_json(value, settings->peer_address);
     g_string_append_printf(value, ",\"claim\":\"%d-%u\"}", (int)getpid(),
                            ++leadership->claim_count);
     g_free(leadership->claim_value);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/text.h"
 #include "platform/decode.h"
 #include "platform/json_text.h"
 
@@ -34,7 +35,7 @@
 add_text_member(GString *out, const char *member, const char *text)
 {
     g_string_append_printf(out, "%s\"%s\":", out->len > 1 ? "," : "", member);
-    json_text_add(out, text == NULL ? "" : text);
+    text_add_json(out, text == NULL ? "" : text);
 }
 
 static void
@@ -75,7 +76,7 @@
 }
 
 static bool
-is_tombstone(const cJSON *record)
+is_tombstone(const json_t *record)
 {
     return json_int_get(record, "tombstone", 0) == 1;
 }
@@ -83,9 +84,9 @@
 bool
 record_is_tombstone(const char *value, size_t bytes)
 {
-    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    json_t *record = json_stored_read(value, bytes, NULL);
     bool tombstone = is_tombstone(record);
-    cJSON_Delete(record);
+    json_decref(record);
     return tombstone;
 }
 
@@ -100,7 +101,7 @@
 
 /* Empty if it is missing. */
 static char *
-dup_text(const cJSON *record, const char *member)
+dup_text(const json_t *record, const char *member)
 {
     const char *text = json_text_get(record, member);
     return g_strdup(text == NULL ? "" : text);
@@ -109,7 +110,7 @@
 struct job *
 record_job_decode(const char *id, const char *value, size_t bytes)
 {
-    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    json_t *record = json_stored_read(value, bytes, NULL);
     const char *body = json_text_get(record, "body");
     const char *queue = json_text_get(record, "queue");
     struct job *job = NULL;
@@ -118,7 +119,7 @@
     }
     else if (body != NULL && queue != NULL && strlen(id) == JOB_ID_CHARS) {
         char *error = NULL;
-        job = decode_job(body, strlen(body), &error);
+        job = decode_stored_job(body, strlen(body), &error);
         g_free(error);
     }
     if (job != NULL) {
@@ -129,7 +130,7 @@
         job->attempts = (uint32_t)json_int_get(record, "attempts", 1);
         job->accepted_unix_ms = json_int_get(record, "accepted_unix_ms", 0);
     }
-    cJSON_Delete(record);
+    json_decref(record);
     return job;
 }
 
@@ -209,7 +210,7 @@
     g_string_append_printf(out, "%s[%u,%u,",
                            g_str_has_suffix(out->str, "[") ? "" : ",",
                            progress_index, index);
-    json_text_add(out, saved);
+    text_add_json(out, saved);
     for (uint32_t i = 0; i < task->failures; i++) {
         g_string_append_printf(out, ",%u", task->failed_runs[i]);
     }
@@ -239,7 +240,7 @@
                            (crash->suspect ? ROW_SUSPECT : 0) +
                                (task->crash_shared ? ROW_SHARED : 0));
     const char *backend = task->crash_backend;
-    json_text_add(out, backend == NULL ? "" : backend);
+    text_add_json(out, backend == NULL ? "" : backend);
     g_string_append_c(out, ']');
 }
 
@@ -328,7 +329,7 @@
 }
 
 static bool
-state_of(const cJSON *record, enum job_state *state)
+state_of(const json_t *record, enum job_state *state)
 {
     const char *name = json_text_get(record, "state");
     for (int s = JOB_ACTIVE; name != NULL && s <= JOB_CANCELLED; s++) {
@@ -357,15 +358,14 @@
 }
 
 static int64_t
-row_number(const cJSON *row, int column)
+row_number(const json_t *row, size_t column)
 {
-    const cJSON *item = cJSON_GetArrayItem(row, column);
-    return cJSON_IsNumber(item) ? item->valueint : -1;
+    return json_int_of(json_array_get(row, column), -1);
 }
 
 /* Task that @row names by step progress index and task, or NULL. */
 static struct job_task *
-row_task(struct job *job, const cJSON *row)
+row_task(struct job *job, const json_t *row)
 {
     int64_t p = row_number(row, 0);
     int64_t t = row_number(row, 1);
@@ -380,16 +380,15 @@
 }
 
 static void
-apply_task_record(struct job *job, const cJSON *row)
+apply_task_record(struct job *job, const json_t *row)
 {
     struct job_task *task = row_task(job, row);
-    const char *saved = cJSON_GetStringValue(cJSON_GetArrayItem(row, 2));
+    const char *saved = json_string_value(json_array_get(row, 2));
     if (task == NULL) {
         return;
     }
-    for (int i = 3; i < cJSON_GetArraySize(row); i++) {
-        job_task_record_failure(
-            task, (uint32_t)cJSON_GetArrayItem(row, i)->valueint);
+    for (size_t i = 3; i < json_array_size(row); i++) {
+        job_task_record_failure(task, (uint32_t)row_number(row, i));
     }
     if (saved != NULL && saved[0] != '\0') {
         g_free(task->saved);
@@ -398,7 +397,7 @@
 }
 
 static void
-apply_crash_record(struct job *job, const cJSON *row)
+apply_crash_record(struct job *job, const json_t *row)
 {
     int64_t crashes = row_number(row, 2);
     struct job_task *task = crashes < 0 ? NULL : row_task(job, row);
@@ -414,7 +413,7 @@
         .crashes = (uint32_t)crashes,
         .alone = (uint32_t)MAX(row_number(row, 3), 0),
     };
-    const char *backend = cJSON_GetStringValue(cJSON_GetArrayItem(row, 5));
+    const char *backend = json_string_value(json_array_get(row, 5));
     if (backend != NULL && backend[0] != '\0') {
         g_free(task->crash_backend);
         task->crash_backend = g_strdup(backend);
@@ -422,7 +421,7 @@
 }
 
 static void
-apply_finished(struct job *job, const cJSON *row)
+apply_finished(struct job *job, const json_t *row)
 {
     int64_t first = row_number(row, 0);
     int64_t last = row_number(row, 1);
@@ -435,62 +434,63 @@
 /* Records of earlier versions have the marks of every occurrence, and name
  * none. */
 static void
-apply_parts(struct job *job, const cJSON *record)
+apply_parts(struct job *job, const json_t *record)
 {
-    const cJSON *numbers =
-        cJSON_GetObjectItemCaseSensitive(record, "occurrences");
-    uint32_t index = 0;
-    const cJSON *item;
-    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "parts"))
+    const json_t *numbers = json_object_get(record, "occurrences");
+    const json_t *parts = json_object_get(record, "parts");
+    const json_t *item;
+    size_t index;
+    json_array_foreach(parts, index, item)
     {
-        int64_t occurrence = index / job->n_steps;
+        int64_t occurrence = (int64_t)(index / job->n_steps);
         if (numbers != NULL) {
-            occurrence = row_number(numbers, (int)(index / job->n_steps));
+            occurrence = row_number(numbers, index / job->n_steps);
         }
-        if (cJSON_IsString(item) && occurrence >= 0 &&
+        if (json_is_string(item) && occurrence >= 0 &&
             occurrence < job->n_occurrences &&
-            strchr(item->valuestring, 'd') != NULL) {
+            strchr(json_string_value(item), 'd') != NULL) {
             apply_step_progress(job, (uint32_t)occurrence,
-                                index % job->n_steps, item->valuestring);
+                                (uint32_t)(index % job->n_steps),
+                                json_string_value(item));
         }
-        index++;
+    }
+}
+
+static void
+apply_rows(struct job *job, const json_t *record, const char *member,
+           void (*apply)(struct job *job, const json_t *row))
+{
+    const json_t *rows = json_object_get(record, member);
+    const json_t *row;
+    size_t index;
+    json_array_foreach(rows, index, row)
+    {
+        apply(job, row);
     }
 }
 
 bool
 record_progress_apply(struct job *job, const char *value, size_t bytes)
 {
-    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    json_t *record = json_stored_read(value, bytes, NULL);
     bool known = state_of(record, &job->state);
     job->left_pool = json_int_get(record, "left_pool", 0) == 1;
     job->ended_unix_ms = json_int_get(record, "ended_unix_ms", 0);
-    const cJSON *item;
-    cJSON_ArrayForEach(item,
-                       cJSON_GetObjectItemCaseSensitive(record, "finished"))
-    {
-        apply_finished(job, item);
-    }
+    apply_rows(job, record, "finished", apply_finished);
     apply_parts(job, record);
-    cJSON_ArrayForEach(item, cJSON_GetObjectItemCaseSensitive(record, "tasks"))
-    {
-        apply_task_record(job, item);
-    }
-    cJSON_ArrayForEach(item,
-                       cJSON_GetObjectItemCaseSensitive(record, "crashes"))
-    {
-        apply_crash_record(job, item);
-    }
+    apply_rows(job, record, "tasks", apply_task_record);
+    apply_rows(job, record, "crashes", apply_crash_record);
     job_close_occurrences(job);
-    cJSON_Delete(record);
+    json_decref(record);
     return known;
 }
 
 bool
 record_progress_state(const char *value, size_t bytes, enum job_state *state)
 {
-    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    json_t *record = json_stored_read(value, bytes, NULL);
     bool known = state_of(record, state);
-    cJSON_Delete(record);
+    json_decref(record);
     return known;
 }
 
@@ -514,7 +514,7 @@
 record_backend_decode(const char *id, const char *value, size_t bytes,
                       struct backend_entry *entry)
 {
-    cJSON *record = cJSON_ParseWithLength(value, bytes);
+    json_t *record = json_stored_read(value, bytes, NULL);
     const char *pool = json_text_get(record, "pool");
     const char *address = json_text_get(record, "address");
     *entry = (struct backend_entry){0};
@@ -535,7 +535,7 @@
             .gpus = json_int_get(record, "gpus", 0),
         };
     }
-    cJSON_Delete(record);
+    json_decref(record);
     return valid;
 }
 
--- a/include/core/jobs/fleet_config.h
+++ b/include/core/jobs/fleet_config.h
@@ -81,6 +81,8 @@
  * @pools: struct pool_config
  * @queues_by_name: index of @queues, built on first use
  * @limits: limits of requests
+ * @unusable: char *, what in the operator's record can't be used, each with
+ *            its position
  */
 struct fleet_config {
     int64_t version;
@@ -90,6 +92,7 @@
     GPtrArray *pools;
     GHashTable *queues_by_name;
     struct ingress_limits limits;
+    GPtrArray *unusable;
 };
 
 struct fleet_config *
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -24,9 +24,14 @@
  * backend server states is later, whatever its clock counts from */
 static const int64_t PLATFORM_TIME_MAX_MS = INT64_C(4102444800000);
 
-/** decode_config() - configuration, or NULL if it can't be read. */
+/**
+ * decode_config() - configuration; what of it can't be used is listed in it
+ * @error: if NULL is returned because nothing can be read, receives a
+ *         description with the position of the error; g_free(); NULL: not
+ *         wanted
+ */
 struct fleet_config *
-decode_config(const char *text, size_t bytes, int64_t revision);
+decode_config(const char *text, size_t bytes, int64_t revision, char **error);
 
 /**
  * decode_backend() - entry of a backend server; backend_entry_clear()
@@ -38,10 +43,14 @@
 decode_backend(const char *id, const char *text, size_t bytes,
                struct backend_entry *entry, char **error);
 
-/** decode_wave() - maintenance wave; false if it can't be read. Free the hosts
- * with g_strfreev(). */
+/**
+ * decode_wave() - maintenance wave; free the hosts with g_strfreev()
+ * @error: if false is returned, receives a description with the position of
+ *         the error; g_free(); NULL: not wanted
+ */
 bool
-decode_wave(const char *text, size_t bytes, struct host_wave *wave);
+decode_wave(const char *text, size_t bytes, struct host_wave *wave,
+            char **error);
 
 /** encode_wave_status() - status of a wave for the operator; g_free(). */
 char *
@@ -55,6 +64,11 @@
 struct job *
 decode_job(const char *text, size_t bytes, char **error);
 
+/** decode_stored_job() - a job of a record, also as earlier versions accepted
+ * it; otherwise as decode_job() */
+struct job *
+decode_stored_job(const char *text, size_t bytes, char **error);
+
 /** encode_job_state() - reply with a job's state; static text.
  * @started: whether any task has started */
 const char *
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -139,17 +139,17 @@
     }
     gsize bytes = 0;
     char *text = (char *)g_base64_decode(row->value, &bytes);
-    cJSON *record = cJSON_ParseWithLength(text, bytes);
+    json_t *record = json_document_read(text, bytes, NULL);
     g_free(text);
-    cJSON *body = cJSON_Parse(json_text_get(record, "body"));
+    const char *job = json_text_get(record, "body");
+    json_t *body = json_document_read(job, strlen(job), NULL);
     int step = 0;
     sscanf(task, "%*[^.].%*d.%d", &step);
     *need_milli = json_int_get(
-        cJSON_GetArrayItem(cJSON_GetObjectItem(body, "steps"), step), "cpu",
-        0);
+        json_array_get(json_object_get(body, "steps"), step), "cpu", 0);
     char *account = g_strdup(json_text_get(record, "team"));
-    cJSON_Delete(body);
-    cJSON_Delete(record);
+    json_decref(body);
+    json_decref(record);
     return account == NULL ? g_strdup("") : account;
 }
 
@@ -237,7 +237,7 @@
 
 /* Starts of jobs whose spec contains "advised" need a ticket. */
 static bool
-ticket_missing(const struct emulated_host *host, const cJSON *body)
+ticket_missing(const struct emulated_host *host, const json_t *body)
 {
     if (strstr(json_text_get(body, "spec"), "advised") == NULL) {
         return false;
@@ -253,16 +253,16 @@
 }
 
 static void
-serve_advice(struct http_exchange *exchange, const cJSON *body)
+serve_advice(struct http_exchange *exchange, const json_t *body)
 {
     const char *step = json_text_get(body, "step");
     GString *out = g_string_new("{\"good\":[");
-    const cJSON *worker;
+    const json_t *worker;
+    size_t index;
     bool first = true;
-    cJSON_ArrayForEach(worker,
-                       cJSON_GetObjectItemCaseSensitive(body, "workers"))
+    json_array_foreach(json_object_get(body, "workers"), index, worker)
     {
-        const char *id = cJSON_GetStringValue(worker);
+        const char *id = json_string_value(worker);
         if (!advised(step, id)) {
             continue;
         }
@@ -279,7 +279,7 @@
 
 static void
 serve_start(struct emulated_host *host, struct http_exchange *exchange,
-            const cJSON *body, int64_t now_ms)
+            const json_t *body, int64_t now_ms)
 {
     static const char *const reasons[] = {
         [START_REFUSED] = "late",
@@ -319,7 +319,7 @@
 
 static void
 serve_stop(struct emulated_host *host, struct http_exchange *exchange,
-           const cJSON *body, int64_t now_ms)
+           const json_t *body, int64_t now_ms)
 {
     bool stopped = model_backend_stop(
         &host->backend, json_text_get(body, "task"),
@@ -398,7 +398,7 @@
 
 static void
 serve_report(struct emulated_host *host, struct http_exchange *exchange,
-             const cJSON *body, int64_t now_ms)
+             const json_t *body, int64_t now_ms)
 {
     int64_t token = json_int_get(body, "fencing_token", 0);
     int64_t acked_completion = json_int_get(body, "seen_upto", 0);
@@ -439,7 +439,7 @@
     model_backend_advance(&host->backend, now_ms);
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
-    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    json_t *body = json_document_read(text, bytes, NULL);
     if (strcmp(path, "/v1/run-start") == 0) {
         serve_start(host, exchange, body, now_ms);
     }
@@ -452,7 +452,7 @@
     else {
         http_exchange_reply(exchange, 404, "{}");
     }
-    cJSON_Delete(body);
+    json_decref(body);
 }
 
 static void
@@ -496,10 +496,10 @@
     }
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
-    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    json_t *body = json_document_read(text, bytes, NULL);
     if (strcmp(path, "/v1/advise") == 0) {
         serve_advice(exchange, body);
-        cJSON_Delete(body);
+        json_decref(body);
         return;
     }
     struct emulated_host *host =
@@ -520,7 +520,7 @@
         emulator_restart_host(host);
         http_exchange_reply(exchange, 200, "{}");
     }
-    cJSON_Delete(body);
+    json_decref(body);
 }
 
 static void
--- a/standins/jobs/emulator_kv.c
+++ b/standins/jobs/emulator_kv.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "platform/json_text.h"
 
 enum {
@@ -43,7 +44,7 @@
 add_row(GString *out, const struct kv_row *row)
 {
     g_string_append(out, "{\"key\":");
-    json_text_add(out, row->key);
+    text_add_json(out, row->key);
     g_string_append_printf(out, ",\"revision\":%" G_GINT64_FORMAT,
                            row->revision);
     if (row->deleted) {
@@ -184,12 +185,13 @@
 }
 
 static bool
-conditions_met(const struct emulator *emulator, const cJSON *conditions,
+conditions_met(const struct emulator *emulator, const json_t *conditions,
                GString *items)
 {
     bool met = true;
-    const cJSON *condition;
-    cJSON_ArrayForEach(condition, conditions)
+    const json_t *condition;
+    size_t index;
+    json_array_foreach(conditions, index, condition)
     {
         const char *key = json_text_get(condition, "key");
         const struct kv_row *row = kv_model_get(&emulator->kv, key);
@@ -203,27 +205,29 @@
 }
 
 static void
-apply_txn(struct emulator *emulator, const cJSON *body)
+apply_txn(struct emulator *emulator, const json_t *body)
 {
     kv_model_next_revision(&emulator->kv);
-    const cJSON *row;
-    cJSON_ArrayForEach(row, cJSON_GetObjectItem(body, "puts"))
+    const json_t *row;
+    size_t index;
+    json_array_foreach(json_object_get(body, "puts"), index, row)
     {
         kv_model_put(&emulator->kv, json_text_get(row, "key"),
                      json_text_get(row, "value"),
                      json_int_get(row, "lease", 0));
     }
-    cJSON_ArrayForEach(row, cJSON_GetObjectItem(body, "deletes"))
+    json_array_foreach(json_object_get(body, "deletes"), index, row)
     {
-        kv_model_delete(&emulator->kv, cJSON_GetStringValue(row));
+        kv_model_delete(&emulator->kv, json_string_value(row));
     }
 }
 
 static bool
-values_too_long(const struct emulator *emulator, const cJSON *puts)
+values_too_long(const struct emulator *emulator, const json_t *puts)
 {
-    const cJSON *row;
-    cJSON_ArrayForEach(row, puts)
+    const json_t *row;
+    size_t index;
+    json_array_foreach(puts, index, row)
     {
         gsize bytes = 0;
         g_free(g_base64_decode(json_text_get(row, "value"), &bytes));
@@ -239,16 +243,16 @@
 {
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
-    cJSON *body = cJSON_ParseWithLength(text, bytes);
-    if (values_too_long(emulator, cJSON_GetObjectItem(body, "puts"))) {
+    json_t *body = json_document_read(text, bytes, NULL);
+    if (values_too_long(emulator, json_object_get(body, "puts"))) {
         emulator->rejected++;
-        cJSON_Delete(body);
+        json_decref(body);
         http_exchange_reply(exchange, 400, "{}");
         return;
     }
     GString *items = g_string_new(NULL);
     bool met =
-        conditions_met(emulator, cJSON_GetObjectItem(body, "expected"), items);
+        conditions_met(emulator, json_object_get(body, "expected"), items);
     GString *answer = g_string_new(NULL);
     if (met) {
         apply_txn(emulator, body);
@@ -259,7 +263,7 @@
         g_string_append_printf(answer, "{\"items\":[%s]}", items->str);
     }
     g_string_free(items, TRUE);
-    cJSON_Delete(body);
+    json_decref(body);
     reply_text(exchange, met ? 200 : 412, answer);
 }
 
@@ -268,10 +272,10 @@
 {
     size_t bytes = 0;
     const char *text = http_exchange_body(exchange, &bytes);
-    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    json_t *body = json_document_read(text, bytes, NULL);
     const struct kv_lease *lease = kv_model_grant_lease(
         &emulator->kv, json_int_get(body, "ttl_ms", 1000), emulator_now_ms());
-    cJSON_Delete(body);
+    json_decref(body);
     GString *answer = g_string_new(NULL);
     g_string_append_printf(answer,
                            "{\"lease\":%" G_GINT64_FORMAT
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -90,6 +90,15 @@
     g_ptr_array_set_size(emulator->withheld, 0);
 }
 
+static void
+put_document(struct emulator *emulator, const char *key,
+             const json_t *document)
+{
+    char *text = json_dumps(document, JSON_COMPACT);
+    put_text(emulator, key, text, strlen(text));
+    free(text);
+}
+
 /* Writes the configuration again, as a newer version. */
 static void
 renew_config(struct emulator *emulator)
@@ -97,15 +106,12 @@
     const struct kv_row *row = kv_model_get(&emulator->kv, "op/config");
     gsize bytes = 0;
     char *text = (char *)g_base64_decode(row->value, &bytes);
-    cJSON *config = cJSON_ParseWithLength(text, bytes);
+    json_t *config = json_document_read(text, bytes, NULL);
     g_free(text);
-    cJSON_ReplaceItemInObject(
-        config, "version",
-        cJSON_CreateNumber((double)json_int_get(config, "version", 0) + 3));
-    text = cJSON_PrintUnformatted(config);
-    put_text(emulator, "op/config", text, strlen(text));
-    cJSON_free(text);
-    cJSON_Delete(config);
+    json_object_set_new(config, "version",
+                        json_integer(json_int_get(config, "version", 0) + 3));
+    put_document(emulator, "op/config", config);
+    json_decref(config);
 }
 
 /* POST /put/KEY writes a key; POST /store/up|down|silent; POST /crash/N;
@@ -195,14 +201,14 @@
 }
 
 static void
-set_maxima(cJSON *config, double maximum_milli)
+set_maxima(json_t *config, double maximum_milli)
 {
-    cJSON *team;
-    cJSON_ArrayForEach(team, cJSON_GetObjectItem(config, "tenants"))
+    json_t *team;
+    size_t index;
+    json_array_foreach(json_object_get(config, "tenants"), index, team)
     {
-        cJSON *maximum = cJSON_GetObjectItem(team, "maximum");
-        cJSON_ReplaceItemInObject(maximum, "cpu",
-                                  cJSON_CreateNumber(maximum_milli));
+        json_t *maximum = json_object_get(team, "maximum");
+        json_object_set_new(maximum, "cpu", json_real(maximum_milli));
     }
 }
 
@@ -217,31 +223,31 @@
         fprintf(stderr, "%s: cannot be read\n", arguments->config);
         return false;
     }
-    cJSON *body = cJSON_ParseWithLength(text, bytes);
+    json_t *body = json_document_read(text, bytes, NULL);
     g_free(text);
-    cJSON *pools = cJSON_DetachItemFromObject(body, "hosts");
+    json_t *pools = json_incref(json_object_get(body, "hosts"));
+    json_object_del(body, "hosts");
     if (pools == NULL) {
         fprintf(stderr, "%s: $.hosts: missing\n", arguments->config);
-        cJSON_Delete(body);
+        json_decref(body);
         return false;
     }
-    const cJSON *pool;
-    cJSON_ArrayForEach(pool, pools)
+    const char *name;
+    json_t *pool;
+    json_object_foreach(pools, name, pool)
     {
-        for (int i = 0;
-             i < pool->valueint && emulator->n_hosts < EMULATOR_BACKENDS_MAX;
+        for (int i = 0; i < json_int_of(pool, 0) &&
+                        emulator->n_hosts < EMULATOR_BACKENDS_MAX;
              i++) {
-            add_host(emulator, pool->string, arguments->first_port);
+            add_host(emulator, name, arguments->first_port);
         }
     }
     if (arguments->maximum_milli > 0) {
         set_maxima(body, (double)arguments->maximum_milli);
     }
-    char *config = cJSON_PrintUnformatted(body);
-    put_text(emulator, "op/config", config, strlen(config));
-    cJSON_free(config);
-    cJSON_Delete(pools);
-    cJSON_Delete(body);
+    put_document(emulator, "op/config", body);
+    json_decref(pools);
+    json_decref(body);
     return true;
 }
 
--- a/standins/jobs/job_caller.c
+++ b/standins/jobs/job_caller.c
@@ -158,7 +158,7 @@
 on_state(void *ctx, const struct http_reply *reply)
 {
     struct tracked_job *job = ctx;
-    cJSON *body = cJSON_ParseWithLength(reply->body, reply->body_bytes);
+    json_t *body = json_document_read(reply->body, reply->body_bytes, NULL);
     const char *state =
         reply->status == 200 ? json_text_get(body, "state") : NULL;
     bool ended = true;
@@ -174,7 +174,7 @@
     else {
         ended = false;
     }
-    cJSON_Delete(body);
+    json_decref(body);
     if (ended) {
         finish(job);
         return;
