Log texts whole, as JSON, or say which line was too long

An operator who looked for a job in the log did not find it: a line of over 1,000 bytes was dropped with nothing but a count, fields of the scheduler's events were cut after 600 bytes, the steps of a job after 300, ids of odd entries after 64, and a name with a quote, a backslash or a control character made its line one that no JSON reader takes.

Cause: fixed buffers, and texts from outside printed as they are.

Change: text_quote() makes a text a JSON string wherever one from outside is logged; lines are built without fixed buffers. A line that a pipe would not take whole is replaced by log_too_long, with the event and its bytes. A line may have 4,096 bytes now, so that more are whole.

--- a/common/event_log.c
+++ b/common/event_log.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -10,6 +11,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "common/text.h"
+
 enum {
     /* Per event name; keeps the cost of writing below 2.5 % of a core (a tenth
      * of a quarter core). */
@@ -18,7 +21,8 @@
      * exempt, so that rare events are not dropped. */
     TOTAL_LINES_PER_S_MAX = 400,
     EXEMPT_LINES_PER_S = 20,
-    LINE_MAX_BYTES = 1000,
+    /* A pipe takes a line of this size whole or not at all. */
+    LINE_MAX_BYTES = PIPE_BUF,
 };
 
 struct budget {
@@ -26,7 +30,7 @@
     uint32_t lines;
 };
 
-static char node_name[64];
+static char *node_name;
 static GHashTable *budgets;
 static struct budget total_budget;
 static uint64_t dropped;
@@ -34,7 +38,8 @@
 void
 event_log_open(const char *node)
 {
-    g_strlcpy(node_name, node, sizeof(node_name));
+    g_free(node_name);
+    node_name = g_strdup(node);
     g_clear_pointer(&budgets, g_hash_table_unref);
     budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -71,16 +76,33 @@
     return write(STDOUT_FILENO, line, bytes) == (ssize_t)bytes;
 }
 
+static GString *
+line_start(int64_t unix_ms, const char *event)
+{
+    GString *line = g_string_new(NULL);
+    g_string_append_printf(line,
+                           "{\"t\":%" G_GINT64_FORMAT ",\"node\":", unix_ms);
+    text_add_json(line, node_name);
+    g_string_append_printf(line, ",\"event\":\"%s\"", event);
+    return line;
+}
+
+/* Frees @line; false if it was not written. */
+static bool
+line_finish(GString *line)
+{
+    g_string_append(line, "}\n");
+    bool written = write_line(line->str, line->len);
+    g_string_free(line, TRUE);
+    return written;
+}
+
 static void
 report_dropped(int64_t unix_ms)
 {
-    char line[LINE_MAX_BYTES];
-    int bytes = snprintf(line, sizeof(line),
-                         "{\"t\":%" G_GINT64_FORMAT
-                         ",\"node\":\"%s\",\"event\":\"log_dropped\","
-                         "\"lines\":%" G_GUINT64_FORMAT "}\n",
-                         unix_ms, node_name, dropped);
-    if (write_line(line, (size_t)bytes)) {
+    GString *line = line_start(unix_ms, "log_dropped");
+    g_string_append_printf(line, ",\"lines\":%" G_GUINT64_FORMAT, dropped);
+    if (line_finish(line)) {
         dropped = 0;
     }
 }
@@ -101,23 +123,22 @@
     if (dropped > 0) {
         report_dropped(unix_ms);
     }
-    char line[LINE_MAX_BYTES];
-    int bytes = snprintf(
-        line, sizeof(line),
-        "{\"t\":%" G_GINT64_FORMAT ",\"node\":\"%s\",\"event\":\"%s\"%s",
-        unix_ms, node_name, event, fields[0] == '\0' ? "" : ",");
-    va_list args;
-    va_start(args, fields);
-    bytes += vsnprintf(line + bytes, sizeof(line) - (size_t)bytes - 3, fields,
-                       args);
-    va_end(args);
-    if (bytes > LINE_MAX_BYTES - 4) {
-        dropped++;
-        return;
+    GString *line = line_start(unix_ms, event);
+    if (fields[0] != '\0') {
+        g_string_append_c(line, ',');
+        va_list args;
+        va_start(args, fields);
+        g_string_append_vprintf(line, fields, args);
+        va_end(args);
+    }
+    if (line->len + strlen("}\n") > LINE_MAX_BYTES) {
+        size_t bytes = line->len;
+        g_string_free(line, TRUE);
+        line = line_start(unix_ms, "log_too_long");
+        g_string_append_printf(
+            line, ",\"of\":\"%s\",\"bytes\":%" G_GSIZE_FORMAT, event, bytes);
     }
-    line[bytes++] = '}';
-    line[bytes++] = '\n';
-    if (!write_line(line, (size_t)bytes)) {
+    if (!line_finish(line)) {
         dropped++;
     }
 }
--- a/core/jobs/crash_proof.c
+++ b/core/jobs/crash_proof.c
@@ -2,6 +2,7 @@
  * crashed several. */
 #include "core/jobs/scheduler.h"
 
+#include "common/text.h"
 #include "crash_state.h"
 
 enum {
@@ -293,9 +294,8 @@
         return;
     }
     sched->unexplained_crash_ms = sched_now(sched);
-    sched_log_event(sched, "crash_unexplained",
-                    "\"host\":\"%s\",\"now\":\"%s\"", host->name,
-                    after->entry.id);
+    sched_log_event(sched, "crash_unexplained", "\"host\":%s,\"now\":\"%s\"",
+                    text_quote(host->name), after->entry.id);
 }
 
 void
--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 enum {
@@ -186,9 +187,9 @@
 static void
 plan_move(struct scheduler *sched, struct host *host, const char *pool)
 {
-    sched_log_event(sched, "host_move_planned",
-                    "\"host\":\"%s\",\"from\":\"%s\",\"to\":\"%s\"",
-                    host->name, host->pool, pool);
+    sched_log_event(
+        sched, "host_move_planned", "\"host\":%s,\"from\":%s,\"to\":%s",
+        text_quote(host->name), text_quote(host->pool), text_quote(pool));
     sched_pool_load(sched, host->pool)->hosts--;
     sched_pool_load(sched, pool)->incoming_hosts++;
     sched_host_set_intent(sched, host, HOST_MOVES, pool);
--- a/core/jobs/hosts.c
+++ b/core/jobs/hosts.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 enum {
@@ -117,10 +118,10 @@
         return;
     }
     sched_log_event(sched, "host_incarnation",
-                    "\"host\":\"%s\",\"source\":\"%s\",\"before\":\"%s\","
+                    "\"host\":%s,\"source\":\"%s\",\"before\":\"%s\","
                     "\"started\":%" G_GINT64_FORMAT ",\"now\":\"%s\","
                     "\"now_started\":%" G_GINT64_FORMAT,
-                    host->name, source, before->entry.id,
+                    text_quote(host->name), source, before->entry.id,
                     before->entry.incarnation_start_ms, backend_id,
                     after == NULL ? 0 : after->entry.incarnation_start_ms);
 }
@@ -379,9 +380,8 @@
 {
     struct host *host = g_hash_table_lookup(sched->hosts, host_name);
     sched_log_event(sched, "host_order_answer",
-                    "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT
-                    ",\"answer\":%d",
-                    host_name, wave_number, result);
+                    "\"host\":%s,\"wave\":%" G_GINT64_FORMAT ",\"answer\":%d",
+                    text_quote(host_name), wave_number, result);
     if (result == HOST_COMMAND_FENCED) {
         sched->fenced = true;
     }
--- a/core/jobs/incarnation.c
+++ b/core/jobs/incarnation.c
@@ -7,6 +7,7 @@
  */
 #include "core/jobs/scheduler.h"
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 /* Whether it has answered a request that was sent at @since_ms or later. Of
@@ -77,10 +78,10 @@
     }
     g_ptr_array_add(sched->contenders, other);
     sched_log_event(sched, "incarnation_open",
-                    "\"host\":\"%s\",\"current\":\"%s\","
+                    "\"host\":%s,\"current\":\"%s\","
                     "\"started\":%" G_GINT64_FORMAT ",\"other\":\"%s\","
                     "\"other_started\":%" G_GINT64_FORMAT,
-                    other->entry.host, current->entry.id,
+                    text_quote(other->entry.host), current->entry.id,
                     current->entry.incarnation_start_ms, other->entry.id,
                     other->entry.incarnation_start_ms);
     if (!other->claim_refuted) {
--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -171,15 +171,14 @@
     }
 }
 
-void
-job_describe(const struct job *job, char *text, size_t bytes)
+char *
+job_describe(const struct job *job)
 {
     GString *out = g_string_new(NULL);
     for (uint32_t i = 0; i < job->n_steps; i++) {
         describe_step(&job->steps[i], out);
     }
-    g_strlcpy(text, out->str, bytes);
-    g_string_free(out, TRUE);
+    return g_string_free(out, FALSE);
 }
 
 bool
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -1,13 +1,12 @@
 #include "core/jobs/scheduler.h"
 
 #include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 enum {
-    LOG_FIELDS_BYTES = 600,
     /* What no event triggers is found by a pass over everything. */
     FULL_PASS_MS = 100,
 };
@@ -196,12 +195,12 @@
     if (sched->ops.log_event == NULL) {
         return;
     }
-    char fields[LOG_FIELDS_BYTES];
     va_list args;
     va_start(args, format);
-    vsnprintf(fields, sizeof(fields), format, args);
+    char *fields = g_strdup_vprintf(format, args);
     va_end(args);
     sched->ops.log_event(sched->ops.ctx, event, fields);
+    g_free(fields);
 }
 
 void
@@ -409,9 +408,9 @@
     g_ptr_array_remove_index_fast(sched->active, job->active_index);
     g_queue_push_tail(&sched->finished, job);
     sched_log_event(sched, "job_finished",
-                    "\"job\":\"%s\",\"queue\":\"%s\",\"state\":\"%s\","
+                    "\"job\":\"%s\",\"queue\":%s,\"state\":\"%s\","
                     "\"after_ms\":%" G_GINT64_FORMAT,
-                    job->id, job->queue, job_state_name(state),
+                    job->id, text_quote(job->queue), job_state_name(state),
                     ms_clock_now(&sched->unix_clock) - job->accepted_unix_ms);
     sched_mark_dirty(sched, job);
     stop_runs_of(sched, job);
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 struct backend *
@@ -237,9 +238,9 @@
     if (backend == NULL) {
         backend = add_backend(sched, entry);
         sched_log_event(sched, "backend_seen",
-                        "\"backend\":\"%s\",\"pool\":\"%s\",\"host\":\"%s\"",
-                        entry->id, entry->pool,
-                        entry->host == NULL ? "" : entry->host);
+                        "\"backend\":\"%s\",\"pool\":%s,\"host\":%s",
+                        entry->id, text_quote(entry->pool),
+                        text_quote(entry->host));
     }
     else {
         int64_t previous_start_ms = backend->entry.incarnation_start_ms;
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 enum {
@@ -250,8 +251,8 @@
 {
     if (!backend->unresponsive) {
         sched_log_event(sched, "backend_silent",
-                        "\"backend\":\"%s\",\"reason\":\"%s\"",
-                        backend->entry.id, reason);
+                        "\"backend\":\"%s\",\"reason\":%s", backend->entry.id,
+                        text_quote(reason));
         sched_crash_backend_silent(sched, backend);
     }
     backend->unresponsive = true;
--- a/core/jobs/strays.c
+++ b/core/jobs/strays.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 static struct job_task *
@@ -116,10 +117,10 @@
     sched_schedule_report(sched, backend);
     const struct run *other = job == NULL ? NULL : stray_task(stray)->run;
     sched_log_event(sched, "stray_stopped",
-                    "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\","
+                    "\"task\":%s,\"run\":%u,\"backend\":\"%s\","
                     "\"other_run\":%u,\"other_backend\":\"%s\"",
-                    reported->task, reported->number, backend->entry.id,
-                    other == NULL ? 0 : other->number,
+                    text_quote(reported->task), reported->number,
+                    backend->entry.id, other == NULL ? 0 : other->number,
                     other == NULL ? "" : other->backend->entry.id);
     if (may_stop(sched)) {
         send_stop(sched, stray);
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
 enum {
@@ -240,9 +241,9 @@
         host->wave = wave->number;
         sched_host_set_intent(sched, host, HOST_REBOOTS, NULL);
         sched_log_event(sched, "host_reboot_planned",
-                        "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT
+                        "\"host\":%s,\"wave\":%" G_GINT64_FORMAT
                         ",\"left\":%u,\"hurry\":%s",
-                        host->name, wave->number, left,
+                        text_quote(host->name), wave->number, left,
                         urgent ? "true" : "false");
     }
 }
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "egretjobd/acceptor.h"
 #include "egretjobd/config_feed.h"
 #include "egretjobd/job_queries.h"
@@ -21,7 +22,6 @@
     TICK_DELAY_MAX_MS = 50,
     HOST_LIST_INTERVAL_MS = 1000,
     HOST_LIST_INTERVAL_SHED_MS = 3000,
-    STEPS_TEXT_BYTES = 300,
 };
 
 void
@@ -338,20 +338,19 @@
     }
     struct job *job = record_job_decode(id, value, bytes);
     if (job == NULL) {
-        event_log("record_unreadable", "\"job\":\"%s\"", id);
+        event_log("record_unreadable", "\"job\":%s", text_quote(id));
         return;
     }
     job->open_max =
         record_open_max(job, leader->node->settings->value_bytes_max);
     scheduler_add_job(leader->sched, job);
-    char steps[STEPS_TEXT_BYTES];
-    job_describe(job, steps, sizeof(steps));
+    char *steps = job_describe(job);
     event_log("job_accepted",
-              "\"job\":\"%s\",\"queue\":\"%s\",\"pool\":\"%s\","
-              "\"team\":\"%s\",\"chain_ms\":%" G_GINT64_FORMAT
-              ",\"steps\":\"%s\"",
-              id, job->queue, job->pool, job->team, job_critical_path_ms(job),
-              steps);
+              "\"job\":\"%s\",\"queue\":%s,\"pool\":%s,\"team\":%s,"
+              "\"chain_ms\":%" G_GINT64_FORMAT ",\"steps\":\"%s\"",
+              id, text_quote(job->queue), text_quote(job->pool),
+              text_quote(job->team), job_critical_path_ms(job), steps);
+    g_free(steps);
     job_unref(job);
     leader_schedule_tick(leader);
 }
@@ -401,9 +400,9 @@
         return false;
     }
     event_log("job_refused",
-              "\"job\":\"%s\",\"queue\":\"%s\","
+              "\"job\":\"%s\",\"queue\":%s,"
               "\"retry_after_ms\":%" G_GINT64_FORMAT,
-              call->id, call->queue, refusal->retry_after_ms);
+              call->id, text_quote(call->queue), refusal->retry_after_ms);
     return true;
 }
 
--- a/egretjobd/leader_commands.c
+++ b/egretjobd/leader_commands.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/event_log.h"
+#include "common/text.h"
 #include "egretjobd/leadership.h"
 
 enum {
@@ -144,8 +145,9 @@
 op_stop(void *ctx, const struct stop_command *command)
 {
     struct leader *leader = ctx;
-    event_log("task_stop", "\"task\":\"%s\",\"run\":%u,\"backend\":\"%s\"",
-              command->task, command->number, command->backend->entry.id);
+    event_log("task_stop", "\"task\":%s,\"run\":%u,\"backend\":\"%s\"",
+              text_quote(command->task), command->number,
+              command->backend->entry.id);
     backend_client_stop(
         client_of(leader, command->backend), command,
         backend_fencing_token(command->backend, leader->token));
@@ -182,7 +184,8 @@
 op_move_host(void *ctx, const char *host, const char *pool)
 {
     struct leader *leader = ctx;
-    event_log("host_move", "\"host\":\"%s\",\"pool\":\"%s\"", host, pool);
+    event_log("host_move", "\"host\":%s,\"pool\":%s", text_quote(host),
+              text_quote(pool));
     host_commands_add(leader->host_commands, host, pool, 0);
 }
 
@@ -190,8 +193,8 @@
 op_reboot_host(void *ctx, const char *host, int64_t wave)
 {
     struct leader *leader = ctx;
-    event_log("host_reboot", "\"host\":\"%s\",\"wave\":%" G_GINT64_FORMAT,
-              host, wave);
+    event_log("host_reboot", "\"host\":%s,\"wave\":%" G_GINT64_FORMAT,
+              text_quote(host), wave);
     host_commands_add(leader->host_commands, host, NULL, wave);
 }
 
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -417,9 +417,9 @@
 int64_t
 job_millicore_ms(const struct job *job);
 
-/** job_describe() - write its steps into @text, in one line for the log. */
-void
-job_describe(const struct job *job, char *text, size_t bytes);
+/** job_describe() - its steps, in one line for the log; g_free(). */
+char *
+job_describe(const struct job *job);
 
 /**
  * job_task_record_failure() - count a run that ended as failed; false if it
--- a/tests/common/event_log_test.c
+++ b/tests/common/event_log_test.c
@@ -13,6 +13,7 @@
 
 #include "../suite.h"
 #include "common/event_log.h"
+#include "common/text.h"
 
 enum {
     EVENT_KINDS = 40,
@@ -154,12 +155,43 @@
     close(read_fd);
 }
 
+/* Texts of any length and content stay whole lines of JSON, and a line that
+ * is too long is named instead of being dropped or cut short. */
+static void
+test_texts_stay_whole(void)
+{
+    int saved = -1;
+    int read_fd = redirect_stdout(&saved, READ_BYTES);
+    wait_for_next_second();
+    char *name = g_strnfill(3000, 'n');
+    char *too_long = g_strnfill(5000, 'n');
+    event_log("long", "\"name\":%s,\"n\":1", text_quote(name));
+    event_log("odd", "\"name\":%s", text_quote("a\xC0\x80\"\\\n\xC3\xA9"));
+    event_log("longer", "\"name\":%s", text_quote(too_long));
+    char *text = read_available(read_fd);
+    restore_stdout(saved);
+    char *line =
+        g_strdup_printf("\"event\":\"long\",\"name\":\"%s\",\"n\":1}\n", name);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, line));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(text, "\"name\":\"a\\u0000\\\"\\\\\\u000a\xC3\xA9\"}\n"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(
+        text, "\"event\":\"log_too_long\",\"of\":\"longer\",\"bytes\":50"));
+    CU_ASSERT_EQUAL(count_matches(text, "\n"), 3);
+    g_free(line);
+    g_free(text);
+    g_free(name);
+    g_free(too_long);
+    close(read_fd);
+}
+
 int
 main(void)
 {
     static const struct suite_test tests[] = {
         {"lines are bounded", test_lines_are_bounded},
         {"full pipe never blocks", test_full_pipe_never_blocks},
+        {"texts stay whole", test_texts_stay_whole},
     };
     return suite_main("event log", tests, sizeof(tests) / sizeof(tests[0]));
 }
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -112,6 +112,14 @@
     g_free(ids);
 }
 
+static void
+op_log_event(void *ctx, const char *event, const char *fields)
+{
+    struct fleet_fixture *fixture = ctx;
+    g_free(fixture->last_event);
+    fixture->last_event = g_strdup_printf("%s %s", event, fields);
+}
+
 static int64_t
 now(void *ctx)
 {
@@ -184,6 +192,7 @@
         .move_host = op_move,
         .reboot_host = op_reboot,
         .request_advice = op_request_advice,
+        .log_event = op_log_event,
         .ctx = fixture,
     };
     fixture->sched = scheduler_create(
@@ -212,6 +221,7 @@
     scheduler_destroy(fixture->sched);
     fleet_config_destroy(fixture->config);
     g_ptr_array_unref(fixture->commands);
+    g_free(fixture->last_event);
 }
 
 static void
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -55,6 +55,7 @@
  * @incarnation_start_ms: Unix time at which every backend server started
  * @refuse_starts: each start is answered at once: it was not sent
  * @commands: struct recorded_command, oldest first
+ * @last_event: last event that the scheduler logged, with its fields
  */
 struct fleet_fixture {
     struct scheduler *sched;
@@ -63,6 +64,7 @@
     int64_t incarnation_start_ms;
     bool refuse_starts;
     GPtrArray *commands;
+    char *last_event;
 };
 
 /** fixture_init() - create two pools "p" and "q" with queues of the same
--- a/tests/jobs/strays_test.c
+++ b/tests/jobs/strays_test.c
@@ -168,6 +168,33 @@
     fixture_clear(&f);
 }
 
+/* Guards against a stop, or a line of the log, that names only the start of
+ * what a backend server has reported. */
+static void
+test_stray_is_named_whole(void)
+{
+    struct fleet_fixture f;
+    fixture_init(&f, 1);
+    fixture_add_backend(&f, "b1", "p", "m1");
+    fixture_reconcile(&f);
+    char *rest = g_strnfill(2000, 'x');
+    char *task = g_strdup_printf(JOB_A ".0.0.0\xC0\x80\"%s", rest);
+    char *logged =
+        g_strdup_printf("\"task\":\"" JOB_A ".0.0.0\\u0000\\\"%s\",", rest);
+    report_running(&f, task, 7);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(f.last_event);
+    CU_ASSERT_PTR_NOT_NULL(strstr(f.last_event, logged));
+    CU_ASSERT(g_str_has_suffix(f.last_event, "\""));
+    fixture_tick(&f, f.now_ms + 30);
+    const struct recorded_command *stop = fixture_last(&f, COMMAND_STOP);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(stop);
+    CU_ASSERT_STRING_EQUAL(stop->task, task);
+    g_free(rest);
+    g_free(task);
+    g_free(logged);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -182,6 +209,7 @@
          test_task_waits_for_its_stray},
         {"a new job waits for stops of the previous leader",
          test_new_job_waits_for_inherited_stops},
+        {"a stray is named whole", test_stray_is_named_whole},
     };
     return suite_main("jobs strays", tests, sizeof(tests) / sizeof(tests[0]));
 }
