Take only the exact name of a task for the task

A backend server that reported a run of ID.0.0.00, ID.0.0.+0 or a number that wraps around at 32 bits was taken to run ID.0.0.0: the run was adopted, counted as the task, and would have been stopped under a name that the backend server does not have.

Cause: strtoul() reads more than the numbers that names are written with.

Evidence: jobs-strays, a task by another spelling is a stray, fails before (no stop is sent).

Change: numbers of task names have digits only, no leading zero and 32 bits; any other name is that of a stray, which is stopped under the name reported.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -18,6 +18,21 @@
     STOP_MARGIN_MS = 100,
 };
 
+/* Reads a number as task names have it, without sign, spaces or leading zeros,
+ * and returns its end; NULL if there is none. */
+static const char *
+parse_number(const char *text, uint32_t *number)
+{
+    char *end = NULL;
+    guint64 value = g_ascii_strtoull(text, &end, 10);
+    if (!g_ascii_isdigit(text[0]) || value > UINT32_MAX ||
+        (text[0] == '0' && end != text + 1)) {
+        return NULL;
+    }
+    *number = (uint32_t)value;
+    return end;
+}
+
 static bool
 parse_task_name(const char *text, struct task_name *name)
 {
@@ -32,12 +47,10 @@
         if (*dot != '.') {
             return false;
         }
-        char *end = NULL;
-        *parts[i] = (uint32_t)strtoul(dot + 1, &end, 10);
-        if (end == dot + 1) {
+        dot = parse_number(dot + 1, parts[i]);
+        if (dot == NULL) {
             return false;
         }
-        dot = end;
     }
     return *dot == '\0';
 }
--- a/tests/jobs/strays_test.c
+++ b/tests/jobs/strays_test.c
@@ -195,6 +195,30 @@
     fixture_clear(&f);
 }
 
+/* Guards against a run of a task whose name differs from a known one only in
+ * how its numbers are written: the run of the known one would be told to stop
+ * under a name that its backend server doesn't have. */
+static void
+test_other_spelling_is_a_stray(void)
+{
+    static const char *const others[] = {
+        JOB_A ".0.0.00", JOB_A ".0.0.+0",         JOB_A ".0. 0.0",
+        JOB_A ".0.-0.0", JOB_A ".4294967296.0.0",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        struct fleet_fixture f;
+        fixture_init(&f, 1);
+        fixture_add_backend(&f, "b1", "p", "m1");
+        fixture_add_job(&f, JOB_A, "p", half_task);
+        report_running(&f, others[i], 7);
+        fixture_tick(&f, f.now_ms + 30);
+        const struct recorded_command *stop = fixture_last(&f, COMMAND_STOP);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(stop);
+        CU_ASSERT_STRING_EQUAL(stop->task, others[i]);
+        fixture_clear(&f);
+    }
+}
+
 int
 main(void)
 {
@@ -210,6 +234,8 @@
         {"a new job waits for stops of the previous leader",
          test_new_job_waits_for_inherited_stops},
         {"a stray is named whole", test_stray_is_named_whole},
+        {"a task by another spelling is a stray",
+         test_other_spelling_is_a_stray},
     };
     return suite_main("jobs strays", tests, sizeof(tests) / sizeof(tests[0]));
 }
