Pass the operator's records on to peers whole

A process that can't reach the store reads the operator's records from a peer. It got a value that holds a NUL cut off there, and one value that is not UTF-8 (of whatever record under op/) made the answer no JSON, so that none of the records arrived, the order to take a data centre out of service among them.

Cause: values of any bytes were written as C strings into JSON.

Evidence: jobs-texts, the operator's records are passed on whole, fails with the values written as before (2 checks).

An answer that can't be read is logged with its position.

--- a/egretjobd/config_feed.c
+++ b/egretjobd/config_feed.c
@@ -6,11 +6,11 @@
 #include "common/text.h"
 #include "egretjobd/frontend.h"
 #include "egretjobd/leader.h"
+#include "egretjobd/operator_records.h"
 #include "egretjobd/peers.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
 #include "platform/decode.h"
-#include "platform/json_text.h"
 
 enum {
     /* How long a watch waits for a change. Each answer confirms that the
@@ -196,33 +196,21 @@
     if (reply->status != 200) {
         return;
     }
-    json_t *body = json_document_read(reply->body, reply->body_bytes, NULL);
-    int64_t age_ms = json_int_get(body, "age_ms", -1);
-    int64_t as_of = json_int_get(body, "as_of", 0);
-    if (age_ms >= 0 && as_of >= feed->as_of) {
-        g_ptr_array_set_size(feed->next_items, 0);
-        const json_t *rows = json_object_get(body, "items");
-        const json_t *row;
-        size_t index;
-        json_array_foreach(rows, index, row)
-        {
-            const char *value = json_text_get(row, "value");
-            const char *key = json_text_get(row, "key");
-            if (key == NULL || value == NULL) {
-                continue;
-            }
-            struct kv_item item = {
-                .key = (char *)key,
-                .value = (char *)value,
-                .value_bytes = strlen(value),
-                .revision = json_int_get(row, "revision", 0),
-            };
-            g_ptr_array_add(feed->next_items, kv_item_copy(&item));
-        }
-        apply_items(feed, as_of, feed->peer_requested_ms - age_ms);
+    int64_t age_ms = 0;
+    int64_t as_of = 0;
+    char *error = NULL;
+    g_ptr_array_set_size(feed->next_items, 0);
+    if (!operator_records_decode(reply->body, reply->body_bytes,
+                                 feed->next_items, &age_ms, &as_of, &error)) {
+        event_log("peer_records_unreadable", "\"why\":%s", text_quote(error));
+        g_free(error);
+        return;
+    }
+    bool current = as_of >= feed->as_of;
+    apply_items(feed, as_of, feed->peer_requested_ms - age_ms);
+    if (current) {
         feed->watch_after = 0;
     }
-    json_decref(body);
 }
 
 static void
@@ -468,22 +456,6 @@
     if (!config_feed_fresh(feed)) {
         return NULL;
     }
-    GString *text = g_string_new(NULL);
-    g_string_append_printf(text,
-                           "{\"age_ms\":%" G_GINT64_FORMAT
-                           ",\"as_of\":%" G_GINT64_FORMAT ",\"items\":[",
-                           node_now(feed->node) - feed->confirmed_ms,
-                           feed->as_of);
-    for (guint i = 0; i < feed->items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(feed->items, i);
-        g_string_append(text, i == 0 ? "{\"key\":" : ",{\"key\":");
-        text_add_json(text, item->key);
-        g_string_append_printf(
-            text,
-            ",\"revision\":%" G_GINT64_FORMAT ",\"value\":", item->revision);
-        text_add_json(text, item->value);
-        g_string_append_c(text, '}');
-    }
-    g_string_append(text, "]}");
-    return g_string_free(text, FALSE);
+    return operator_records_encode(
+        feed->items, node_now(feed->node) - feed->confirmed_ms, feed->as_of);
 }
--- a/tests/jobs/text_test.c
+++ b/tests/jobs/text_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "../suite.h"
+#include "egretjobd/operator_records.h"
 #include "egretjobd/records.h"
 #include "net/http_server.h"
 #include "platform/advice_api.h"
@@ -738,6 +739,60 @@
     g_free(kept.ticket);
 }
 
+/* Guards against records that reach a process without the store's answers cut
+ * off at a NUL, and against one that makes all of them unreadable. */
+static void
+test_operator_records_are_passed_on_whole(void)
+{
+    static const struct {
+        const char *key;
+        const char *value;
+        size_t bytes;
+    } records[] = {
+        {"op/config", "{\"version\":1}", 13},
+        {"op/evacuate/a", "{}\0rest", 7},
+        {"op/evacuate/a\xC0\x80z", "", 0},
+        {"op/evacuate/b", "\xFF\xFE", 2},
+        {"op/evacuate/\"\\\n", "\xC0\x80", 2},
+    };
+    GPtrArray *sent = g_ptr_array_new_with_free_func(kv_item_destroy);
+    for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+        struct kv_item item = {
+            .key = (char *)records[i].key,
+            .value = (char *)records[i].value,
+            .value_bytes = records[i].bytes,
+            .revision = (int64_t)i + 1,
+        };
+        g_ptr_array_add(sent, kv_item_copy(&item));
+    }
+    char *text = operator_records_encode(sent, 5, 9);
+    CU_ASSERT(g_utf8_validate(text, -1, NULL));
+    GPtrArray *read = g_ptr_array_new_with_free_func(kv_item_destroy);
+    int64_t age_ms = 0;
+    int64_t as_of = 0;
+    char *error = NULL;
+    CU_ASSERT_FATAL(operator_records_decode(text, strlen(text), read, &age_ms,
+                                            &as_of, &error));
+    CU_ASSERT_EQUAL(age_ms, 5);
+    CU_ASSERT_EQUAL(as_of, 9);
+    CU_ASSERT_EQUAL_FATAL(read->len, G_N_ELEMENTS(records));
+    for (guint i = 0; i < read->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(read, i);
+        CU_ASSERT_STRING_EQUAL(item->key, records[i].key);
+        CU_ASSERT_EQUAL_FATAL(item->value_bytes, records[i].bytes);
+        CU_ASSERT_EQUAL(
+            memcmp(item->value, records[i].value, item->value_bytes), 0);
+    }
+    static const char broken[] = "{\"age_ms\":1,\"items\":[\"\xFF\"]}";
+    CU_ASSERT_FALSE(operator_records_decode(broken, strlen(broken), read,
+                                            &age_ms, &as_of, &error));
+    CU_ASSERT_PTR_NOT_NULL(error);
+    g_free(error);
+    g_free(text);
+    g_ptr_array_unref(sent);
+    g_ptr_array_unref(read);
+}
+
 int
 main(void)
 {
@@ -762,6 +817,8 @@
          test_store_keys_and_values_are_whole},
         {"the host list is whole", test_host_list_is_whole},
         {"a ticket is told back whole", test_ticket_is_told_back_whole},
+        {"the operator's records are passed on whole",
+         test_operator_records_are_passed_on_whole},
     };
     return suite_main("texts", tests, G_N_ELEMENTS(tests));
 }
