Carry names of queues and accounts to the leader whole

A job whose queue, pool or client account has a name with a line break, or with a space at its ends, was stored by the leader without that name, or without the space, if another process had accepted it: the job then belonged to no queue, or to another account.

Cause: names go in headers of the call to the leader. libevent drops a header with a line break, and a header loses white space at its ends.

Change: names are percent-encoded; printable characters other than the space stay, so that processes of two versions understand each other's usual names.

--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -26,11 +26,6 @@
 #define PATH_CANCEL "/cancel"
 #define PATH_WAITING "/waiting"
 #define PATH_OPERATOR_RECORDS "/orders"
-#define HEADER_JOB "Egret-Job"
-#define HEADER_QUEUE "Egret-Queue"
-#define HEADER_POOL "Egret-Pool"
-#define HEADER_TEAM "Egret-Team"
-#define HEADER_ATTEMPTS "Egret-Attempts"
 #define HEADER_RETRY_AFTER_MS "Egret-Retry-After-Ms"
 
 static const char *const paths[] = {
@@ -85,13 +80,6 @@
     http_exchange_reply(exchange, answer->status, answer->body);
 }
 
-static const char *
-header_or_empty(const struct http_exchange *exchange, const char *name)
-{
-    const char *value = http_exchange_header(exchange, name);
-    return value == NULL ? "" : value;
-}
-
 static void
 serve_operator_records(struct peers *peers, struct http_exchange *exchange)
 {
@@ -143,6 +131,24 @@
     http_client_send(relayed->client, &call);
 }
 
+static void
+serve_call(struct peers *peers, struct http_exchange *exchange,
+           enum job_call_kind kind)
+{
+    struct job_call call = {.kind = kind};
+    struct job_call_headers headers;
+    if (!job_call_headers_read(&headers, exchange, &call)) {
+        http_exchange_reply(exchange, 400, NULL);
+    }
+    else {
+        call.body = http_exchange_body(exchange, &call.body_bytes);
+        leader_handle_call(
+            peers->node->leader, &call,
+            (struct job_reply){.call = on_answer, .ctx = exchange});
+    }
+    job_call_headers_clear(&headers);
+}
+
 static void
 on_request(void *ctx, struct http_exchange *exchange)
 {
@@ -156,21 +162,9 @@
         serve_operator_records(peers, exchange);
         return;
     }
-    struct job_call call = {
-        .id = header_or_empty(exchange, HEADER_JOB),
-        .queue = header_or_empty(exchange, HEADER_QUEUE),
-        .pool = header_or_empty(exchange, HEADER_POOL),
-        .team = header_or_empty(exchange, HEADER_TEAM),
-        .attempts = (uint32_t)strtoul(
-            header_or_empty(exchange, HEADER_ATTEMPTS), NULL, 10),
-    };
-    call.body = http_exchange_body(exchange, &call.body_bytes);
     for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
         if (strcmp(path, paths[i]) == 0) {
-            call.kind = (enum job_call_kind)i;
-            leader_handle_call(
-                peers->node->leader, &call,
-                (struct job_reply){.call = on_answer, .ctx = exchange});
+            serve_call(peers, exchange, (enum job_call_kind)i);
             return;
         }
     }
@@ -246,28 +240,21 @@
 peers_call(struct peers *peers, const char *address,
            const struct job_call *call, struct job_reply reply)
 {
-    char attempts[16];
-    g_snprintf(attempts, sizeof(attempts), "%u", call->attempts);
-    struct http_header headers[] = {
-        {.name = HEADER_JOB, .value = call->id},
-        {.name = HEADER_QUEUE, .value = call->queue},
-        {.name = HEADER_POOL, .value = call->pool},
-        {.name = HEADER_TEAM, .value = call->team},
-        {.name = HEADER_ATTEMPTS, .value = attempts},
-        {0},
-    };
+    struct job_call_headers headers;
+    job_call_headers_init(&headers, call);
     struct forwarded_call *forwarded = g_new0(struct forwarded_call, 1);
     forwarded->reply = reply;
     struct http_call http = {
         .method = "POST",
         .path = paths[call->kind],
-        .headers = headers,
+        .headers = headers.list,
         .body = call->body_bytes == 0 ? "" : call->body,
         .body_bytes = call->body_bytes,
         .done = on_reply,
         .ctx = forwarded,
     };
     http_client_send(client_of(peers, address), &http);
+    job_call_headers_clear(&headers);
 }
 
 void
--- a/include/egretjobd/job_call.h
+++ b/include/egretjobd/job_call.h
@@ -6,6 +6,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "net/http_client.h"
+
+struct http_exchange;
+
 /** enum job_call_kind - operation that a caller requests */
 enum job_call_kind {
     JOB_CALL_SUBMIT,
@@ -56,6 +60,42 @@
     int64_t retry_after_ms;
 };
 
+/** enum job_call_header - headers that carry a call to a peer */
+enum job_call_header {
+    JOB_CALL_HEADER_ID,
+    JOB_CALL_HEADER_QUEUE,
+    JOB_CALL_HEADER_POOL,
+    JOB_CALL_HEADER_TEAM,
+    JOB_CALL_HEADER_ATTEMPTS,
+    JOB_CALL_HEADER_COUNT,
+};
+
+/**
+ * struct job_call_headers - the headers of one call
+ * @values: their values; the call that was read from them refers to them
+ * @list: the headers to send, as struct http_call takes them
+ */
+struct job_call_headers {
+    char *values[JOB_CALL_HEADER_COUNT];
+    struct http_header list[JOB_CALL_HEADER_COUNT + 1];
+};
+
+/** job_call_headers_init() - headers of @call; names are percent-encoded, as
+ * a header holds no line breaks and loses spaces at its ends. */
+void
+job_call_headers_init(struct job_call_headers *headers,
+                      const struct job_call *call);
+
+/** job_call_headers_read() - all of @call but its kind and body; false if they
+ * aren't headers of a call. Clear @headers in either case. */
+bool
+job_call_headers_read(struct job_call_headers *headers,
+                      const struct http_exchange *exchange,
+                      struct job_call *call);
+
+void
+job_call_headers_clear(struct job_call_headers *headers);
+
 /** struct job_reply - callback that receives the answer; called once */
 struct job_reply {
     void (*call)(void *ctx, const struct job_answer *answer);
--- a/tests/jobs/text_test.c
+++ b/tests/jobs/text_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "../suite.h"
+#include "egretjobd/job_call.h"
 #include "egretjobd/operator_records.h"
 #include "egretjobd/records.h"
 #include "net/http_server.h"
@@ -793,6 +794,91 @@
     g_ptr_array_unref(read);
 }
 
+/* Names that a header does not carry as they are. */
+static const char *const odd_names[] = {
+    "permit notice",
+    " leading",
+    "trailing ",
+    "two\r\nlines",
+    "a\nb",
+    "a\xC0\x80z",
+    "100%",
+    "%00",
+    "\xC3\xA9\xF0\x9F\x9A\x80",
+    "\t",
+    "",
+    "q!\"#$&'()*",
+    "\x01",
+};
+
+static void
+serve_call(void *ctx, struct http_exchange *exchange)
+{
+    size_t *served = ctx;
+    const char *name = odd_names[*served];
+    struct job_call call = {0};
+    struct job_call_headers headers;
+    CU_ASSERT_FATAL(job_call_headers_read(&headers, exchange, &call));
+    CU_ASSERT_STRING_EQUAL(call.id, JOB_ID);
+    CU_ASSERT_STRING_EQUAL(call.queue, name);
+    CU_ASSERT_STRING_EQUAL(call.pool, name);
+    CU_ASSERT_STRING_EQUAL(call.team, name);
+    CU_ASSERT_EQUAL(call.attempts, 3);
+    job_call_headers_clear(&headers);
+    (*served)++;
+    http_exchange_reply(exchange, 200, NULL);
+}
+
+static void
+count_reply(void *ctx, const struct http_reply *reply)
+{
+    size_t *replies = ctx;
+    CU_ASSERT_EQUAL(reply->status, 200);
+    (*replies)++;
+}
+
+/* Guards against a job that the leader stores for another queue or account
+ * than the one whose caller sent it, since a header has lost its name. */
+static void
+test_names_reach_the_leader_whole(void)
+{
+    struct event_base *base = event_base_new();
+    size_t served = 0;
+    struct http_server *server =
+        http_server_create(base, SERVER_ADDRESS, serve_call, &served);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+    struct http_client *client =
+        http_client_create(base, SERVER_ADDRESS, KV_TIMEOUT_MS);
+    size_t replies = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_names); i++) {
+        struct job_call_headers headers;
+        job_call_headers_init(&headers, &(struct job_call){
+                                            .id = JOB_ID,
+                                            .queue = odd_names[i],
+                                            .pool = odd_names[i],
+                                            .team = odd_names[i],
+                                            .attempts = 3,
+                                        });
+        http_client_send(client, &(struct http_call){
+                                     .method = "POST",
+                                     .path = "/submit",
+                                     .headers = headers.list,
+                                     .done = count_reply,
+                                     .ctx = &replies,
+                                 });
+        job_call_headers_clear(&headers);
+    }
+    for (int i = 0; i < POLLS_MAX && replies < G_N_ELEMENTS(odd_names); i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        g_usleep(POLL_US);
+    }
+    CU_ASSERT_EQUAL(replies, G_N_ELEMENTS(odd_names));
+    http_client_destroy(client);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    http_server_destroy(server);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
@@ -819,6 +905,7 @@
         {"a ticket is told back whole", test_ticket_is_told_back_whole},
         {"the operator's records are passed on whole",
          test_operator_records_are_passed_on_whole},
+        {"names reach the leader whole", test_names_reach_the_leader_whole},
     };
     return suite_main("texts", tests, G_N_ELEMENTS(tests));
 }
