Keep a host's name whole in the records of commands and waves

The next leader read a host named "rack 1 host 2" from the records of its predecessor as four others: it counted no command about the real one, and took its maintenance for not begun.

Cause: names of hosts, which come from the host list, were joined by spaces as they are.

Change: text_list_add() percent-encodes spaces, what is not printable and the percent sign; lists of earlier versions are read as before.

--- a/common/text.c
+++ b/common/text.c
@@ -130,3 +130,29 @@
     text_add_json(*buffer, text == NULL ? "" : text);
     return (*buffer)->str;
 }
+
+void
+text_list_add(GString *list, const char *name)
+{
+    char *escaped = text_uri_escape(name, TEXT_URI_PRINTABLE);
+    g_string_append_printf(list, "%s%s", list->len > 0 ? " " : "", escaped);
+    g_free(escaped);
+}
+
+char **
+text_list_read(const char *list)
+{
+    char **parts = g_strsplit(list == NULL ? "" : list, " ", 0);
+    GPtrArray *names = g_ptr_array_new();
+    for (char **part = parts; *part != NULL; part++) {
+        if ((*part)[0] == '\0') {
+            continue;
+        }
+        char *name = text_uri_unescape(*part);
+        /* Earlier versions wrote names as they are. */
+        g_ptr_array_add(names, name == NULL ? g_strdup(*part) : name);
+    }
+    g_strfreev(parts);
+    g_ptr_array_add(names, NULL);
+    return (char **)g_ptr_array_free(names, FALSE);
+}
--- a/core/jobs/wave_plan.c
+++ b/core/jobs/wave_plan.c
@@ -81,8 +81,7 @@
     for (guint i = 0; wave != NULL && i < wave->hosts->len; i++) {
         const char *host = g_ptr_array_index(wave->hosts, i);
         if (g_hash_table_contains(wave->started, host)) {
-            g_string_append_printf(text, "%s%s", text->len > 0 ? " " : "",
-                                   host);
+            text_list_add(text, host);
         }
     }
     return g_string_free(text, FALSE);
--- a/egretjobd/job_call.c
+++ b/egretjobd/job_call.c
@@ -7,9 +7,6 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 
-/* What stands for itself in a header, apart from unreserved characters. */
-#define HEADER_CHARACTERS "!\"#$&'()*+,/:;<=>?@[\\]^`{|}"
-
 static const char *const names[JOB_CALL_HEADER_COUNT] = {
     [JOB_CALL_HEADER_ID] = "Egret-Job",
     [JOB_CALL_HEADER_QUEUE] = "Egret-Queue",
@@ -23,13 +20,13 @@
                       const struct job_call *call)
 {
     headers->values[JOB_CALL_HEADER_ID] =
-        text_uri_escape(call->id, HEADER_CHARACTERS);
+        text_uri_escape(call->id, TEXT_URI_PRINTABLE);
     headers->values[JOB_CALL_HEADER_QUEUE] =
-        text_uri_escape(call->queue, HEADER_CHARACTERS);
+        text_uri_escape(call->queue, TEXT_URI_PRINTABLE);
     headers->values[JOB_CALL_HEADER_POOL] =
-        text_uri_escape(call->pool, HEADER_CHARACTERS);
+        text_uri_escape(call->pool, TEXT_URI_PRINTABLE);
     headers->values[JOB_CALL_HEADER_TEAM] =
-        text_uri_escape(call->team, HEADER_CHARACTERS);
+        text_uri_escape(call->team, TEXT_URI_PRINTABLE);
     headers->values[JOB_CALL_HEADER_ATTEMPTS] =
         g_strdup_printf("%u", call->attempts);
     for (size_t i = 0; i < JOB_CALL_HEADER_COUNT; i++) {
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -126,12 +126,10 @@
                  const struct kv_item *item)
 {
     leader_set_wave_revision(leader, number, item->revision);
-    char **hosts = g_strsplit(item->value == NULL ? "" : item->value, " ", 0);
+    char **hosts = text_list_read(item->value);
     for (char **host = hosts; *host != NULL; host++) {
-        if ((*host)[0] != '\0') {
-            scheduler_wave_host_started(
-                leader->sched, g_ascii_strtoll(number, NULL, 10), *host);
-        }
+        scheduler_wave_host_started(leader->sched,
+                                    g_ascii_strtoll(number, NULL, 10), *host);
     }
     g_strfreev(hosts);
 }
--- a/egretjobd/recent_hosts.c
+++ b/egretjobd/recent_hosts.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "common/text.h"
+
 /** struct recent_hosts - host to the time until which it counts */
 struct recent_hosts {
     GHashTable *until_ms;
@@ -38,12 +40,10 @@
                      int64_t until_ms,
                      void (*each)(void *ctx, const char *host), void *ctx)
 {
-    char **hosts = g_strsplit(record, " ", 0);
+    char **hosts = text_list_read(record);
     for (char **host = hosts; *host != NULL; host++) {
-        if ((*host)[0] != '\0') {
-            recent_hosts_add(recent, *host, until_ms);
-            each(ctx, *host);
-        }
+        recent_hosts_add(recent, *host, until_ms);
+        each(ctx, *host);
     }
     g_strfreev(hosts);
 }
@@ -61,8 +61,7 @@
             g_hash_table_iter_remove(&iter);
             continue;
         }
-        g_string_append_printf(text, "%s%s", text->len > 0 ? " " : "",
-                               (const char *)host);
+        text_list_add(text, host);
     }
     return g_string_free(text, FALSE);
 }
--- a/include/common/text.h
+++ b/include/common/text.h
@@ -37,6 +37,9 @@
 const char *
 text_quote(const char *text);
 
+/* Printable ASCII but the space and '%', for text_uri_escape(). */
+#define TEXT_URI_PRINTABLE "!\"#$&'()*+,/:;<=>?@[\\]^`{|}"
+
 /** text_uri_escape() - @text percent-encoded, apart from unreserved characters
  * and those in @allowed; g_free(). */
 char *
@@ -47,4 +50,13 @@
 char *
 text_uri_unescape(const char *escaped);
 
+/** text_list_add() - append @name to @list, in which spaces separate names. */
+void
+text_list_add(GString *list, const char *name);
+
+/** text_list_read() - names of a list that text_list_add() made, which may be
+ * NULL; g_strfreev(). */
+char **
+text_list_read(const char *list);
+
 #endif
