Refuse settings whose texts can't be used whole, and match whole headers

A process started with a listen address of "10.1.0.23:8340", U+0000 and more behind it, and used the part before; likewise names and the addresses of the store, of the host API and of the advice service. The error of settings that can't be read named no position.

A Host header of more than 1,023 bytes was compared with the host of a queue by its first 1,023.

Cause: C strings of cJSON, lenient parsing of ports, and a fixed buffer.

Evidence: jobs-settings, texts with U+0000, fails before. The header was found by reading; it needs a queue whose host has 1,023 bytes, and has no test.

Change: addresses are ip:port or refused with their place, names have no control characters; the path and the Host header are copied whole.

--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -18,7 +18,6 @@
 #include "platform/ingress.h"
 
 enum {
-    PATH_BYTES_MAX = 1024,
     METRICS_BYTES = 2048,
 };
 
@@ -181,26 +180,21 @@
     return text[JOB_ID_CHARS] == '\0';
 }
 
-/* Copies the path without its query; false if it is too long. */
-static bool
-copy_path(const char *uri, char *path)
+/* The path without its query; g_free(). */
+static char *
+copy_path(const struct http_exchange *exchange)
 {
-    size_t bytes = strcspn(uri, "?");
-    if (bytes >= PATH_BYTES_MAX) {
-        return false;
-    }
-    memcpy(path, uri, bytes);
-    path[bytes] = '\0';
-    return true;
+    const char *uri = http_exchange_path(exchange);
+    return g_strndup(uri, strcspn(uri, "?"));
 }
 
-/* Copies the Host header without its port. */
-static void
-copy_host(const struct http_exchange *exchange, char *host)
+/* The Host header without its port; g_free(). */
+static char *
+copy_host(const struct http_exchange *exchange)
 {
     const char *value = http_exchange_header(exchange, "Host");
-    g_strlcpy(host, value == NULL ? "" : value, PATH_BYTES_MAX);
-    host[strcspn(host, ":")] = '\0';
+    return value == NULL ? g_strdup("")
+                         : g_strndup(value, strcspn(value, ":"));
 }
 
 static bool
@@ -287,30 +281,12 @@
     request_dispatch(request);
 }
 
+/* @rest: what follows the prefix of @queue in the path */
 static void
-on_caller(void *ctx, struct http_exchange *exchange)
+serve_queue(struct frontend *frontend, struct http_exchange *exchange,
+            const struct fleet_config *config,
+            const struct queue_config *queue, const char *rest)
 {
-    struct frontend *frontend = ctx;
-    frontend->counters.requests++;
-    if (!config_feed_fresh(frontend->node->feed)) {
-        refuse(frontend, exchange, 503,
-               "configuration not confirmed recently");
-        return;
-    }
-    const struct fleet_config *config =
-        config_feed_current(frontend->node->feed);
-    char path[PATH_BYTES_MAX];
-    char host[PATH_BYTES_MAX];
-    copy_host(exchange, host);
-    const struct queue_config *queue =
-        copy_path(http_exchange_path(exchange), path)
-            ? fleet_config_match(config, host, path)
-            : NULL;
-    if (queue == NULL) {
-        frontend->counters.not_found++;
-        http_exchange_reply(exchange, 404, NULL);
-        return;
-    }
     const char *key = http_exchange_header(exchange, PLATFORM_KEY_HEADER);
     const struct team_config *team =
         key == NULL ? NULL : fleet_config_key_owner(config, key);
@@ -319,7 +295,6 @@
         http_exchange_reply(exchange, 401, NULL);
         return;
     }
-    const char *rest = path + strlen(queue->prefix);
     enum job_call_kind kind;
     if (!find_call_kind(http_exchange_method(exchange), rest, &kind) ||
         (kind != JOB_CALL_QUEUE_LENGTH && !is_job_id(rest))) {
@@ -335,6 +310,33 @@
                   team == NULL ? "" : team->name, rest);
 }
 
+static void
+on_caller(void *ctx, struct http_exchange *exchange)
+{
+    struct frontend *frontend = ctx;
+    frontend->counters.requests++;
+    if (!config_feed_fresh(frontend->node->feed)) {
+        refuse(frontend, exchange, 503,
+               "configuration not confirmed recently");
+        return;
+    }
+    const struct fleet_config *config =
+        config_feed_current(frontend->node->feed);
+    char *path = copy_path(exchange);
+    char *host = copy_host(exchange);
+    const struct queue_config *queue = fleet_config_match(config, host, path);
+    if (queue == NULL) {
+        frontend->counters.not_found++;
+        http_exchange_reply(exchange, 404, NULL);
+    }
+    else {
+        serve_queue(frontend, exchange, config, queue,
+                    path + strlen(queue->prefix));
+    }
+    g_free(path);
+    g_free(host);
+}
+
 static void
 on_health(void *ctx, struct http_exchange *exchange)
 {
--- a/tests/jobs/settings_test.c
+++ b/tests/jobs/settings_test.c
@@ -6,18 +6,11 @@
 #include "../suite.h"
 #include "platform/job_settings.h"
 
-/* The settings with these parts; true if they are accepted. Otherwise
- * @place is where the only finding is. */
+/* The settings @text; true if they are accepted. Otherwise @place is where the
+ * only finding is. */
 static bool
-accepted(const char *port, const char *store, const char *hosts,
-         const char *place)
+text_accepted(const char *text, const char *place)
 {
-    char *text = g_strdup_printf(
-        "{\"node_name\":\"n\",\"zone\":\"dc\",\"ip\":\"127.0.0.1\","
-        "\"internal_ports\":[%s],\"listen\":{\"front\":\"127.0.0.1:1\","
-        "\"ready\":\"127.0.0.1:2\"},\"platform\":{\"address\":\"%s\"},"
-        "\"cloud\":{\"address\":\"%s\"}}",
-        port, store, hosts);
     char *path = NULL;
     int file = g_file_open_tmp("settings-XXXXXX", &path, NULL);
     CU_ASSERT_FATAL(file >= 0);
@@ -34,10 +27,54 @@
     findings_destroy(findings);
     g_remove(path);
     g_free(path);
+    return read;
+}
+
+static bool
+accepted(const char *port, const char *store, const char *hosts,
+         const char *place)
+{
+    char *text = g_strdup_printf(
+        "{\"node_name\":\"n\",\"zone\":\"dc\",\"ip\":\"127.0.0.1\","
+        "\"internal_ports\":[%s],\"listen\":{\"front\":\"127.0.0.1:1\","
+        "\"ready\":\"127.0.0.1:2\"},\"platform\":{\"address\":\"%s\"},"
+        "\"cloud\":{\"address\":\"%s\"}}",
+        port, store, hosts);
+    bool read = text_accepted(text, place);
     g_free(text);
     return read;
 }
 
+/* Guards against settings of which only the part before U+0000 is used. */
+static void
+test_texts_with_nul(void)
+{
+    static const char *const places[] = {
+        "$.node_name", "$.zone",   "$.listen.front",     "$.listen.ready",
+        "$.ip",        "$.advice", "$.platform.address", "$.cloud.address",
+    };
+    for (size_t odd = 0; odd <= G_N_ELEMENTS(places); odd++) {
+        const char *ends[G_N_ELEMENTS(places)];
+        for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+            ends[i] = i == odd ? "\\u0000" : "";
+        }
+        char *text = g_strdup_printf(
+            "{\"node_name\":\"n%s\",\"zone\":\"dc%s\","
+            "\"listen\":{\"front\":\"127.0.0.1:1%s\","
+            "\"ready\":\"127.0.0.1:2%s\"},\"ip\":\"127.0.0.1%s\","
+            "\"internal_ports\":[7000],\"advice\":\"127.0.0.1:3%s\","
+            "\"platform\":{\"address\":\"127.0.0.1:4%s\"},"
+            "\"cloud\":{\"address\":\"127.0.0.1:5%s\"}}",
+            ends[0], ends[1], ends[2], ends[3], ends[4], ends[5], ends[6],
+            ends[7]);
+        bool whole = odd == G_N_ELEMENTS(places);
+        CU_ASSERT_EQUAL(text_accepted(text, whole ? NULL : places[odd]),
+                        whole);
+        g_free(text);
+    }
+    CU_ASSERT_FALSE(text_accepted("{\"node_name\":\"\xFF\"}", "$"));
+}
+
 static void
 test_address_that_is_none(void)
 {
@@ -67,6 +104,7 @@
 main(void)
 {
     static const struct suite_test tests[] = {
+        {"texts with U+0000", test_texts_with_nul},
         {"an address that is none", test_address_that_is_none},
         {"a port out of range", test_port_out_of_range},
     };
