Relay answers whole, and cut nothing in the gateway's log without a mark

A peer's call that another process relays to the store got the answer only up to a NUL, which the rest could have made no JSON. An answer of the store that can't be read was taken for none without a word. In the logs of the gateway, the fleet controller and egretctl, values ended after 198 bytes and lines after 1,024; messages for operators after 255.

Cause: strlen() on a body, and fixed buffers.

The relayed answer was found by reading and has no test.

Change: relayed bodies keep their length; an unreadable answer is logged with its position; lines and quoted values have no limit, bytes that are not printable are written as \xNN; a message that does not fit ends in "[...]".

--- a/common/log.c
+++ b/common/log.c
@@ -8,8 +8,6 @@
 #include <time.h>
 
 enum {
-    LINE_MAX_BYTES = 1024,
-    QUOTE_MAX_BYTES = 200,
     QUOTE_BUFFER_COUNT = 8,
 };
 
@@ -27,16 +25,19 @@
 format_event(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
     (void)layout;
-    static char line[LINE_MAX_BYTES + 128];
+    static GString *line;
     char stamp[32];
     struct tm utc;
     gmtime_r(&event->evt_timestamp.tv_sec, &utc);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-    snprintf(line, sizeof(line), "time=%s.%03ldZ level=%s prog=%s %s\n", stamp,
-             (long)event->evt_timestamp.tv_usec / 1000,
-             log4c_priority_to_string(event->evt_priority),
-             event->evt_category, event->evt_msg);
-    return line;
+    if (line == NULL) {
+        line = g_string_new(NULL);
+    }
+    g_string_printf(line, "time=%s.%03ldZ level=%s prog=%s %s\n", stamp,
+                    (long)event->evt_timestamp.tv_usec / 1000,
+                    log4c_priority_to_string(event->evt_priority),
+                    event->evt_category, event->evt_msg);
+    return line->str;
 }
 
 static const log4c_layout_type_t layout_type = {
@@ -94,30 +95,31 @@
     if (!log_enabled(level)) {
         return;
     }
-    char text[LINE_MAX_BYTES];
-    int used = snprintf(text, sizeof(text), "event=%s ", event);
+    GString *text = g_string_new(NULL);
+    g_string_printf(text, "event=%s ", event);
     va_list args;
     va_start(args, format);
-    vsnprintf(text + used, sizeof(text) - (size_t)used, format, args);
+    g_string_append_vprintf(text, format, args);
     va_end(args);
-    log4c_category_log(category, priorities[level], "%s", text);
+    log4c_category_log(category, priorities[level], "%s", text->str);
+    g_string_free(text, TRUE);
 }
 
 static bool
 is_plain(const char *text)
 {
     for (const char *c = text; *c != '\0'; c++) {
-        if (!g_ascii_isgraph(*c) || *c == '"' || *c == '=') {
+        if (!g_ascii_isgraph(*c) || *c == '"' || *c == '=' || *c == '\\') {
             return false;
         }
     }
-    return text[0] != '\0' && strlen(text) < QUOTE_MAX_BYTES;
+    return text[0] != '\0';
 }
 
 const char *
 log_quote(const char *text)
 {
-    static char buffers[QUOTE_BUFFER_COUNT][QUOTE_MAX_BYTES];
+    static GString *buffers[QUOTE_BUFFER_COUNT];
     static unsigned next;
     if (text == NULL) {
         return "-";
@@ -125,14 +127,23 @@
     if (is_plain(text)) {
         return text;
     }
-    char *out = buffers[next++ % QUOTE_BUFFER_COUNT];
-    size_t used = 0;
-    out[used++] = '"';
-    for (const char *c = text; *c != '\0' && used < QUOTE_MAX_BYTES - 2; c++) {
-        bool safe = g_ascii_isprint(*c) && *c != '"';
-        out[used++] = safe ? *c : '?';
+    GString **out = &buffers[next++ % QUOTE_BUFFER_COUNT];
+    if (*out == NULL) {
+        *out = g_string_new(NULL);
+    }
+    g_string_assign(*out, "\"");
+    for (const char *c = text; *c != '\0'; c++) {
+        if (*c == '"' || *c == '\\') {
+            g_string_append_c(*out, '\\');
+            g_string_append_c(*out, *c);
+        }
+        else if (g_ascii_isprint(*c)) {
+            g_string_append_c(*out, *c);
+        }
+        else {
+            g_string_append_printf(*out, "\\x%02x", (unsigned char)*c);
+        }
     }
-    out[used++] = '"';
-    out[used] = '\0';
-    return out;
+    g_string_append_c(*out, '"');
+    return (*out)->str;
 }
--- a/common/status.c
+++ b/common/status.c
@@ -2,6 +2,10 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
+
+/* Ends a message that is longer than fits. */
+#define CUT_MARK " [...]"
 
 enum status_code
 status_set(struct status *status, enum status_code code, const char *format,
@@ -13,8 +17,13 @@
     va_list args;
     va_start(args, format);
     status->code = code;
-    vsnprintf(status->message, sizeof(status->message), format, args);
+    int bytes =
+        vsnprintf(status->message, sizeof(status->message), format, args);
     va_end(args);
+    if (bytes >= (int)sizeof(status->message)) {
+        memcpy(status->message + sizeof(status->message) - sizeof(CUT_MARK),
+               CUT_MARK, sizeof(CUT_MARK));
+    }
     return code;
 }
 
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -127,7 +127,7 @@
     if (item == NULL || item->deleted || item->value == NULL) {
         return;
     }
-    json_t *value = json_document_read(item->value, item->value_bytes, NULL);
+    json_t *value = json_stored_read(item->value, item->value_bytes, NULL);
     leadership->leader_peer = g_strdup(json_text_get(value, "peer"));
     leadership->leader_node = g_strdup(json_text_get(value, "node"));
     leadership->record_revision = item->revision;
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -92,17 +92,15 @@
 on_relayed(void *ctx, const struct http_reply *reply)
 {
     struct relayed_call *relayed = ctx;
-    char *body = reply->body_bytes == 0
-                     ? NULL
-                     : g_strndup(reply->body, reply->body_bytes);
     /* An unanswered call is reported to the peer by a status code. */
     int status = reply->status;
     if (status == 0) {
         status =
             reply->never_sent ? RELAY_STATUS_NOT_SENT : RELAY_STATUS_NO_ANSWER;
     }
-    http_exchange_reply(relayed->exchange, status, body);
-    g_free(body);
+    http_exchange_reply_bytes(relayed->exchange, status,
+                              reply->body_bytes == 0 ? NULL : reply->body,
+                              reply->body_bytes);
     http_client_destroy(relayed->client);
     g_free(relayed);
 }
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -37,7 +37,8 @@
  * log_quote() - quote a value so that it stays one value in one line
  *
  * Returns: @text if it needs no quotes, else a quoted copy in one of a few
- * static buffers, which later calls reuse.
+ * static buffers, which later calls reuse; bytes that are no printable ASCII
+ * are written as \\xNN.
  */
 const char *
 log_quote(const char *text);
--- a/include/common/status.h
+++ b/include/common/status.h
@@ -35,7 +35,8 @@
 /**
  * struct status - code and message of the last operation
  * @code: what happened
- * @message: one line for an operator; empty when @code is STATUS_OK
+ * @message: one line for an operator; empty when @code is STATUS_OK. One that
+ *           doesn't fit ends in "[...]".
  */
 struct status {
     enum status_code code;
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -73,4 +73,9 @@
 http_exchange_reply(struct http_exchange *exchange, int status,
                     const char *body);
 
+/** http_exchange_reply_bytes() - the same, with a body of @bytes bytes. */
+void
+http_exchange_reply_bytes(struct http_exchange *exchange, int status,
+                          const char *body, size_t bytes);
+
 #endif
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -142,13 +142,21 @@
 void
 http_exchange_reply(struct http_exchange *exchange, int status,
                     const char *body)
+{
+    http_exchange_reply_bytes(exchange, status, body,
+                              body == NULL ? 0 : strlen(body));
+}
+
+void
+http_exchange_reply_bytes(struct http_exchange *exchange, int status,
+                          const char *body, size_t bytes)
 {
     struct http_server *server = exchange->server;
     struct evbuffer *output =
         evhttp_request_get_output_buffer(exchange->request);
     if (body != NULL) {
         http_exchange_add_header(exchange, "Content-Type", "application/json");
-        evbuffer_add(output, body, strlen(body));
+        evbuffer_add(output, body, bytes);
     }
     if (server->keep_alive_disabled) {
         http_exchange_add_header(exchange, "Connection", "close");
