Refuse JSON that json-glib would cut short, with its position

An operator who applied a configuration with a name that holds U+0000 got the part before it in force; so did settings, elements of the host list, and answers of the store and of other gateways. Half of a surrogate pair became bytes that are not UTF-8 and went on like that.

Cause: json-glib hands out C strings, and checks of surrogate escapes only that a pair is in order.

Change: json_load_text() looks at the escapes before json-glib does and names the byte. A line of a log that can't be read for it is printed by egretctl as it stands. json-glib stays: no library that keeps lengths can be linked beside it, and names with U+0000 are of no use to the gateway.

--- a/egretctl/cmd_job.c
+++ b/egretctl/cmd_job.c
@@ -5,6 +5,9 @@
 #include "commands.h"
 #include "common/json_read.h"
 
+/* How a log line begins. */
+#define TIME_MEMBER "{\"t\":"
+
 /* Events of the leader or the store, which concern every unfinished job. */
 static const char *const fleet_events[] = {
     "duty_won",      "duty_lost",    "leader_ready", "orders_suspended",
@@ -60,7 +63,7 @@
 add_timeline_event(GPtrArray *events, const char *log_line, bool about_fleet)
 {
     JsonParser *parser = json_parser_new();
-    JsonNode *root = json_parser_load_from_data(parser, log_line, -1, NULL)
+    JsonNode *root = json_load_text(parser, log_line, strlen(log_line), NULL)
                          ? json_parser_get_root(parser)
                          : NULL;
     if (root != NULL && JSON_NODE_HOLDS_OBJECT(root)) {
@@ -76,6 +79,14 @@
         event->text = g_string_free(text, FALSE);
         g_ptr_array_add(events, event);
     }
+    else if (g_str_has_prefix(log_line, TIME_MEMBER)) {
+        /* A text in it can't be printed; shown as it stands in the log. */
+        struct timeline_event *event = g_new0(struct timeline_event, 1);
+        event->at_ms =
+            g_ascii_strtoll(log_line + strlen(TIME_MEMBER), NULL, 10);
+        event->text = g_strdup(log_line);
+        g_ptr_array_add(events, event);
+    }
     g_object_unref(parser);
 }
 
--- a/egretd/id_querier.c
+++ b/egretd/id_querier.c
@@ -1,5 +1,6 @@
 #include "egretd/id_querier.h"
 
+#include "common/json_read.h"
 #include "common/json_write.h"
 #include "common/request_auth.h"
 
@@ -133,8 +134,7 @@
     gsize size_bytes = 0;
     const char *text =
         body == NULL ? NULL : g_bytes_get_data(body, &size_bytes);
-    if (text == NULL ||
-        !json_parser_load_from_data(parser, text, (gssize)size_bytes, NULL) ||
+    if (text == NULL || !json_load_text(parser, text, size_bytes, NULL) ||
         !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)) ||
         !read_reply(json_node_get_object(json_parser_get_root(parser)),
                     &reply)) {
--- a/egretd/stopper.c
+++ b/egretd/stopper.c
@@ -1,5 +1,7 @@
 #include "egretd/stopper.h"
 
+#include "common/json_read.h"
+
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdbool.h>
@@ -68,7 +70,7 @@
     JsonParser *parser = json_parser_new();
     const char *name = NULL;
     bool known = false;
-    if (json_parser_load_from_data(parser, text, (gssize)size_bytes, NULL) &&
+    if (json_load_text(parser, text, size_bytes, NULL) &&
         JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
         name = json_object_get_string_member_with_default(
             json_node_get_object(json_parser_get_root(parser)), "state", NULL);
--- a/include/common/json_read.h
+++ b/include/common/json_read.h
@@ -22,12 +22,22 @@
     struct findings *findings;
 };
 
+/**
+ * json_load_text() - parse @size_bytes bytes of JSON into @parser
+ *
+ * Unlike json-glib alone, refuses what it would cut short or spoil in silence:
+ * U+0000 within strings and names, and halves of surrogate pairs.
+ */
+bool
+json_load_text(JsonParser *parser, const char *text, size_t size_bytes,
+               GError **error);
+
 /** json_read_file() - parse a file; NULL with a finding on failure. */
 JsonNode *
 json_read_file(const char *file, struct findings *findings);
 
-/** json_read_text() - parse @size_bytes of text; NULL with a finding on
- * failure. */
+/** json_read_text() - parse @size_bytes of text, -1: up to its NUL; NULL with
+ * a finding on failure. */
 JsonNode *
 json_read_text(const char *text, int64_t size_bytes, const char *file,
                struct findings *findings);
--- a/store/host_list_parse.c
+++ b/store/host_list_parse.c
@@ -194,8 +194,7 @@
     char path[24];
     g_snprintf(path, sizeof(path), "$[%u]", number);
     GError *error = NULL;
-    if (!json_parser_load_from_data(parser, text, (gssize)size_bytes,
-                                    &error)) {
+    if (!json_load_text(parser, text, size_bytes, &error)) {
         findings_add(findings, "host list", path, "%s", error->message);
         g_error_free(error);
         return;
--- a/store/store_entries.c
+++ b/store/store_entries.c
@@ -3,6 +3,8 @@
 
 #include "store_internal.h"
 
+#include "common/json_read.h"
+
 static void
 entry_clear(void *data)
 {
@@ -75,8 +77,7 @@
     gsize size = 0;
     const char *text = g_bytes_get_data(body, &size);
     JsonParser *parser = json_parser_new();
-    bool good = size > 0 &&
-                json_parser_load_from_data(parser, text, (gssize)size, NULL);
+    bool good = size > 0 && json_load_text(parser, text, size, NULL);
     JsonNode *root = good ? json_parser_get_root(parser) : NULL;
     good = root != NULL && JSON_NODE_HOLDS_ARRAY(root);
     if (good) {
