--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -264,7 +264,7 @@
 submit_timed_jobs(void)
 {
     char *body = g_strdup_printf(
-        "{\"spec\":\"ms=300\",\"times\":%d,\"interval_ms\":150,"
+        "{\"spec\":\"\\u0000ms=300\\u0000\",\"times\":%d,\"interval_ms\":150,"
         "\"first_ms\":%" G_GINT64_FORMAT
         ",\"steps\":[{\"count\":2,\"cpu\":300,\"mem_mb\":10,"
         "\"estimate_ms\":300},{\"count\":1,\"cpu\":300,\"mem_mb\":10,"
--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -125,24 +125,34 @@
     }
 }
 
-/* Account of the task's job and what the task takes, from the job's record;
- * g_free(). */
-static char *
-account_of(struct emulator *emulator, const char *task, int64_t *need_milli)
+/* Record of the task's job, and the job as its caller sent it; NULL if there
+ * is none. json_decref() */
+static json_t *
+read_record(struct emulator *emulator, const char *task, json_t **body)
 {
     char *key = g_strdup_printf("eg/job/%.16s", task);
     const struct kv_row *row = kv_model_get(&emulator->kv, key);
     g_free(key);
-    *need_milli = 0;
+    *body = NULL;
     if (row == NULL) {
-        return g_strdup("");
+        return NULL;
     }
     gsize bytes = 0;
     char *text = (char *)g_base64_decode(row->value, &bytes);
     json_t *record = json_document_read(text, bytes, NULL);
     g_free(text);
     const char *job = json_text_get(record, "body");
-    json_t *body = json_document_read(job, strlen(job), NULL);
+    *body = job == NULL ? NULL : json_document_read(job, strlen(job), NULL);
+    return record;
+}
+
+/* Account of the task's job and what the task takes, from the job's record;
+ * g_free(). */
+static char *
+account_of(struct emulator *emulator, const char *task, int64_t *need_milli)
+{
+    json_t *body = NULL;
+    json_t *record = read_record(emulator, task, &body);
     int step = 0;
     sscanf(task, "%*[^.].%*d.%d", &step);
     *need_milli = json_int_get(
@@ -153,6 +163,21 @@
     return account == NULL ? g_strdup("") : account;
 }
 
+/* A start tells the spec as the caller sent it. */
+static void
+check_spec(struct emulator *emulator, const char *task, const char *told)
+{
+    json_t *body = NULL;
+    json_t *record = read_record(emulator, task, &body);
+    const char *sent = json_text_get(body, "spec");
+    if ((sent != NULL && g_strcmp0(sent, told) != 0) ||
+        violates(emulator, "spec")) {
+        violation(emulator, "a start with another spec", task);
+    }
+    json_decref(body);
+    json_decref(record);
+}
+
 /* What its client account runs everywhere, reachable or not, may exceed the
  * maximum by a tenth and one task. */
 static void
@@ -302,6 +327,7 @@
     if (started) {
         violate_invariant(host, task);
         check_start(host, task);
+        check_spec(host->emulator, task, json_text_get(body, "spec"));
     }
     char text[96];
     int64_t clock_ms = model_backend_clock(&host->backend, now_ms);
