Take the end of one gang member for all also after a takeover

Callers saw a submission with a gang as running for good, with nothing of it running, after the gang had ended done while the store was away, one of its backend servers had crashed, and another leader had read the other ends.

Cause: only the end of a run that the leader tracks completed the gang; a new leader tracks none, completed the tasks whose ends it read, and places a gang only if all of its tasks wait.

Change: sched_task_done() is the one place that completes a task, and it completes the gang. Records of earlier versions in which a gang is done in part are read as done, so that jobs that are stuck go on.

--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -214,9 +214,9 @@
     }
 }
 
-void
-sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
-                uint32_t step, uint32_t index)
+static void
+task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
+          uint32_t step, uint32_t index)
 {
     if (job_occurrence_finished(job, occurrence)) {
         return;
@@ -244,14 +244,16 @@
     }
 }
 
-/* One gang member that is done means that all members are done. */
-static void
-complete_gang(struct scheduler *sched, struct run *run)
+void
+sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
+                uint32_t step, uint32_t index)
 {
-    uint32_t n_tasks = run_step(run)->task_count;
-    struct job *job = run->job;
-    for (uint32_t t = 0; t < n_tasks; t++) {
-        sched_task_done(sched, job, run->occurrence, run->step, t);
+    if (!job->steps[step].gang) {
+        task_done(sched, job, occurrence, step, index);
+        return;
+    }
+    for (uint32_t t = 0; t < job->steps[step].task_count; t++) {
+        task_done(sched, job, occurrence, step, t);
     }
 }
 
@@ -284,9 +286,6 @@
     uint32_t occurrence = run->occurrence;
     uint32_t step_index = run->step;
     uint32_t index = run->index;
-    if (reason == END_DONE && step->gang) {
-        complete_gang(sched, run);
-    }
     sched_run_free(sched, run);
     if (reason == END_DONE) {
         sched_task_done(sched, job, occurrence, step_index, index);
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -347,8 +347,10 @@
 {
     struct step_progress *progress = job_step_progress(job, occurrence, step);
     uint32_t n_tasks = job->steps[step].task_count;
+    /* Earlier versions stored gangs that were done in part. */
+    bool gang_done = job->steps[step].gang && strchr(task_marks, 'd') != NULL;
     for (uint32_t t = 0; t < n_tasks && task_marks[t] != '\0'; t++) {
-        if (task_marks[t] == 'd' && !progress->tasks[t].done) {
+        if ((gang_done || task_marks[t] == 'd') && !progress->tasks[t].done) {
             progress->tasks[t].done = true;
             progress->done++;
             job->started = true;
