Start all members of a gang from one checkpoint

The members of a gang that starts again were told different checkpoints, each its own last one. The platform's protocol has all of them carry the same, and a gang with different ones need not begin to work.

Cause: a start tells what its task has saved, and tasks of a gang report at different times.

Evidence: jobs-gang, members share a checkpoint, fails before (three of four members have another one than the newest).

Change: before a gang starts, all members take the checkpoint that was reported last; after a takeover, the first that is stored. All starts of a gang are sent at once, so it can't change in between.

--- a/core/jobs/job.c
+++ b/core/jobs/job.c
@@ -181,6 +181,21 @@
     return g_string_free(out, FALSE);
 }
 
+bool
+job_save_checkpoint(struct step_progress *progress, uint32_t index,
+                    const char *saved)
+{
+    struct job_task *task = &progress->tasks[index];
+    if (saved == NULL || saved[0] == '\0' ||
+        g_strcmp0(task->saved, saved) == 0) {
+        return false;
+    }
+    g_free(task->saved);
+    task->saved = g_strdup(saved);
+    progress->newest_saved = index;
+    return true;
+}
+
 bool
 job_task_record_failure(struct job_task *task, uint32_t run_number)
 {
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -5,6 +5,7 @@
  */
 #include "core/jobs/scheduler.h"
 
+#include "core/jobs/gang.h"
 #include "placer.h"
 
 /* A pool at its peak has many waiting jobs and no capacity. Once a task that
@@ -173,6 +174,9 @@
         g_ptr_array_add(runs, run);
     }
     bool complete = runs->len == n_tasks;
+    if (complete) {
+        gang_share_checkpoint(progress, n_tasks);
+    }
     for (guint i = 0; i < runs->len; i++) {
         if (complete) {
             send_start(placer->sched, g_ptr_array_index(runs, i));
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -114,12 +114,9 @@
     }
     run->load_metric = reported->load_metric;
     update_progress(run, reported->percent, report->clock_ms);
-    struct job_task *task = run_task(run);
-    if (reported->saved != NULL && reported->saved[0] != '\0' &&
-        g_strcmp0(task->saved, reported->saved) != 0) {
-        g_free(task->saved);
-        task->saved = g_strdup(reported->saved);
-    }
+    job_save_checkpoint(
+        job_step_progress(run->job, run->occurrence, run->step), run->index,
+        reported->saved);
 }
 
 static void
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -264,21 +264,18 @@
     struct job *job = job_ref(run->job);
     job->started = true;
     struct job_task *task = run_task(run);
-    const struct job_step *step = run_step(run);
     bool was_stopping = run->state == RUN_STOPPING;
-    if (saved != NULL && saved[0] != '\0' &&
-        g_strcmp0(task->saved, saved) != 0) {
-        g_free(task->saved);
-        task->saved = g_strdup(saved);
-        if (job->state == JOB_ACTIVE) {
-            sched_mark_dirty(sched, job);
-        }
+    if (job_save_checkpoint(job_step_progress(job, run->occurrence, run->step),
+                            run->index, saved) &&
+        job->state == JOB_ACTIVE) {
+        sched_mark_dirty(sched, job);
     }
     bool failed = reason == END_FAILED;
     if (failed) {
         record_failure(sched, run);
     }
-    bool job_failed = failed && attempts_exhausted(sched, job, step, task);
+    bool job_failed =
+        failed && attempts_exhausted(sched, job, run_step(run), task);
     if (reason == END_DONE) {
         run->backend->failures = 0;
         run->backend->suspect_until_ms = 0;
--- /dev/null
+++ b/include/core/jobs/gang.h
@@ -0,0 +1,19 @@
+/* What the tasks of a gang have in common: they start together, end together
+ * and go on from one checkpoint. */
+#ifndef CORE_JOBS_GANG_H
+#define CORE_JOBS_GANG_H
+
+#include <stdint.h>
+
+#include "core/jobs/job.h"
+
+/**
+ * gang_share_checkpoint() - let all members go on from the newest checkpoint
+ *
+ * That of any member is valid for the gang, and a run of members with
+ * different ones doesn't begin.
+ */
+void
+gang_share_checkpoint(struct step_progress *progress, uint32_t task_count);
+
+#endif
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -140,11 +140,13 @@
  * struct step_progress - progress of one step of one occurrence
  * @tasks: its tasks
  * @done: tasks that are done
+ * @newest_saved: task whose checkpoint was reported last
  * @advice: which backend servers may run it; NULL: not requested yet
  */
 struct step_progress {
     struct job_task *tasks;
     uint32_t done;
+    uint32_t newest_saved;
     struct step_advice *advice;
 };
 
@@ -421,6 +423,12 @@
 char *
 job_describe(const struct job *job);
 
+/** job_save_checkpoint() - keep @saved as the checkpoint of a task; false if
+ * it is empty, NULL, or the one kept already. */
+bool
+job_save_checkpoint(struct step_progress *progress, uint32_t index,
+                    const char *saved);
+
 /**
  * job_task_record_failure() - count a run that ended as failed; false if it
  * was counted before.
--- a/tests/jobs/gang_test.c
+++ b/tests/jobs/gang_test.c
@@ -117,12 +117,81 @@
     fixture_clear(&f);
 }
 
+/* Run of member @member on the backend server that was told to start it. */
+static const struct run *
+run_of(const struct job *job, uint32_t member)
+{
+    return job_step_progress((struct job *)job, 0, 0)->tasks[member].run;
+}
+
+/* The end of the run that is the @number-th of all members, with checkpoints
+ * of their own, named by @saved and the member: member @failed ends as failed,
+ * the others as broken. */
+static void
+report_failed_run(struct fleet_fixture *f, const struct job *job,
+                  uint32_t number, uint32_t failed, const char *saved)
+{
+    fixture_accept_starts(f);
+    for (uint32_t t = 0; t < MEMBER_COUNT; t++) {
+        const struct run *run = run_of(job, t);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+        char *id = g_strdup(run->backend->entry.id);
+        char *task = g_strdup_printf(JOB_A ".0.0.%u", t);
+        char *checkpoint = g_strdup_printf("%s%u", saved, t);
+        struct run_completion end = {.number = number,
+                                     .task = task,
+                                     .run = run->number,
+                                     .reason =
+                                         t == failed ? END_FAILED : END_BROKEN,
+                                     .saved = checkpoint};
+        fixture_report(f, id, NULL, 0, &end, 1);
+        g_free(id);
+        g_free(task);
+        g_free(checkpoint);
+    }
+}
+
+static void
+pass_until_start(struct fleet_fixture *f, uint32_t starts)
+{
+    int64_t until_ms = f->now_ms + CALM_MS;
+    while (f->now_ms < until_ms &&
+           fixture_count(f, COMMAND_START, NULL) < starts) {
+        fixture_tick(f, f->now_ms + PASS_MS);
+    }
+}
+
+/* Guards against members that start again from different checkpoints, so that
+ * the gang never begins to work. */
+static void
+test_members_share_a_checkpoint(void)
+{
+    struct fleet_fixture f;
+    init_fleet(&f);
+    fixture_reconcile(&f);
+    const struct job *job = fixture_add_job(&f, JOB_A, "p", gang);
+    pass_until_start(&f, MEMBER_COUNT);
+    report_failed_run(&f, job, 1, 0, "s");
+    pass_until_start(&f, 2 * MEMBER_COUNT);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 2 * MEMBER_COUNT);
+    for (uint32_t t = 0; t < MEMBER_COUNT; t++) {
+        /* That of the last report. */
+        CU_ASSERT_EQUAL(
+            g_strcmp0(
+                job_step_progress((struct job *)job, 0, 0)->tasks[t].saved,
+                "s3"),
+            0);
+    }
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
     static const struct suite_test tests[] = {
         {"the end of one member stands for all", test_one_end_stands_for_all},
         {"a record of a gang that is done in part", test_half_done_record},
+        {"members share a checkpoint", test_members_share_a_checkpoint},
     };
     return suite_main("jobs gang", tests, G_N_ELEMENTS(tests));
 }
