Count the failed runs of a gang, not those of each member

A gang of n tasks was started up to n x (attempts - 1) + 1 times if another member failed each time, before its submission was shown as failed.

Cause: failed runs count by task, and only one member of a failed run has one; the others end as broken.

Evidence: jobs-gang, attempts count by gang, under one leader and read by the next; both fail before.

Change: what counts against the attempts of a gang is the number of its runs in which some member failed, also after a takeover, since the numbers of the failed runs of each member are stored.

--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/jobs/gang.h"
 #include "scheduler_state.h"
 
 enum {
@@ -187,13 +188,17 @@
 }
 
 static bool
-attempts_exhausted(const struct scheduler *sched, const struct job *job,
-                   const struct job_step *step, const struct job_task *task)
+attempts_exhausted(struct job *job, uint32_t occurrence, uint32_t step_index,
+                   uint32_t index)
 {
-    (void)sched;
     const struct queue_config *queue = job->refs.queue;
     uint32_t attempts = queue == NULL ? job->attempts : queue->attempts;
-    return !step->long_running && task->failures >= attempts;
+    const struct job_step *step = &job->steps[step_index];
+    const struct step_progress *progress =
+        job_step_progress(job, occurrence, step_index);
+    uint32_t failures = step->gang ? gang_failures(progress, step->task_count)
+                                   : progress->tasks[index].failures;
+    return !step->long_running && failures >= attempts;
 }
 
 void
@@ -209,7 +214,7 @@
         return;
     }
     sched_mark_dirty(sched, job);
-    if (attempts_exhausted(sched, job, &job->steps[step], task)) {
+    if (attempts_exhausted(job, occurrence, step, index)) {
         sched_finish_job(sched, job, JOB_FAILED);
     }
 }
@@ -274,8 +279,8 @@
     if (failed) {
         record_failure(sched, run);
     }
-    bool job_failed =
-        failed && attempts_exhausted(sched, job, run_step(run), task);
+    bool job_failed = failed && attempts_exhausted(job, run->occurrence,
+                                                   run->step, run->index);
     if (reason == END_DONE) {
         run->backend->failures = 0;
         run->backend->suspect_until_ms = 0;
--- a/include/core/jobs/gang.h
+++ b/include/core/jobs/gang.h
@@ -1,5 +1,5 @@
-/* What the tasks of a gang have in common: they start together, end together
- * and go on from one checkpoint. */
+/* What the tasks of a gang have in common: they start together, end together,
+ * fail together and go on from one checkpoint. */
 #ifndef CORE_JOBS_GANG_H
 #define CORE_JOBS_GANG_H
 
@@ -7,6 +7,11 @@
 
 #include "core/jobs/job.h"
 
+/** gang_failures() - how many runs of a gang have failed; one in which several
+ * members failed counts once. */
+uint32_t
+gang_failures(const struct step_progress *progress, uint32_t task_count);
+
 /**
  * gang_share_checkpoint() - let all members go on from the newest checkpoint
  *
--- a/tests/jobs/gang_test.c
+++ b/tests/jobs/gang_test.c
@@ -11,6 +11,8 @@
 
 enum {
     MEMBER_COUNT = 4,
+    /* Of the queues of the fixture. */
+    ATTEMPT_COUNT = 3,
     PASS_MS = 100,
     CALM_MS = 15000,
 };
@@ -185,6 +187,44 @@
     fixture_clear(&f);
 }
 
+/* Guards against a gang that is started up to attempts times per member, since
+ * another member fails each time. */
+static void
+test_attempts_count_by_gang(void)
+{
+    struct fleet_fixture f;
+    init_fleet(&f);
+    fixture_reconcile(&f);
+    struct job *job = fixture_add_job(&f, JOB_A, "p", gang);
+    job_ref(job);
+    for (uint32_t number = 1; number <= ATTEMPT_COUNT; number++) {
+        pass_until_start(&f, number * MEMBER_COUNT);
+        CU_ASSERT_EQUAL_FATAL(job->state, JOB_ACTIVE);
+        report_failed_run(&f, job, number, number % MEMBER_COUNT, "s");
+    }
+    CU_ASSERT_EQUAL(job->state, JOB_FAILED);
+    pass_until_start(&f, (ATTEMPT_COUNT + 1) * MEMBER_COUNT);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL),
+                    ATTEMPT_COUNT * MEMBER_COUNT);
+    job_unref(job);
+    fixture_clear(&f);
+}
+
+/* The same under a leader that reads the failures instead of tracking them. */
+static void
+test_attempts_count_by_gang_untracked(void)
+{
+    struct fleet_fixture f;
+    init_fleet(&f);
+    const struct job *job = inherit_job(&f, NULL);
+    for (uint32_t t = 0; t < ATTEMPT_COUNT; t++) {
+        CU_ASSERT_EQUAL(job->state, JOB_ACTIVE);
+        report_end(&f, t, END_FAILED, t + 1, 1);
+    }
+    CU_ASSERT_EQUAL(job->state, JOB_FAILED);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -192,6 +232,9 @@
         {"the end of one member stands for all", test_one_end_stands_for_all},
         {"a record of a gang that is done in part", test_half_done_record},
         {"members share a checkpoint", test_members_share_a_checkpoint},
+        {"attempts count by gang", test_attempts_count_by_gang},
+        {"attempts count by gang, read by the next leader",
+         test_attempts_count_by_gang_untracked},
     };
     return suite_main("jobs gang", tests, G_N_ELEMENTS(tests));
 }
