Read on at once after a full answer with changes of entries

Cause, from replays with the watch logged: at the peak an answer takes up to 1.5 s and holds 500 changes at most, while 400 a second are made; the leader then paused for 200 ms after each of these as well, and needed 1.6 s more to catch up than the store did.

Change: no pause after an answer that is nearly full. The decision is a pure function, and jobs-entry-watch replays the peak; catches up after a peak fails with the pause.

--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -6,6 +6,7 @@
 
 #include "common/event_log.h"
 #include "common/text.h"
+#include "core/jobs/entry_watch.h"
 #include "egretjobd/leadership.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
@@ -14,9 +15,6 @@
 
 enum {
     LOAD_RETRY_MS = 100,
-    /* Entries of backend servers change often, so changes are read in
-     * batches. */
-    BACKEND_WATCH_GAP_MS = 200,
     BACKEND_WATCH_MS = 1000,
     LOAD_TIMEOUT_MS = 1500,
     WATCH_RETRY_MS = 100,
@@ -333,7 +331,7 @@
         }
         leader->backends_as_of = MAX(leader->backends_as_of, result->as_of);
         leader_schedule_tick(leader);
-        timer_set(leader->watch_timer, BACKEND_WATCH_GAP_MS);
+        timer_set(leader->watch_timer, entry_watch_gap_ms(result->items->len));
         return;
     }
     /* The history was compacted or the connection is unresponsive: read all
