Judge a stalled run by its pace, not after a fixed time

A task of 900 s on a healthy idle backend server was stopped and started again about each 3 s, and never ended without checkpoints; one of 300 s ran.

Cause: a run counted as stalled when reports had shown the same whole percent for 2.5 s.

Change: the bound is four times as long as a percent takes by the estimate, and four times the longest pause after which the run went on, at least 2.5 s; each finding doubles it for its task. stall_bound_ms() is a pure function. The log line of a finding has what the bound rests on.

--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -86,6 +86,7 @@
 {
     if (run->percent != percent || run->percent_clock_ms == 0 ||
         clock_ms < run->percent_clock_ms) {
+        run->longest_pause_ms = MAX(run->longest_pause_ms, run->unchanged_ms);
         run->percent = percent;
         run->percent_clock_ms = clock_ms;
     }
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "core/jobs/gang.h"
+#include "core/jobs/stall.h"
 #include "scheduler_state.h"
 
 enum {
@@ -320,6 +321,13 @@
     }
 }
 
+static int64_t
+stall_bound_of(const struct run *run)
+{
+    return stall_bound_ms(run_step(run)->estimate_ms, run->longest_pause_ms,
+                          run_task(run)->stalls);
+}
+
 /* Whether progress has stopped because of the backend server; a throttled run
  * may stop because of our own command. */
 static bool
@@ -327,7 +335,30 @@
 {
     return run->state == RUN_WORKING && run->percent >= 0 &&
            run->percent < 100 && run->cpu_limit_percent == 100 &&
-           !run->backend->unresponsive && run->unchanged_ms > STALL_TIMEOUT_MS;
+           !run->backend->unresponsive &&
+           run->unchanged_ms > stall_bound_of(run);
+}
+
+/* Starts the task elsewhere. */
+static void
+stop_stalled_run(struct scheduler *sched, struct run *run)
+{
+    struct job_task *task = run_task(run);
+    sched_log_event(
+        sched, "run_stalled",
+        "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\","
+        "\"percent\":%d,\"unchanged_ms\":%" G_GINT64_FORMAT
+        ",\"bound_ms\":%" G_GINT64_FORMAT
+        ",\"longest_pause_ms\":%" G_GINT64_FORMAT ",\"stalls\":%u"
+        ",\"report_age_ms\":%" G_GINT64_FORMAT,
+        run->job->id, run->step, run->index, run->backend->entry.id,
+        run->percent, run->unchanged_ms, stall_bound_of(run),
+        run->longest_pause_ms, task->stalls,
+        sched_now(sched) - run->confirmed_ms);
+    task->stalls++;
+    g_free(task->avoid);
+    task->avoid = g_strdup(run->backend->entry.id);
+    sched_run_stop(sched, run);
 }
 
 /* Counts the first answer to a start command. */
@@ -397,14 +428,7 @@
             }
         }
         else if (run_stalled(run)) {
-            sched_log_event(sched, "run_stalled",
-                            "\"job\":\"%s\",\"step\":%u,\"task\":%u,"
-                            "\"backend\":\"%s\",\"percent\":%d",
-                            run->job->id, run->step, run->index,
-                            run->backend->entry.id, run->percent);
-            g_free(run_task(run)->avoid);
-            run_task(run)->avoid = g_strdup(run->backend->entry.id);
-            sched_run_stop(sched, run);
+            stop_stalled_run(sched, run);
         }
     }
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -45,9 +45,6 @@
     /* Delay before a start that was refused or found no capacity is
      * retried. */
     START_RETRY_MS = 120,
-    /* A run without progress for this long is stopped and started elsewhere; a
-     * report is read at least every REPORT_WAIT_MS. */
-    STALL_TIMEOUT_MS = 2500,
     /* Failed runs in a row after which a backend server is suspect. */
     SUSPECT_FAILURE_COUNT = 3,
     SUSPECT_DURATION_MS = 4000,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -91,6 +91,7 @@
  * @percent_clock_ms: clock of the backend server in the first report that has
  *                    shown @percent; 0: none yet
  * @unchanged_ms: how long reports have shown @percent, on that clock
+ * @longest_pause_ms: longest such time after which the run went on
  * @load_metric: as reported, see struct reported_run
  * @cpu_limit_percent: CPU limit in percent of full speed; -1: unknown
  * @throttle_sent_ms: when a throttle command was last sent; 0: never
@@ -127,6 +128,7 @@
     int32_t percent;
     int64_t percent_clock_ms;
     int64_t unchanged_ms;
+    int64_t longest_pause_ms;
     int64_t load_metric;
     int32_t cpu_limit_percent;
     int64_t throttle_sent_ms;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -103,6 +103,7 @@
  * @wait_until_ms: no start before this time, on the scheduler's clock
  * @strays: runs of it that are being stopped as strays; it does not start
  * while there are any
+ * @stalls: runs that were stopped as stalled
  * @avoid: id of the backend server where the last run failed, or NULL
  * @crash: what crashes of backend servers say about it
  * @crash_version: version of the job's progress that contains @crash; it does
@@ -126,6 +127,7 @@
     char *saved;
     int64_t wait_until_ms;
     uint32_t strays;
+    uint32_t stalls;
     char *avoid;
     struct crash_record crash;
     uint64_t crash_version;
