--- a/tests/jobs/text_test.c
+++ b/tests/jobs/text_test.c
@@ -151,9 +151,9 @@
     return body;
 }
 
-/* A submission whose spec is @literal, a JSON string. */
+/* A job whose text is @literal, a JSON string. */
 static char *
-submission(const char *literal)
+job_body(const char *literal)
 {
     return g_strdup_printf("{\"spec\":%s," STEPS "}", literal);
 }
@@ -207,7 +207,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(sound_specs); i++) {
         char *error = NULL;
-        char *body = submission(sound_specs[i].sent);
+        char *body = job_body(sound_specs[i].sent);
         struct job *job = decode_job(body, strlen(body), &error);
         CU_ASSERT_PTR_NULL(error);
         CU_ASSERT_PTR_NOT_NULL_FATAL(job);
@@ -238,7 +238,7 @@
 test_spec_is_stored_whole(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(sound_specs); i++) {
-        char *body = submission(sound_specs[i].sent);
+        char *body = job_body(sound_specs[i].sent);
         struct job *job = stored_job(body, strlen(body));
         CU_ASSERT_PTR_NOT_NULL_FATAL(job);
         expect_told(job, sound_specs[i].told);
@@ -264,7 +264,7 @@
         for (int extra = 0; extra < 2; extra++) {
             char *error = NULL;
             char *quoted = g_strconcat(literal->str, "\"", NULL);
-            char *body = submission(quoted);
+            char *body = job_body(quoted);
             struct job *job = decode_job(body, strlen(body), &error);
             CU_ASSERT_EQUAL(job != NULL, extra == 0);
             if (job != NULL) {
@@ -406,7 +406,7 @@
         {"\"a\xFFz\"", "\"a\xEF\xBF\xBDz\""},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
-        char *body = submission(specs[i].sent);
+        char *body = job_body(specs[i].sent);
         char *with_rest = g_strconcat(body, " rest", NULL);
         struct job *job = stored_job(with_rest, strlen(with_rest));
         CU_ASSERT_PTR_NOT_NULL_FATAL(job);
@@ -419,7 +419,7 @@
     /* Its spec was measured without what stands after U+0000. */
     char *rest = g_strnfill(SPEC_BYTES_MAX, 'x');
     char *literal = g_strdup_printf("\"a\\u0000%s\"", rest);
-    char *body = submission(literal);
+    char *body = job_body(literal);
     struct job *job = stored_job(body, strlen(body));
     CU_ASSERT_PTR_NOT_NULL_FATAL(job);
     expect_told(job, literal);
@@ -498,7 +498,7 @@
 static char *
 stored_checkpoint(const char *saved)
 {
-    char *body = submission("\"s\"");
+    char *body = job_body("\"s\"");
     struct job *job = stored_job(body, strlen(body));
     CU_ASSERT_PTR_NOT_NULL_FATAL(job);
     job_step_progress(job, 0, 0)->tasks[0].saved = g_strdup(saved);
