--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -463,17 +463,7 @@
     update_unreconciled(sched);
     sched_measure_unseen(sched);
     sched->start_waits = false;
-    bool entries_outdated = sched_entries_outdated(sched);
-    if (entries_outdated != sched->starts_held) {
-        sched->starts_held = entries_outdated;
-        sched_log_event(sched,
-                        entries_outdated ? "starts_held" : "starts_go_on",
-                        "\"entries_unread_ms\":%" G_GINT64_FORMAT,
-                        sched->entries_unread_ms == 0
-                            ? 0
-                            : sched_now(sched) - sched->entries_unread_ms);
-    }
-    if (sched_cancels_outdated(sched) || entries_outdated) {
+    if (sched_cancels_outdated(sched)) {
         return;
     }
     sched->pass++;
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -442,20 +442,6 @@
                sched->timings.cancel_ms - CANCEL_MARGIN_MS;
 }
 
-void
-scheduler_entries_unread(struct scheduler *sched, int64_t since_ms)
-{
-    sched->entries_unread_ms = since_ms;
-}
-
-bool
-sched_entries_outdated(const struct scheduler *sched)
-{
-    return sched->entries_unread_ms != 0 &&
-           sched_now(sched) - sched->entries_unread_ms >
-               sched->timings.drain_ms - CANCEL_MARGIN_MS;
-}
-
 int64_t
 scheduler_waiting(const struct scheduler *sched, const char *queue)
 {
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -463,7 +463,6 @@
            resources_fit(&run->backend->entry.capacity, &run->backend->used) &&
            run->job->state == JOB_ACTIVE && sched->leadership_valid &&
            !sched->fenced && !sched_cancels_outdated(sched) &&
-           !sched_entries_outdated(sched) &&
            sched_backend_usable(sched, run->backend) &&
            sched_now(sched) - run->started_ms <= START_AGE_MAX_MS;
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -342,8 +342,6 @@
  * @pass: counts passes of placement
  * @out_of_service: data centres that get no new work, or NULL
  * @leadership_valid: commands may be sent now
- * @entries_unread_ms: since when changes of entries wait unread, 0: none
- * @starts_held: nothing starts because of that
  * @cancels_read_ms: cancels acknowledged before this time are known; 0: the
  *                   scheduler is told of each
  * @outage: the store is unreachable; leases of the longest duration are used
@@ -407,8 +405,6 @@
     char **out_of_service;
     bool leadership_valid;
     int64_t cancels_read_ms;
-    int64_t entries_unread_ms;
-    bool starts_held;
     bool outage;
     int64_t long_lease_granted_ms;
     int64_t inherited_leases_expire_ms;
@@ -478,8 +474,6 @@
 sched_pool_load(struct scheduler *sched, const char *pool);
 /* Whether a cancel may have to bind already that isn't known yet. */
 bool
-sched_entries_outdated(const struct scheduler *sched);
-bool
 sched_cancels_outdated(const struct scheduler *sched);
 
 static inline int64_t
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -179,7 +179,6 @@
                                           store_route_any(node->store_route)),
         };
     }
-    entry_watch_init(&leader->entry_watch);
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
                   store_route_any(node->store_route));
@@ -263,7 +262,6 @@
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
     kv_destroy(leader->backend_watch);
-    entry_watch_clear(&leader->entry_watch);
     kv_destroy(leader->inbox);
     for (size_t i = 0; i < INBOX_READ_COUNT; i++) {
         kv_destroy(leader->inbox_reads[i]);
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -316,8 +316,6 @@
     }
     drop_unlisted_backends(leader);
     leader->backends_as_of = result->as_of;
-    entry_watch_answered(&leader->entry_watch, result->as_of, 0);
-    scheduler_entries_unread(leader->sched, 0);
     leader_schedule_tick(leader);
     timer_set(leader->watch_timer, 0);
 }
@@ -332,10 +330,6 @@
                          g_ptr_array_index(result->items, i));
         }
         leader->backends_as_of = MAX(leader->backends_as_of, result->as_of);
-        entry_watch_answered(&leader->entry_watch, leader->backends_as_of,
-                             result->items->len);
-        scheduler_entries_unread(
-            leader->sched, entry_watch_unread_since_ms(&leader->entry_watch));
         leader_schedule_tick(leader);
         timer_set(leader->watch_timer, entry_watch_gap_ms(result->items->len));
         return;
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -2,7 +2,6 @@
 #ifndef EGRETJOBD_LEADER_STATE_H
 #define EGRETJOBD_LEADER_STATE_H
 
-#include "core/jobs/entry_watch.h"
 #include "egretjobd/committer.h"
 #include "egretjobd/leader.h"
 #include "egretjobd/store_route.h"
@@ -107,7 +106,6 @@
     struct kv *writes;
     struct progress_txn progress_txns[PROGRESS_TXN_COUNT];
     struct kv *backend_watch;
-    struct entry_watch entry_watch;
     struct kv *inbox;
     struct kv *inbox_reads[INBOX_READ_COUNT];
     struct hosts_api *hosts;
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -61,13 +61,6 @@
     }
     else {
         scheduler_batch_stored(leader->sched, batch, stored, result->revision);
-        if (stored) {
-            entry_watch_written(&leader->entry_watch, result->revision,
-                                node_now(leader->node));
-            scheduler_entries_unread(
-                leader->sched,
-                entry_watch_unread_since_ms(&leader->entry_watch));
-        }
     }
     answer_cancels(leader);
     leader_schedule_tick(leader);
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -19,8 +19,6 @@
  * struct sched_timings - limits given by the platform's settings
  * @lease_max_ms: longest lease that a backend server accepts
  * @stop_ms: longest time that a stop takes
- * @drain_ms: after that time nothing may start on a backend server whose entry
- *            says that it is draining
  * @cancel_ms: after that time an acknowledged cancel has to bind
  * @move_ms: time that a host is unavailable while it moves
  * @reboot_ms: time that a host is unavailable for maintenance
@@ -32,7 +30,6 @@
     int64_t lease_max_ms;
     int64_t stop_ms;
     int64_t cancel_ms;
-    int64_t drain_ms;
     int64_t move_ms;
     int64_t reboot_ms;
     int64_t command_gap_ms;
@@ -321,16 +318,6 @@
 void
 scheduler_cancels_read(struct scheduler *sched, int64_t requested_ms);
 
-/**
- * scheduler_entries_unread() - changes of entries wait unread since @since_ms,
- * on the scheduler's clock; 0: none are known to
- *
- * Nothing starts when that is too long ago: a backend server may have been
- * draining for as long.
- */
-void
-scheduler_entries_unread(struct scheduler *sched, int64_t since_ms);
-
 /** scheduler_waiting() - number of jobs of @queue without a started task. */
 int64_t
 scheduler_waiting(const struct scheduler *sched, const char *queue);
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -178,7 +178,6 @@
         .lease_max_ms = 10000,
         .stop_ms = STOP_MS,
         .cancel_ms = 3000,
-        .drain_ms = 4000,
         .move_ms = 1500,
         .reboot_ms = 2000,
         .command_gap_ms = 3000,
