--- a/core/jobs/gang.c
+++ b/core/jobs/gang.c
@@ -37,11 +37,11 @@
     for (uint32_t t = 0; t < task_count && newest->saved == NULL; t++) {
         newest = &progress->tasks[t];
     }
+    char *saved = g_strdup(newest->saved);
     for (uint32_t t = 0; t < task_count; t++) {
         struct job_task *task = &progress->tasks[t];
-        if (g_strcmp0(task->saved, newest->saved) != 0) {
-            g_free(task->saved);
-            task->saved = g_strdup(newest->saved);
-        }
+        g_free(task->saved);
+        task->saved = g_strdup(saved);
     }
+    g_free(saved);
 }
--- a/egretjobd/operator_records.c
+++ b/egretjobd/operator_records.c
@@ -56,12 +56,12 @@
     if (key == NULL || (value == NULL && base64 == NULL)) {
         return NULL;
     }
-    gsize bytes = 0;
-    guchar *decoded = base64 == NULL ? NULL : g_base64_decode(base64, &bytes);
+    gsize bytes = value == NULL ? 0 : strlen(value);
+    guchar *decoded = value == NULL ? g_base64_decode(base64, &bytes) : NULL;
     struct kv_item item = {
         .key = (char *)key,
-        .value = decoded == NULL ? (char *)value : (char *)decoded,
-        .value_bytes = decoded == NULL ? strlen(value) : bytes,
+        .value = value == NULL ? (char *)decoded : (char *)value,
+        .value_bytes = bytes,
         .revision = json_int_get(row, "revision", 0),
     };
     struct kv_item *copy = kv_item_copy(&item);
