--- a/review/standins-2/stand.py
+++ b/review/standins-2/stand.py
@@ -890,11 +890,15 @@
     """Runs a case: 0 the rule held, 1 it was broken, 2 it couldn't run."""
     async def go():
         platform = Platform(case_folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, task.cancel)
         try:
             code = await asyncio.wait_for(
                 case(platform, os.environ.get("TROUBLE", "1") != "0"),
                 limit_s)
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:
             platform.record(f"the case couldn't run: {error!r}")
             code = 2
         finally:
