jobs: a service task starts again after an end as done

What callers saw: a service task that ended by itself, listed as done, never ran again.

Cause: the scheduler took an end as done for the end of the task, whatever its step. Only ends as failed looked at long_running.

Ruled out: the placer and the backend servers. A restart of the same task after an end as failed came at once, and the task's record held a mark as done.

Change: a task is marked as done in one place, job_task_finish(), which refuses service tasks. sched_task_done() leaves them to the next pass, like after any other end, and logs them. Such an end no longer clears the failures counted for its backend server, as failures of service tasks aren't counted there.

--- a/core/jobs/occurrence.c
+++ b/core/jobs/occurrence.c
@@ -142,6 +142,20 @@
                : 0;
 }
 
+bool
+job_task_finish(struct job *job, uint32_t occurrence, uint32_t step,
+                uint32_t index)
+{
+    struct step_progress *progress = job_step_progress(job, occurrence, step);
+    struct job_task *task = &progress->tasks[index];
+    if (job->steps[step].long_running || task->done) {
+        return false;
+    }
+    task->done = true;
+    progress->done++;
+    return true;
+}
+
 uint32_t
 job_next_occurrence(const struct job *job, uint32_t from)
 {
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -224,16 +224,13 @@
 task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
           uint32_t step, uint32_t index)
 {
-    if (job_occurrence_finished(job, occurrence)) {
+    if (job_occurrence_finished(job, occurrence) ||
+        !job_task_finish(job, occurrence, step, index)) {
         return;
     }
-    struct step_progress *progress = job_step_progress(job, occurrence, step);
-    struct job_task *task = &progress->tasks[index];
-    if (task->done) {
-        return;
-    }
-    task->done = true;
-    progress->done++;
+    const struct step_progress *progress =
+        job_step_progress(job, occurrence, step);
+    const struct job_task *task = &progress->tasks[index];
     job->started = true;
     sched->stats.done++;
     sched_mark_dirty(sched, job);
@@ -254,6 +251,13 @@
 sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
                 uint32_t step, uint32_t index)
 {
+    if (job->steps[step].long_running) {
+        job->started = true;
+        sched_log_event(sched, "service_task_ended",
+                        "\"task\":\"%s.%u.%u.%u\"", job->id, occurrence, step,
+                        index);
+        return;
+    }
     if (!job->steps[step].gang) {
         task_done(sched, job, occurrence, step, index);
         return;
@@ -282,7 +286,9 @@
     }
     bool job_failed = failed && attempts_exhausted(job, run->occurrence,
                                                    run->step, run->index);
-    if (reason == END_DONE) {
+    bool service = run_step(run)->long_running;
+    /* Failures of service tasks aren't counted either. */
+    if (reason == END_DONE && !service) {
         run->backend->failures = 0;
         run->backend->suspect_until_ms = 0;
     }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -553,6 +553,9 @@
 void
 sched_run_end(struct scheduler *sched, struct run *run,
               enum completion_reason reason, const char *saved);
+/* Handles an end as done, of a run that is tracked or of one that isn't. A
+ * service task is not done by it, and starts again like after any other end.
+ */
 void
 sched_task_done(struct scheduler *sched, struct job *job, uint32_t occurrence,
                 uint32_t step, uint32_t index);
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -68,7 +68,8 @@
  * @gang: tasks make progress only while all of them run
  * @same_rack: tasks slow down when spread over racks
  * @speculative: copies may run side by side
- * @long_running: service tasks: they run until the job is cancelled
+ * @long_running: service tasks: they run until the job is cancelled, and are
+ *                started again however they end
  * @best_effort: tasks use leftover processor time; none is reserved for them
  */
 struct job_step {
@@ -98,7 +99,7 @@
  * @failures: runs that ended as failed
  * @failed_runs: their numbers, so that a completion that is reported again
  * after a takeover counts once
- * @done: a run ended as done
+ * @done: a run ended as done; never of a service task
  * @saved: last checkpoint, or NULL
  * @wait_until_ms: no start before this time, on the scheduler's clock
  * @strays: runs of it that are being stopped as strays; it does not start
@@ -391,6 +392,16 @@
 uint32_t
 job_step_done(const struct job *job, uint32_t occurrence, uint32_t step);
 
+/**
+ * job_task_finish() - mark a task as done
+ *
+ * Return: false if it was done, or is a service task: one that has ended by
+ * itself is started again.
+ */
+bool
+job_task_finish(struct job *job, uint32_t occurrence, uint32_t step,
+                uint32_t index);
+
 /** job_task_count() - tasks of one occurrence. */
 uint32_t
 job_task_count(const struct job *job);
