standins: the check of acknowledged ends leaves out service tasks

The emulator counted every start after an acknowledged end as done as a violation, whatever the task. PROTOCOL.md on long_running: "the tasks run until the submission is cancelled, and must be restarted however they end." RULES.md on TWICE counts "a start after a run has ended `done`" without naming such tasks; their users count a task that isn't restarted (LOST).

The check is as strict as before for all other tasks, and soak-breaks-once-done still has to fail.

--- a/standins/jobs/emulator_hosts.c
+++ b/standins/jobs/emulator_hosts.c
@@ -146,6 +146,29 @@
     return record;
 }
 
+/* The task's step in the job as its caller sent it, or NULL. */
+static const cJSON *
+step_of(const cJSON *body, const char *task)
+{
+    int step = 0;
+    sscanf(task, "%*[^.].%*d.%d", &step);
+    return cJSON_GetArrayItem(cJSON_GetObjectItemCaseSensitive(body, "steps"),
+                              step);
+}
+
+/* Whether the task runs until its job is cancelled, so that it has to start
+ * again however it ends. */
+static bool
+is_service(struct emulator *emulator, const char *task)
+{
+    cJSON *body = NULL;
+    cJSON *record = read_record(emulator, task, &body);
+    bool service = json_bool_get(step_of(body, task), "long_running");
+    cJSON_Delete(body);
+    cJSON_Delete(record);
+    return service;
+}
+
 /* Account of the task's job and what the task takes, from the job's record;
  * g_free(). */
 static char *
@@ -153,12 +176,7 @@
 {
     cJSON *body = NULL;
     cJSON *record = read_record(emulator, task, &body);
-    int step = 0;
-    sscanf(task, "%*[^.].%*d.%d", &step);
-    *need_milli = json_int_get(
-        cJSON_GetArrayItem(cJSON_GetObjectItemCaseSensitive(body, "steps"),
-                           step),
-        "cpu", 0);
+    *need_milli = json_int_get(step_of(body, task), "cpu", 0);
     char *account = g_strdup(json_text_get(record, "team"));
     cJSON_Delete(body);
     cJSON_Delete(record);
@@ -417,7 +435,8 @@
         const struct model_completion *completion =
             g_ptr_array_index(host->backend.completions, i);
         if (completion->number <= acked_completion &&
-            completion->reason == END_DONE && !completion->lease_expired) {
+            completion->reason == END_DONE && !completion->lease_expired &&
+            !is_service(host->emulator, completion->task)) {
             g_hash_table_add(host->emulator->done_acked,
                              g_strdup(completion->task));
         }
