jobs: services that earlier versions stored as ended run again

Cause: a mark as done is believed wherever it comes from. Beside ends of runs, that is the progress record in three places (tasks, finished occurrences, the state of the job), and an entry host that reads the state from the store.

Change: records are applied through job_task_finish(), so marks of service tasks are dropped. Finished occurrences and completed jobs with service tasks are opened again; their other tasks are done, which is why the landed version stored them so. As many occurrences are opened as may be at once, so that memory and record stay within their bounds. The job counts as changed and its record is written again. Entry hosts answer "running" for a record of a completed service. Records of cancelled and failed jobs, and of jobs without service tasks, are read as before. The form of records is the same, so the landed version can read them.

A cancel that the landed version acknowledged after it had shown a service as completed left no trace in the store: within the retention time such a job starts again, and has to be cancelled once more.

--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -365,6 +365,10 @@
     if (!job->inherited) {
         sched_record_arrival(sched, job);
     }
+    if (job->stored_version < job->version) {
+        /* It differs from its record. */
+        sched_mark_dirty(sched, job);
+    }
     if (job_all_done(job)) {
         sched_finish_job(sched, job, JOB_COMPLETED);
     }
--- a/egretjobd/job_queries.c
+++ b/egretjobd/job_queries.c
@@ -68,6 +68,21 @@
     g_free(query);
 }
 
+/* Earlier versions stored a job as completed when its service tasks had
+ * ended; it runs on. */
+static enum job_state
+stored_state(const struct job_query *query, const struct kv_item *item)
+{
+    if (query->state != JOB_COMPLETED || item->value == NULL) {
+        return query->state;
+    }
+    struct job *job =
+        record_job_decode(query->id, item->value, item->value_bytes);
+    bool service = job != NULL && job_is_service(job);
+    job_unref(job);
+    return service ? JOB_ACTIVE : JOB_COMPLETED;
+}
+
 static void
 on_job(void *ctx, const struct kv_result *result)
 {
@@ -86,7 +101,8 @@
         query_finish(query, 410, NULL);
         return;
     }
-    query_finish(query, 200, encode_job_state(query->state, query->started));
+    query_finish(query, 200,
+                 encode_job_state(stored_state(query, item), query->started));
 }
 
 static void
--- a/egretjobd/records.c
+++ b/egretjobd/records.c
@@ -345,18 +345,39 @@
 apply_step_progress(struct job *job, uint32_t occurrence, uint32_t step,
                     const char *task_marks)
 {
-    struct step_progress *progress = job_step_progress(job, occurrence, step);
     uint32_t n_tasks = job->steps[step].task_count;
     /* Earlier versions stored gangs that were done in part. */
     bool gang_done = job->steps[step].gang && strchr(task_marks, 'd') != NULL;
     for (uint32_t t = 0; t < n_tasks && task_marks[t] != '\0'; t++) {
-        if ((gang_done || task_marks[t] == 'd') && !progress->tasks[t].done) {
-            progress->tasks[t].done = true;
-            progress->done++;
-            job->started = true;
-            job_open_occurrence(job, occurrence)->started = true;
+        if (gang_done || task_marks[t] == 'd') {
+            job_task_finish(job, occurrence, step, t);
         }
     }
+    job->started = true;
+    job_open_occurrence(job, occurrence)->started = true;
+    if (job->steps[step].long_running) {
+        /* Of an earlier version: it has to run again. */
+        job_mark_changed(job);
+    }
+}
+
+/* Earlier versions stored an occurrence whose service tasks had ended as
+ * finished. Only its other tasks are done. As many are opened as may be at
+ * once; the others were not to start before these end. */
+static void
+reopen_occurrences(struct job *job, uint32_t first, uint32_t last)
+{
+    uint32_t open_max = job_open_max(job);
+    for (uint32_t k = first; k <= last && job->open->len < open_max; k++) {
+        job_open_occurrence(job, k)->started = true;
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            for (uint32_t t = 0; t < job->steps[s].task_count; t++) {
+                job_task_finish(job, k, s, t);
+            }
+        }
+    }
+    job->started = true;
+    job_mark_changed(job);
 }
 
 static int64_t
@@ -427,10 +448,15 @@
 {
     int64_t first = row_number(row, 0);
     int64_t last = row_number(row, 1);
-    if (first >= 0 && first <= last && last < job->n_occurrences) {
-        job_finish_occurrences(job, (uint32_t)first, (uint32_t)last);
-        job->started = true;
+    if (first < 0 || first > last || last >= job->n_occurrences) {
+        return;
+    }
+    if (job_is_service(job)) {
+        reopen_occurrences(job, (uint32_t)first, (uint32_t)last);
+        return;
     }
+    job_finish_occurrences(job, (uint32_t)first, (uint32_t)last);
+    job->started = true;
 }
 
 /* Records of earlier versions have the marks of every occurrence, and name
@@ -479,10 +505,22 @@
     bool known = state_of(record, &job->state);
     job->left_pool = json_int_get(record, "left_pool", 0) == 1;
     job->ended_unix_ms = json_int_get(record, "ended_unix_ms", 0);
-    apply_rows(job, record, "finished", apply_finished);
+    bool service = job_is_service(job);
+    if (!service) {
+        apply_rows(job, record, "finished", apply_finished);
+    }
     apply_parts(job, record);
     apply_rows(job, record, "tasks", apply_task_record);
     apply_rows(job, record, "crashes", apply_crash_record);
+    if (service) {
+        /* Those that were open come first. */
+        apply_rows(job, record, "finished", apply_finished);
+    }
+    if (service && job->state == JOB_COMPLETED) {
+        job->state = JOB_ACTIVE;
+        job->ended_unix_ms = 0;
+        reopen_occurrences(job, 0, job->n_occurrences - 1);
+    }
     job_close_occurrences(job);
     cJSON_Delete(record);
     return known;
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -84,8 +84,14 @@
 uint32_t
 record_open_max(const struct job *job, size_t bytes_max);
 
-/** record_progress_apply() - apply a stored progress record to @job; false if
- * its state is not known. */
+/**
+ * record_progress_apply() - apply a stored progress record to @job
+ *
+ * Marks the job as changed if the record is of an earlier version and has
+ * service tasks as done.
+ *
+ * Return: false if its state is not known.
+ */
 bool
 record_progress_apply(struct job *job, const char *value, size_t bytes);
 
--- a/tests/jobs/service_end_test.c
+++ b/tests/jobs/service_end_test.c
@@ -6,6 +6,7 @@
 #include "../suite.h"
 #include "egretjobd/records.h"
 #include "fleet_fixture.h"
+#include "platform/kv.h"
 
 #define JOB_A "00000000000000a1"
 
@@ -299,6 +300,93 @@
     check_timed(&f, job);
 }
 
+/* Guards against tasks that an earlier version has stored as done, some or all
+ * of them. */
+static void
+test_records_of_services(void)
+{
+    static const char *const records[] = {
+        "{\"state\":\"active\",\"occurrences\":[0],\"parts\":[\".d.\"]}",
+        "{\"state\":\"active\",\"parts\":[\"dd.\"]}",
+        "{\"state\":\"active\",\"finished\":[[0,0]],\"occurrences\":[],"
+        "\"parts\":[]}",
+        "{\"state\":\"completed\",\"ended_unix_ms\":1000050000}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+        struct fleet_fixture f;
+        init_fleet(&f);
+        struct job *job = inherit_job(&f, service, records[i]);
+        if (job->state != JOB_ACTIVE) {
+            CU_FAIL("a service has ended by itself");
+            fixture_clear(&f);
+            continue;
+        }
+        CU_ASSERT_EQUAL(job->ended_unix_ms, 0);
+        CU_ASSERT(job->started);
+        pass_calmly(&f, CALM_MS);
+        CU_ASSERT(all_run(job, 0));
+        /* What callers read from the store is right again. */
+        CU_ASSERT(job->stored_version > 0);
+        CU_ASSERT_EQUAL(job->stored_version, job->version);
+        char *record = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
+        CU_ASSERT_PTR_NOT_NULL(strstr(record, "\"parts\":[]"));
+        g_free(record);
+        fixture_clear(&f);
+    }
+}
+
+/* The same where short tasks of the job are done: they stay so. */
+static void
+test_records_of_timed_services(void)
+{
+    static const char *const records[] = {
+        "{\"state\":\"active\",\"finished\":[[0,1]],\"occurrences\":[2],"
+        "\"parts\":[\"d\",\".\"]}",
+        "{\"state\":\"completed\",\"ended_unix_ms\":1000050000}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+        struct fleet_fixture f;
+        init_fleet(&f);
+        struct job *job = create_timed(&f);
+        job->inherited = true;
+        CU_ASSERT(record_progress_apply(job, records[i], strlen(records[i])));
+        /* The next version reads the same from the record of this one. */
+        char *again = record_progress_encode(job, KV_VALUE_BYTES_DEFAULT);
+        job_unref(job);
+        job = create_timed(&f);
+        job->inherited = true;
+        CU_ASSERT(record_progress_apply(job, again, strlen(again)));
+        g_free(again);
+        scheduler_add_job(f.sched, job);
+        job_unref(job);
+        pass_calmly(&f, CALM_MS);
+        check_timed(&f, job);
+    }
+}
+
+/* Guards against memory and records that grow with the occurrences that an
+ * earlier version has stored as finished. */
+static void
+test_record_of_many_occurrences(void)
+{
+    static const char record[] =
+        "{\"state\":\"active\",\"finished\":[[0,1000000]],\"occurrences\":[],"
+        "\"parts\":[]}";
+    struct fleet_fixture f;
+    init_fleet(&f);
+    struct job *job = create_timed(&f);
+    job->n_occurrences = 2000000;
+    job->open_max = record_open_max(job, 50000);
+    CU_ASSERT(record_progress_apply(job, record, strlen(record)));
+    CU_ASSERT(job->open->len > 0);
+    CU_ASSERT(job->open->len <= job_open_max(job));
+    char *again = record_progress_encode(job, 50000);
+    CU_ASSERT(strlen(again) <= 50000);
+    g_free(again);
+    job_unref(job);
+    fixture_clear(&f);
+}
+
 /* Guards against a cancelled service that starts again. */
 static void
 test_cancelled(void)
@@ -372,6 +460,10 @@
         {"a gang of service tasks ends as done", test_gang_ends_as_done},
         {"steps before and after a service", test_mixed_steps},
         {"occurrences of a service", test_timed_service},
+        {"records with done service tasks", test_records_of_services},
+        {"records with done occurrences of services",
+         test_records_of_timed_services},
+        {"a record with many occurrences", test_record_of_many_occurrences},
         {"a cancelled service", test_cancelled},
         {"pace of restarts", test_pace},
     };
