soak: service tasks that end by themselves

Every other service job has tasks now that end as done each 0.7 s, while leaders are killed and the store fails; none of them may be shown as completed.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -302,7 +302,9 @@
     }
     for (int i = 0; i < SERVICE_JOB_COUNT; i++) {
         job_caller_submit_to_cancel(fixture.caller, &fixture.service,
-                                    service_job_body, 4000 + 1500 * i);
+                                    i % 2 == 0 ? service_job_body
+                                               : ending_service_body,
+                                    4000 + 1500 * i);
     }
     submit_timed_jobs();
     if (g_strcmp0(violated_invariant, "ends") == 0) {
@@ -334,6 +336,7 @@
     CU_ASSERT_EQUAL(fixture.quick.failed, 0);
     CU_ASSERT_EQUAL(fixture.quick.completed, fixture.quick.accepted);
     CU_ASSERT_EQUAL(fixture.service.cancelled, fixture.service.accepted);
+    CU_ASSERT_EQUAL(fixture.service.completed, 0);
     check_refused();
     caller_queue_clear(&abandoned);
     g_array_unref(plan);
--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -31,6 +31,10 @@
     "{\"spec\":\"forever\",\"steps\":[{\"count\":3,\"cpu\":900,"
     "\"mem_mb\":900,\"long_running\":true,\"may_miss\":1,"
     "\"anti_affinity\":1}]}";
+const char ending_service_body[] =
+    "{\"spec\":\"ms=700\",\"steps\":[{\"count\":3,\"cpu\":900,"
+    "\"mem_mb\":900,\"long_running\":true,\"may_miss\":1,"
+    "\"anti_affinity\":1}]}";
 
 struct fixture fixture;
 const char *build_root;
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -24,6 +24,8 @@
 /** service_job_body - a job of three service tasks, of which one may be
  * unavailable */
 extern const char service_job_body[];
+/** ending_service_body - the same, but each run ends by itself as done */
+extern const char ending_service_body[];
 
 /**
  * struct fixture - the emulator, the entry hosts and a caller
--- a/tests/jobs/service_process_test.c
+++ b/tests/jobs/service_process_test.c
@@ -17,11 +17,6 @@
     AT_EACH_TASK = 2,
 };
 
-static const char ending_service_body[] =
-    "{\"spec\":\"ms=700\",\"steps\":[{\"count\":3,\"cpu\":900,"
-    "\"mem_mb\":900,\"long_running\":true,\"may_miss\":1,"
-    "\"anti_affinity\":1}]}";
-
 static void
 kill_leader(int signal_number)
 {
