jobs: jobs stay among those to be placed until their tasks have runs

Evidence: a test with starts refused inside the call shows it for short tasks, gangs, gangs in a rack and service tasks. The return values of seven functions and the calls of sched_job_unplaced() had to agree, and did not.

Change: unplaced.c tells from the job's own state whether a pass has to look at it. A job leaves the list only by that. A pass ends with the first start that isn't sent since none may be, rather than deciding all the others.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -50,10 +50,13 @@
            (maximum->gpus == 0 || used.gpus + need->gpus <= maximum->gpus);
 }
 
+/* Once a start wasn't sent since none may be, the others of the pass needn't
+ * be decided. */
 static void
 send_start(struct scheduler *sched, struct run *run)
 {
     struct backend *backend = run->backend;
+    uint64_t handle = run->handle;
     sched->stats.started++;
     overload_sent(&sched->overload);
     run->start_in_flight = true;
@@ -70,6 +73,17 @@
     job_open_occurrence(run->job, run->occurrence)->started = true;
     /* May answer at once that it wasn't sent, which frees the run. */
     sched->ops.start(sched->ops.ctx, &command);
+    if (g_hash_table_lookup(sched->runs, &handle) == NULL &&
+        !sched_starts_allowed(sched)) {
+        sched->starts_ended_pass = sched->pass;
+    }
+}
+
+/* Whether the rest of the pass has to wait for a later one. */
+static bool
+pass_ended(const struct scheduler *sched)
+{
+    return sched->starts_ended_pass == sched->pass;
 }
 
 static uint32_t
@@ -127,7 +141,7 @@
         &job_step_progress(job, request->occurrence, request->step_index)
              ->tasks[index];
     struct resources need = job_step_backend_need(request->step);
-    if (!overload_may_start(&sched->overload) ||
+    if (!overload_may_start(&sched->overload) || pass_ended(sched) ||
         known_to_fail(placer, &need) ||
         !team_allows(sched, job, &request->step->need)) {
         return NULL;
@@ -215,63 +229,52 @@
     return placed;
 }
 
-/* Returns whether nothing is left to place. */
-static bool
+static void
 place_gang(struct placer *placer, struct job *job,
            struct placement_request *request)
 {
     struct step_progress *progress =
         job_step_progress(job, request->occurrence, request->step_index);
-    bool all_run = true;
     for (uint32_t t = 0; t < request->step->task_count; t++) {
-        const struct job_task *task = &progress->tasks[t];
-        all_run = all_run && (task->run != NULL || task->done);
-        if (!task_is_waiting(placer, task)) {
-            return all_run && t + 1 == request->step->task_count;
+        if (!task_is_waiting(placer, &progress->tasks[t])) {
+            return;
         }
     }
-    return (request->step->same_rack &&
-            place_gang_in_a_rack(placer, job, request)) ||
-           place_gang_in(placer, job, request);
+    if (!request->step->same_rack ||
+        !place_gang_in_a_rack(placer, job, request)) {
+        place_gang_in(placer, job, request);
+    }
 }
 
-/* Returns whether nothing is left to place. */
-static bool
+static void
 place_tasks(struct placer *placer, struct job *job,
             struct placement_request *request)
 {
     struct step_progress *progress =
         job_step_progress(job, request->occurrence, request->step_index);
-    bool complete = true;
     for (uint32_t t = 0; t < request->step->task_count; t++) {
         struct job_task *task = &progress->tasks[t];
-        if (task->run != NULL || task->done) {
-            continue;
-        }
         if (!task_is_waiting(placer, task)) {
-            complete = false;
             continue;
         }
         struct run *run = place_task(placer, job, request, t,
                                      next_number(placer->sched, task));
         if (job->state != JOB_ACTIVE) {
             /* Given up for what is known of this task. */
-            return true;
+            return;
         }
         if (run == NULL && crash_isolated(&task->crash)) {
-            complete = false;
             continue;
         }
         if (run == NULL) {
-            return false;
+            placer->left = true;
+            return;
         }
         send_start(placer->sched, run);
     }
-    return complete;
 }
 
-/* Returns whether nothing is left to place. */
-static bool
+static void
 place_step(struct placer *placer, struct job *job, uint32_t occurrence,
            uint32_t step_index)
 {
@@ -287,14 +290,18 @@
         .advice = progress->advice,
     };
     if (progress->done >= request.step->task_count) {
-        return true;
+        return;
     }
     if (request.step->data_rack != NULL && placer->sched->racks != NULL) {
         request.data_rack =
             g_hash_table_lookup(placer->sched->racks, request.step->data_rack);
     }
-    return request.step->gang ? place_gang(placer, job, &request)
-                              : place_tasks(placer, job, &request);
+    if (request.step->gang) {
+        place_gang(placer, job, &request);
+    }
+    else {
+        place_tasks(placer, job, &request);
+    }
 }
 
 bool
@@ -334,62 +341,56 @@
     return job->stored_version >= job->left_pool_version;
 }
 
-/* Returns whether nothing is left to place. */
-static bool
+static void
 place_occurrence(struct placer *placer, struct job *job, uint32_t number)
 {
-    bool complete = true;
     for (uint32_t s = 0; s < job->n_steps; s++) {
         if (job->state == JOB_ACTIVE && job_step_ready(job, number, s)) {
-            complete = place_step(placer, job, number, s) && complete;
+            place_step(placer, job, number, s);
         }
     }
-    return complete;
 }
 
 /* Opens occurrences that are due, one at a time: if one can't start, neither
  * can the next, which needs the same. @waiting: one that is open hasn't
- * started. Returns whether nothing is left to place. */
-static bool
+ * started. */
+static void
 place_next_occurrences(struct placer *placer, struct job *job, bool waiting)
 {
-    bool complete = true;
     uint32_t next = job_next_occurrence(job, 0);
     while (next < job->n_occurrences && job->state == JOB_ACTIVE) {
         if (waiting || job->open->len >= job_open_max(job) ||
             job_due_ms(job, next) > placer->unix_ms) {
-            return false;
+            return;
         }
         const struct job_occurrence *occurrence =
             job_open_occurrence(job, next);
-        complete = place_occurrence(placer, job, next) && complete;
+        place_occurrence(placer, job, next);
         waiting = !occurrence->started;
         next = job_next_occurrence(job, next + 1);
     }
-    return complete;
 }
 
-/* Returns whether nothing is left to place until the job changes. */
-static bool
+static void
 place_job(struct placer *placer, struct job *job)
 {
     if (inherited_runs_open(placer, job) || !pool_recorded(placer, job) ||
         known_to_fail(placer, &job->remaining.least_need)) {
-        return false;
+        placer->left = true;
+        return;
     }
-    bool complete = true;
     bool waiting = false;
     for (guint i = 0; i < job->open->len; i++) {
         const struct job_occurrence *occurrence =
             g_ptr_array_index(job->open, i);
         if (job_due_ms(job, occurrence->number) > placer->unix_ms) {
-            return false;
+            placer->left = true;
+            return;
         }
-        complete =
-            place_occurrence(placer, job, occurrence->number) && complete;
+        place_occurrence(placer, job, occurrence->number);
         waiting = waiting || !occurrence->started;
     }
-    return place_next_occurrences(placer, job, waiting) && complete;
+    place_next_occurrences(placer, job, waiting);
 }
 
 /* After a takeover no inherited job of a pool is placed while a backend server
@@ -440,18 +441,20 @@
             g_ptr_array_index(jobs, kept++) = job;
             continue;
         }
-        if (!overload_may_start(&placer->sched->overload)) {
-            placer->sched->start_waits = true;
+        bool may_start = overload_may_start(&placer->sched->overload);
+        placer->sched->start_waits = placer->sched->start_waits || !may_start;
+        placer->left = !may_start || pass_ended(placer->sched);
+        if (!placer->left) {
+            place_job(placer, job);
+        }
+        if (job->state == JOB_ACTIVE &&
+            (placer->left || sched_job_is_unplaced(job))) {
             g_ptr_array_index(jobs, kept++) = job;
-            continue;
         }
-        if (job->state != JOB_ACTIVE || place_job(placer, job)) {
+        else {
             job->unplaced = false;
             job_unref(job);
         }
-        else {
-            g_ptr_array_index(jobs, kept++) = job;
-        }
     }
     g_ptr_array_set_size(jobs, (int)kept);
 }
--- a/core/jobs/placer.h
+++ b/core/jobs/placer.h
@@ -10,6 +10,8 @@
  * @pool: the pool
  * @failed_need: no backend server has the capacity for this; valid if
  *               @need_failed
+ * @left: some task of the job that is being placed is known to have found no
+ *        place; a shortcut, as sched_job_is_unplaced() tells it of any job
  * @isolation_failed: there is no backend server for a task that may crash it
  */
 struct placer {
@@ -19,6 +21,7 @@
     struct pool_load *pool;
     bool need_failed;
     struct resources failed_need;
+    bool left;
     bool isolation_failed;
 };
 
--- a/core/jobs/pool_index.c
+++ b/core/jobs/pool_index.c
@@ -96,14 +96,3 @@
 {
     return backend->reserved_pass == sched->pass && sched->pass != 0;
 }
-
-void
-sched_job_unplaced(struct scheduler *sched, struct job *job)
-{
-    sched_job_refs(sched, job);
-    if (job->unplaced || job->state != JOB_ACTIVE || job->refs.pool == NULL) {
-        return;
-    }
-    job->unplaced = true;
-    g_ptr_array_add(job->refs.pool->unplaced, job_ref(job));
-}
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -446,6 +446,13 @@
                sched->timings.cancel_ms - CANCEL_MARGIN_MS;
 }
 
+bool
+sched_starts_allowed(const struct scheduler *sched)
+{
+    return sched->leadership_valid && !sched->fenced &&
+           !sched_cancels_outdated(sched);
+}
+
 int64_t
 scheduler_waiting(const struct scheduler *sched, const char *queue)
 {
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -467,8 +467,7 @@
     /* The capacity may have shrunk since the start was decided. */
     return run != NULL && run->state == RUN_STARTING &&
            resources_fit(&run->backend->entry.capacity, &run->backend->used) &&
-           run->job->state == JOB_ACTIVE && sched->leadership_valid &&
-           !sched->fenced && !sched_cancels_outdated(sched) &&
+           run->job->state == JOB_ACTIVE && sched_starts_allowed(sched) &&
            sched_backend_usable(sched, run->backend) &&
            sched_now(sched) - run->started_ms <= START_AGE_MAX_MS;
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -340,6 +340,7 @@
  * @unseen_measured_ms: when the runs that are not known were last counted; 0:
  *                      none are left
  * @pass: counts passes of placement
+ * @starts_ended_pass: last pass that found that no start may be sent any more
  * @out_of_service: data centres that get no new work, or NULL
  * @leadership_valid: commands may be sent now
  * @cancels_read_ms: cancels acknowledged before this time are known; 0: the
@@ -402,6 +403,7 @@
     bool maybe_unreconciled;
     int64_t unseen_measured_ms;
     uint64_t pass;
+    uint64_t starts_ended_pass;
     char **out_of_service;
     bool leadership_valid;
     int64_t cancels_read_ms;
@@ -475,6 +477,9 @@
 /* Whether a cancel may have to bind already that isn't known yet. */
 bool
 sched_cancels_outdated(const struct scheduler *sched);
+/* Whether any start may be sent now. */
+bool
+sched_starts_allowed(const struct scheduler *sched);
 
 static inline int64_t
 sched_stop_retry_ms(uint32_t stop_count)
@@ -519,7 +524,12 @@
 bool
 sched_backend_reserved(const struct scheduler *sched,
                        const struct backend *backend);
-/* Lets the next pass try to place tasks of @job. */
+
+/* unplaced.c */
+/* Whether a pass has to look at @job, by its own state. */
+bool
+sched_job_is_unplaced(const struct job *job);
+/* Lets the next pass look at @job. */
 void
 sched_job_unplaced(struct scheduler *sched, struct job *job);
 
--- a/core/jobs/strays.c
+++ b/core/jobs/strays.c
@@ -43,7 +43,6 @@
     g_ptr_array_remove_fast(stray->backend->strays, stray);
     account_stray(sched, stray, -1);
     if (stray->job != NULL) {
-        sched_job_unplaced(sched, stray->job);
         sched_job_closing(sched, stray->job);
     }
     g_hash_table_remove(sched->strays, &stray->handle);
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -50,7 +50,10 @@
                                      command->run->occurrence,
                                      command->run->step, command->run->index);
     struct fleet_fixture *fixture = ctx;
-    if (fixture->refuse_starts) {
+    if (fixture->starts_end_leadership) {
+        scheduler_set_leadership_valid(fixture->sched, false);
+    }
+    if (fixture->refuse_starts || fixture->starts_end_leadership) {
         scheduler_on_start(fixture->sched, command->handle, START_NOT_SENT, 0);
     }
 }
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -54,6 +54,7 @@
  * @now_ms: the scheduler's clock
  * @incarnation_start_ms: Unix time at which every backend server started
  * @refuse_starts: each start is answered at once: it was not sent
+ * @starts_end_leadership: the leadership is over when a start is to be sent
  * @commands: struct recorded_command, oldest first
  * @last_event: last event that the scheduler logged, with its fields
  */
@@ -63,6 +64,7 @@
     int64_t now_ms;
     int64_t incarnation_start_ms;
     bool refuse_starts;
+    bool starts_end_leadership;
     GPtrArray *commands;
     char *last_event;
 };
