jobs: run numbers are reserved before they are used

Cause: numbers of a term were thought never to be used up. A pass over a gang that finds capacity for a part of it took a number each time, over 100 a second; so would a service task that ends at once, 30 a second. The answer old raised the number by one only.

Evidence: with a gang of which one member doesn't fit, its number rose with each pass; a service restarted 5,000 times went through five terms.

Change: a number is taken when the start is sent. Numbers beyond those of the term are reserved in the store, conditional on the leadership, before they are used, and the next claim is conditional on that record. After old the number skips whole ranges, counted and logged. Starts of a task that are refused again and again back off, whatever the reason.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -57,6 +57,8 @@
 {
     struct backend *backend = run->backend;
     uint64_t handle = run->handle;
+    struct job_task *task = run_task(run);
+    task->run_number = MAX(task->run_number, run->number);
     sched->stats.started++;
     overload_sent(&sched->overload);
     run->start_in_flight = true;
@@ -86,12 +88,6 @@
     return sched->starts_ended_pass == sched->pass;
 }
 
-static uint32_t
-next_number(const struct scheduler *sched, const struct job_task *task)
-{
-    return MAX(task->run_number, sched->term * TERM_RUN_NUMBERS_MAX) + 1;
-}
-
 static bool
 task_is_waiting(const struct placer *placer, const struct job_task *task)
 {
@@ -141,8 +137,8 @@
         &job_step_progress(job, request->occurrence, request->step_index)
              ->tasks[index];
     struct resources need = job_step_backend_need(request->step);
-    if (!overload_may_start(&sched->overload) || pass_ended(sched) ||
-        known_to_fail(placer, &need) ||
+    if (number == 0 || !overload_may_start(&sched->overload) ||
+        pass_ended(sched) || known_to_fail(placer, &need) ||
         !team_allows(sched, job, &request->step->need)) {
         return NULL;
     }
@@ -177,7 +173,12 @@
     uint32_t n_tasks = request->step->task_count;
     uint32_t number = 0;
     for (uint32_t t = 0; t < n_tasks; t++) {
-        number = MAX(number, next_number(placer->sched, &progress->tasks[t]));
+        uint32_t next =
+            sched_next_run_number(placer->sched, &progress->tasks[t]);
+        if (next == 0) {
+            return false;
+        }
+        number = MAX(number, next);
     }
     GPtrArray *runs = g_ptr_array_new();
     while (runs->len < n_tasks) {
@@ -257,8 +258,9 @@
         if (!task_is_waiting(placer, task)) {
             continue;
         }
-        struct run *run = place_task(placer, job, request, t,
-                                     next_number(placer->sched, task));
+        struct run *run =
+            place_task(placer, job, request, t,
+                       sched_next_run_number(placer->sched, task));
         if (job->state != JOB_ACTIVE) {
             /* Given up for what is known of this task. */
             return;
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -89,6 +89,7 @@
         MIN(timings->lease_max_ms, (int64_t)LEASE_MAX_MS);
     sched->ops = *ops;
     sched->term = term;
+    sched->reserved_term = term;
     sched->clock = clock;
     sched->unix_clock = unix_clock;
     sched->takeover_ms = ms_clock_now(&clock);
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -71,7 +71,6 @@
     g_ptr_array_add(backend->runs, run);
     struct job_task *task = run_task(run);
     task->run = run;
-    task->run_number = MAX(task->run_number, number);
     sched_run_isolate(run);
     account_run(sched, run, 1);
     sched_schedule_report(sched, backend);
@@ -454,6 +453,16 @@
     }
 }
 
+/* Delay after a start that was refused. */
+static int64_t
+refusal_delay_ms(const struct job_task *task)
+{
+    uint32_t more =
+        task->refusals > REFUSALS_FREE ? task->refusals - REFUSALS_FREE : 0;
+    return (int64_t)START_RETRY_MS
+           << MIN(more, (uint32_t)REFUSAL_DOUBLINGS_MAX);
+}
+
 bool
 scheduler_start_waits(const struct scheduler *sched)
 {
@@ -502,6 +511,7 @@
         backend_clock_sampled(backend, clock_ms, now_ms);
     }
     if (answer == START_DONE) {
+        run_task(run)->refusals = 0;
         run->confirmed_ms = now_ms;
         sched_run_worked_until(sched, run, clock_ms);
         run->job->started = true;
@@ -525,10 +535,14 @@
     sched_log_event(
         sched, "start_refused",
         "\"job\":\"%s\",\"step\":%u,\"task\":%u,\"backend\":\"%s\","
-        "\"answer\":%d",
-        run->job->id, run->step, run->index, backend->entry.id, answer);
-    run_task(run)->wait_until_ms =
-        answer == START_STALE_RUN_NUMBER ? 0 : now_ms + START_RETRY_MS;
+        "\"answer\":%d,\"run\":%u,\"refusals\":%u",
+        run->job->id, run->step, run->index, backend->entry.id, answer,
+        run->number, run_task(run)->refusals + 1);
+    struct job_task *task = run_task(run);
+    bool renumbered = answer == START_STALE_RUN_NUMBER &&
+                      sched_run_number_stale(sched, task);
+    task->refusals++;
+    task->wait_until_ms = renumbered ? 0 : now_ms + refusal_delay_ms(task);
     if (answer == START_NO_TICKET) {
         struct step_advice *advice =
             job_step_progress(run->job, run->occurrence, run->step)->advice;
@@ -537,8 +551,8 @@
         }
     }
     if (answer == START_REFUSED || answer == START_NO_CAPACITY) {
-        g_free(run_task(run)->avoid);
-        run_task(run)->avoid = g_strdup(backend->entry.id);
+        g_free(task->avoid);
+        task->avoid = g_strdup(backend->entry.id);
     }
     stop_incomplete_gang(sched, run);
     sched_crash_not_caused(sched, run);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -51,9 +51,10 @@
     /* More than fall silent in an outage in the time that it takes to prove a
      * crash; fewer only make an outage harder to tell. */
     SILENCES_KEPT = 64,
-    /* Run numbers that one term may use; no leader starts a task this
-     * often. */
-    TERM_RUN_NUMBERS_MAX = 1000,
+    /* Refusals in a row after which the delay doubles, up to some seconds: a
+     * service task may not be away for longer. */
+    REFUSALS_FREE = 3,
+    REFUSAL_DOUBLINGS_MAX = 4,
 };
 
 /** enum host_intent - what is planned for a host */
@@ -329,6 +330,9 @@
  * struct scheduler - state of the scheduler
  * @lease_accepted_max_ms: a backend server shortens a longer lease to this
  * @term: counts takeovers
+ * @reserved_term: last term whose run numbers are this leader's; at least
+ *                 @term
+ * @wanted_term: term up to which they are to be reserved
  * @config: the active configuration, borrowed, or NULL
  * @generation: counts configurations, from 1
  * @racks: name of a rack to the GPtrArray of its struct backend
@@ -393,6 +397,8 @@
     struct ms_clock unix_clock;
     int64_t lease_accepted_max_ms;
     uint32_t term;
+    uint32_t reserved_term;
+    uint32_t wanted_term;
     const struct fleet_config *config;
     uint64_t generation;
     GHashTable *racks;
@@ -525,6 +531,16 @@
 sched_backend_reserved(const struct scheduler *sched,
                        const struct backend *backend);
 
+/* run_numbers.c */
+/* Number of the next run of a task; 0: none is reserved yet. It is taken once
+ * the start is sent. */
+uint32_t
+sched_next_run_number(struct scheduler *sched, const struct job_task *task);
+/* Raises the number of a task whose start was refused since its backend server
+ * knows a run that isn't lower; false if that can't be the reason any more. */
+bool
+sched_run_number_stale(struct scheduler *sched, struct job_task *task);
+
 /* unplaced.c */
 /* Whether a pass has to look at @job, by its own state. */
 bool
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -75,6 +75,7 @@
         return;
     }
     leader_store_changes(leader);
+    leader_reserve_run_numbers(leader);
     host_commands_flush(leader->host_commands);
     leader_store_wave_status(leader);
     if (!leader->tick_scheduled) {
@@ -161,12 +162,14 @@
 }
 
 struct leader *
-leader_create(struct node *node, int64_t token, uint32_t term)
+leader_create(struct node *node, int64_t token, uint32_t term,
+              int64_t numbers_revision)
 {
     struct leader *leader = g_new0(struct leader, 1);
     const char *store = node->settings->store_address;
     leader->node = node;
     leader->token = token;
+    leader->numbers_revision = numbers_revision;
     leader->tick_delay_ms = TICK_DELAY_MS;
     leader->reads = kv_create(node->base, store, READ_TIMEOUT_MS,
                               store_route_any(node->store_route));
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -96,6 +96,9 @@
  * @wave_status_sent: number of the wave whose status is being stored, or NULL
  * @status_due_ms: when statuses of waves are compared next
  * @status_retry_ms: no status is stored before this time
+ * @numbers_sent: term up to which run numbers are being reserved; 0: none are
+ * @numbers_revision: revision of the record of reserved run numbers; 0: none
+ * @numbers_retry_ms: none are reserved before this time
  */
 struct leader {
     struct node *node;
@@ -138,6 +141,9 @@
     char *wave_status_sent;
     int64_t status_due_ms;
     int64_t status_retry_ms;
+    uint32_t numbers_sent;
+    int64_t numbers_revision;
+    int64_t numbers_retry_ms;
 };
 
 /* leader.c */
@@ -171,6 +177,9 @@
 leader_store_changes(struct leader *leader);
 void
 leader_store_wave_status(struct leader *leader);
+/* Reserves further run numbers in the store if the scheduler wants them. */
+void
+leader_reserve_run_numbers(struct leader *leader);
 void
 leader_set_wave_revision(struct leader *leader, const char *number,
                          int64_t revision);
--- a/egretjobd/leader_store.c
+++ b/egretjobd/leader_store.c
@@ -120,6 +120,75 @@
     }
 }
 
+/* A conflict comes from a new leader, or from an earlier write of this process
+ * whose answer was lost. Returns false for a new leader; otherwise sets
+ * @revision to that of the record that the write was conditional on. */
+static bool
+adopt_revision(const struct leader *leader, const GPtrArray *items,
+               int64_t *revision)
+{
+    for (guint i = 0; i < items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(items, i);
+        if (strcmp(item->key, RECORD_LEADER_KEY) != 0) {
+            *revision = item->revision;
+        }
+        else if (item->revision != leader->token) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+on_run_numbers_stored(void *ctx, const struct kv_result *result)
+{
+    struct leader *leader = ctx;
+    uint32_t term = leader->numbers_sent;
+    leader->numbers_sent = 0;
+    if (result->outcome == KV_CONFLICT &&
+        !adopt_revision(leader, result->items, &leader->numbers_revision)) {
+        leadership_lose(leader->node->leadership, "another leader was found");
+        return;
+    }
+    if (result->outcome != KV_OK) {
+        event_log("store_failed", "\"what\":\"run numbers\",\"status\":%d",
+                  result->status);
+        leader->numbers_retry_ms = node_now(leader->node) + STORE_RETRY_MS;
+        return;
+    }
+    leader->numbers_revision = result->revision;
+    scheduler_term_reserved(leader->sched, term);
+    leader_schedule_tick(leader);
+}
+
+/* Each write is conditional on the one before, so that none that is carried
+ * out late replaces a higher one. */
+void
+leader_reserve_run_numbers(struct leader *leader)
+{
+    uint32_t wanted = scheduler_term_wanted(leader->sched);
+    if (wanted == 0 || leader->numbers_sent != 0 ||
+        node_now(leader->node) < leader->numbers_retry_ms) {
+        return;
+    }
+    char value[16];
+    g_snprintf(value, sizeof(value), "%u", wanted);
+    struct kv_condition conditions[] = {
+        {.key = RECORD_LEADER_KEY, .revision = leader->token},
+        {.key = RECORD_RUN_NUMBERS_KEY, .revision = leader->numbers_revision},
+    };
+    struct kv_put put = {.key = RECORD_RUN_NUMBERS_KEY, .value = value};
+    struct kv_txn txn = {
+        .conditions = conditions,
+        .n_conditions = G_N_ELEMENTS(conditions),
+        .puts = &put,
+        .n_puts = 1,
+    };
+    leader->numbers_sent = wanted;
+    kv_commit(leader->writes, &txn,
+              (struct kv_done){.call = on_run_numbers_stored, .ctx = leader});
+}
+
 void
 leader_set_wave_revision(struct leader *leader, const char *number,
                          int64_t revision)
@@ -128,20 +197,16 @@
                          g_memdup2(&revision, sizeof(revision)));
 }
 
-/* A conflict comes from a new leader, or from an earlier write of this process
- * whose answer was lost. */
+/* Adopts the revision of the wave whose status was sent. */
 static bool
 adopt_wave_revision(struct leader *leader, const GPtrArray *items)
 {
-    for (guint i = 0; i < items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(items, i);
-        if (strcmp(item->key, RECORD_LEADER_KEY) != 0) {
-            leader_set_wave_revision(leader, leader->wave_status_sent,
-                                     item->revision);
-        }
-        else if (item->revision != leader->token) {
-            return false;
-        }
+    int64_t revision = -1;
+    if (!adopt_revision(leader, items, &revision)) {
+        return false;
+    }
+    if (revision >= 0) {
+        leader_set_wave_revision(leader, leader->wave_status_sent, revision);
     }
     return true;
 }
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -74,6 +74,9 @@
  * @handover_token: token of the leader that stored the last handover
  * @handover_lease_ms: longest lease that this leader had left open
  * @term: number of the leadership that this process holds or would claim
+ * @numbers_revision: revision of the record of reserved run numbers; 0: there
+ *                    is none
+ * @numbers_term: last term whose run numbers are reserved
  */
 struct leadership {
     struct node *node;
@@ -99,6 +102,8 @@
     int64_t handover_token;
     int64_t handover_lease_ms;
     uint32_t term;
+    int64_t numbers_revision;
+    uint32_t numbers_term;
     bool watching;
     struct election_backoff backoff;
     bool call_in_flight;
@@ -162,6 +167,14 @@
     leadership->handover_lease_ms = g_ascii_strtoll(rest, NULL, 10);
 }
 
+static void
+set_run_numbers(struct leadership *leadership, const struct kv_item *item)
+{
+    leadership->numbers_revision = item->revision;
+    leadership->numbers_term =
+        (uint32_t)g_ascii_strtoull(item->value, NULL, 10);
+}
+
 static void
 apply_records(struct leadership *leadership, const struct kv_result *result)
 {
@@ -178,6 +191,10 @@
                  item->value != NULL) {
             set_handover(leadership, item);
         }
+        else if (strcmp(item->key, RECORD_RUN_NUMBERS_KEY) == 0 &&
+                 item->value != NULL) {
+            set_run_numbers(leadership, item);
+        }
     }
     leadership->watch_after_revision =
         MAX(leadership->watch_after_revision, result->as_of);
@@ -286,7 +303,8 @@
               leadership->token, leadership->term);
     timer_set(leadership->timer, RENEW_INTERVAL_MS);
     leadership->node->leader =
-        leader_create(leadership->node, leadership->token, leadership->term);
+        leader_create(leadership->node, leadership->token, leadership->term,
+                      leadership->numbers_revision);
 }
 
 static void
@@ -333,11 +351,18 @@
                            ++leadership->claim_count);
     g_free(leadership->claim_value);
     leadership->claim_value = g_string_free(value, FALSE);
+    if (leadership->numbers_revision != 0) {
+        leadership->term = MAX(leadership->term, leadership->numbers_term + 1);
+    }
     char term[16];
     g_snprintf(term, sizeof(term), "%u", leadership->term);
+    /* The previous leader may have reserved numbers since the records were
+     * read. */
     struct kv_condition conditions[] = {
         {.key = RECORD_LEADER_KEY, .revision = leadership->record_revision},
         {.key = RECORD_TERM_KEY, .revision = leadership->term_revision},
+        {.key = RECORD_RUN_NUMBERS_KEY,
+         .revision = leadership->numbers_revision},
     };
     struct kv_put puts[] = {
         {.key = RECORD_LEADER_KEY,
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -95,7 +95,8 @@
 /**
  * struct job_task - one task and its current run
  * @run: run that may be in progress, or NULL
- * @run_number: highest number given to a run of this task
+ * @run_number: highest number known of a run of this task
+ * @refusals: starts in a row that were refused
  * @failures: runs that ended as failed
  * @failed_runs: their numbers, so that a completion that is reported again
  * after a takeover counts once
@@ -122,6 +123,7 @@
 struct job_task {
     struct run *run;
     uint32_t run_number;
+    uint32_t refusals;
     uint32_t failures;
     uint32_t *failed_runs;
     bool done;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -215,7 +215,8 @@
 
 /**
  * scheduler_create() - scheduler without jobs or backend servers
- * @term: counts takeovers; keeps run numbers of successive leaders apart
+ * @term: counts takeovers; keeps run numbers of successive leaders apart. A
+ *        leader's is above those that its predecessors have reserved
  * @clock: time that also passes while the machine is suspended
  * @unix_clock: Unix time in ms
  */
@@ -326,6 +327,18 @@
 scheduler_on_start(struct scheduler *sched, uint64_t handle,
                    enum start_answer answer, int64_t clock_ms);
 
+/**
+ * scheduler_term_wanted() - last term whose run numbers are to be reserved in
+ * the store; 0: enough are
+ */
+uint32_t
+scheduler_term_wanted(const struct scheduler *sched);
+
+/** scheduler_term_reserved() - it is stored that the run numbers up to those
+ * of @term are this leader's. */
+void
+scheduler_term_reserved(struct scheduler *sched, uint32_t term);
+
 /** scheduler_start_waits() - whether tasks wait until start commands are
  * answered. */
 bool
@@ -423,6 +436,8 @@
  * @done: tasks done
  * @failed: runs that ended as failed
  * @lost: runs that ended without a completion
+ * @stale_numbers: starts refused since the backend server knows a run that
+ *                 isn't numbered lower
  * @shed: what is shed because of overload
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
@@ -437,6 +452,7 @@
     uint64_t done;
     uint64_t failed;
     uint64_t lost;
+    uint64_t stale_numbers;
     enum shed_level shed;
     uint32_t start_window;
     uint32_t starts_in_flight;
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -12,9 +12,11 @@
 #include "egretjobd/node.h"
 
 /** leader_create() - read the stored state, then start scheduling;
- * @term counts leaderships and keeps their run numbers apart. */
+ * @term counts leaderships and keeps their run numbers apart;
+ * @numbers_revision: revision of RECORD_RUN_NUMBERS_KEY, 0: there is none. */
 struct leader *
-leader_create(struct node *node, int64_t token, uint32_t term);
+leader_create(struct node *node, int64_t token, uint32_t term,
+              int64_t numbers_revision);
 
 /** leader_destroy() - stop at once; NULL is allowed. */
 void
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -22,6 +22,8 @@
 /* Longest lease that the previous leader left open when it handed over. */
 #define RECORD_HANDOVER_KEY "eg/duty/handover"
 #define RECORD_TERM_KEY "eg/duty/term"
+/* Last term whose run numbers a leader has reserved beyond its own. */
+#define RECORD_RUN_NUMBERS_KEY "eg/duty/run-numbers"
 
 /* Values under RECORD_INBOX_PREFIX: messages for the scheduler. */
 #define INBOX_JOB "job"
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -295,6 +295,10 @@
     while ((batch = scheduler_take_batch(fixture->sched, BATCH)) != NULL) {
         scheduler_batch_stored(fixture->sched, batch, true, 1);
     }
+    uint32_t term = scheduler_term_wanted(fixture->sched);
+    if (term != 0 && !fixture->withhold_run_numbers) {
+        scheduler_term_reserved(fixture->sched, term);
+    }
 }
 
 void
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -55,6 +55,7 @@
  * @incarnation_start_ms: Unix time at which every backend server started
  * @refuse_starts: each start is answered at once: it was not sent
  * @starts_end_leadership: the leadership is over when a start is to be sent
+ * @withhold_run_numbers: run numbers aren't reserved
  * @commands: struct recorded_command, oldest first
  * @last_event: last event that the scheduler logged, with its fields
  */
@@ -65,6 +66,7 @@
     int64_t incarnation_start_ms;
     bool refuse_starts;
     bool starts_end_leadership;
+    bool withhold_run_numbers;
     GPtrArray *commands;
     char *last_event;
 };
