net: connections of the HTTP client are reset when they are closed

Change: SO_LINGER is set when a connection is made, for processes that end; a connection that is closed is reset before libevent shuts it down. That holds for all clients of the job daemon.

--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -1,5 +1,6 @@
 /* HTTP client with one persistent connection; calls are sent and answered in
- * order. */
+ * order. The connection is reset when it is closed, so that a call which is
+ * given up isn't delivered later. */
 #ifndef NET_HTTP_CLIENT_H
 #define NET_HTTP_CLIENT_H
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -2,11 +2,13 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /**
  * struct pending_call - a call without an answer
@@ -24,6 +26,7 @@
 /**
  * struct http_client - connection to one address and its open calls
  * @connection: NULL if the address is none
+ * @reset_fd: socket that is reset when it is closed; -1: none
  * @sending: a call is being passed to libevent, and its caller still uses what
  *           belongs to it
  */
@@ -33,6 +36,7 @@
     char *host;
     int64_t timeout_ms;
     GPtrArray *pending;
+    evutil_socket_t reset_fd;
     bool sending;
     bool destroyed;
 };
@@ -68,6 +72,36 @@
     return valid;
 }
 
+/* A call that is given up must not be delivered later, nor one of a process
+ * that has ended: a close without a reset leaves that to the kernel. */
+static void
+reset_on_close(struct http_client *client)
+{
+    const struct linger reset = {.l_onoff = 1};
+    evutil_socket_t fd = bufferevent_getfd(
+        evhttp_connection_get_bufferevent(client->connection));
+    if (fd != -1 && fd != client->reset_fd &&
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) == 0) {
+        client->reset_fd = fd;
+    }
+}
+
+/* Resets the connection before libevent ends it in order, which the peer would
+ * take for the end of a whole call. */
+static void
+on_closing(struct evhttp_connection *connection, void *ctx)
+{
+    const struct sockaddr none = {.sa_family = AF_UNSPEC};
+    struct http_client *client = ctx;
+    evutil_socket_t fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (fd != -1 && connect(fd, &none, sizeof(none)) != 0) {
+        /* The reset comes with the close. */
+        reset_on_close(client);
+    }
+    client->reset_fd = -1;
+}
+
 struct http_client *
 http_client_create(struct event_base *base, const char *address,
                    int64_t timeout_ms)
@@ -75,10 +109,12 @@
     struct http_client *client = g_new0(struct http_client, 1);
     uint16_t port = 0;
     client->base = base;
+    client->reset_fd = -1;
     client->pending = g_ptr_array_new();
     if (address_read(address, &client->host, &port)) {
         client->connection =
             evhttp_connection_base_new(base, NULL, client->host, port);
+        evhttp_connection_set_closecb(client->connection, on_closing, client);
     }
     http_client_set_timeout(client, timeout_ms);
     return client;
@@ -175,6 +211,12 @@
         reply.body = (const char *)evbuffer_pullup(input, -1);
         reply.request = request;
     }
+    if (reply.status == 0) {
+        /* Further calls may be on a new connection already, which may have the
+         * number of the closed one. */
+        pending->client->reset_fd = -1;
+        reset_on_close(pending->client);
+    }
     /* Where connecting fails at once, libevent reports it at once. */
     if (pending->client->sending) {
         pending_call_fail_soon(pending, reply.never_sent);
@@ -224,6 +266,7 @@
         evhttp_make_request(client->connection, request,
                             method_type(call->method), call->path) == 0;
     client->sending = false;
+    reset_on_close(client);
     if (!accepted && !pending->failed) {
         pending_call_fail_soon(pending, true);
     }
