jobs: calls for advice are spent on jobs that could start

Cause: the choice of the step to ask for didn't look at maxima, nor at what a takeover or a stray holds up.

Change: both use the same functions, and a call is spent only on a step of which a task, or the whole gang, could start now.

Measured: jobs-advice fails before for short tasks and a gang (no start in 18 s), passes within one call and 50 ms now.

--- a/core/jobs/advice.c
+++ b/core/jobs/advice.c
@@ -66,7 +66,7 @@
     for (uint32_t t = 0; t < request->job->steps[request->step].task_count;
          t++) {
         const struct job_task *task = &progress->tasks[t];
-        waiting += task->run == NULL && !task->done &&
+        waiting += task->run == NULL && !task->done && task->strays == 0 &&
                    task->wait_until_ms <= request->now_ms;
     }
     return waiting;
@@ -161,6 +161,22 @@
                               (const char *const *)call->backend_ids->pdata);
 }
 
+/* Whether a task of the step could start now, if some backend server may run
+ * it: a call that is spent on another is lost to all other jobs. */
+static bool
+could_start(const struct advice_request *request)
+{
+    const struct job_step *step = &request->job->steps[request->step];
+    int64_t waiting = tasks_waiting(request);
+    /* A gang starts whole. */
+    int64_t n_tasks = step->gang ? step->task_count : 1;
+    struct resources need = {0};
+    resources_add(&need, &step->need, n_tasks);
+    return waiting >= n_tasks &&
+           job_step_ready(request->job, request->occurrence, request->step) &&
+           sched_team_allows(request->sched, request->job, &need);
+}
+
 static bool
 request_advice_for_job(struct scheduler *sched, struct job *job,
                        const struct pool_load *pool)
@@ -178,7 +194,7 @@
         for (uint32_t s = 0; s < job->n_steps; s++) {
             request.occurrence = k;
             request.step = s;
-            if (!job_step_ready(job, k, s) || tasks_waiting(&request) == 0) {
+            if (!could_start(&request)) {
                 continue;
             }
             GPtrArray *backends = choose_candidates(&request, pool);
@@ -209,6 +225,7 @@
         for (guint k = 0; k < pool->unplaced->len; k++) {
             struct job *job = g_ptr_array_index(pool->unplaced, k);
             if (job->refs.queue != NULL && job->refs.queue->needs_advice &&
+                !sched_inherited_runs_open(sched, pool, job) &&
                 request_advice_for_job(sched, job, pool)) {
                 return;
             }
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -32,9 +32,9 @@
     }
 }
 
-static bool
-team_allows(struct scheduler *sched, const struct job *job,
-            const struct resources *need)
+bool
+sched_team_allows(struct scheduler *sched, const struct job *job,
+                  const struct resources *need)
 {
     const struct team_config *team = sched_team_config(sched, job->refs.team);
     if (team == NULL) {
@@ -139,7 +139,7 @@
     struct resources need = job_step_backend_need(request->step);
     if (number == 0 || !overload_may_start(&sched->overload) ||
         pass_ended(sched) || known_to_fail(placer, &need) ||
-        !team_allows(sched, job, &request->step->need)) {
+        !sched_team_allows(sched, job, &request->step->need)) {
         return NULL;
     }
     request->avoid = task->avoid;
@@ -313,17 +313,15 @@
            !job->left_pool;
 }
 
-/* Whether runs of a previous leader may be in progress. If its queue has been
- * moved since it was accepted, they may be in any pool. */
-static bool
-inherited_runs_open(const struct placer *placer, const struct job *job)
+bool
+sched_inherited_runs_open(const struct scheduler *sched,
+                          const struct pool_load *pool, const struct job *job)
 {
     if (!job->inherited) {
         return false;
     }
-    return sched_runs_in_pool(job, placer->pool)
-               ? placer->pool->unreconciled
-               : placer->sched->maybe_unreconciled;
+    return sched_runs_in_pool(job, pool) ? pool->unreconciled
+                                         : sched->maybe_unreconciled;
 }
 
 /* Whether a leader that takes over would know that tasks of @job are in
@@ -376,7 +374,8 @@
 static void
 place_job(struct placer *placer, struct job *job)
 {
-    if (inherited_runs_open(placer, job) || !pool_recorded(placer, job) ||
+    if (sched_inherited_runs_open(placer->sched, placer->pool, job) ||
+        !pool_recorded(placer, job) ||
         known_to_fail(placer, &job->remaining.least_need)) {
         placer->left = true;
         return;
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -774,6 +774,16 @@
  * @pool, which its queue has now. */
 bool
 sched_runs_in_pool(const struct job *job, const struct pool_load *pool);
+/* Whether runs of @job that a previous leader has started may be in progress.
+ * If its queue has been moved since it was accepted, they may be in any pool.
+ */
+bool
+sched_inherited_runs_open(const struct scheduler *sched,
+                          const struct pool_load *pool, const struct job *job);
+/* Whether the maximum of its client account allows @job to take @need more. */
+bool
+sched_team_allows(struct scheduler *sched, const struct job *job,
+                  const struct resources *need);
 /* Whether another backend server of its pool could take over @run. */
 bool
 sched_fits_elsewhere(struct scheduler *sched, const struct run *run);
--- a/tests/jobs/advice_test.c
+++ b/tests/jobs/advice_test.c
@@ -11,6 +11,9 @@
 enum {
     BACKEND_COUNT = 60,
     TICKET_VALID_MS = 3000,
+    /* 50 ms, and 5 ms for each of eight backend servers. */
+    CALL_MS = 90,
+    BLOCKED_COUNT = 150,
 };
 
 static const char four_tasks[] =
@@ -173,6 +176,109 @@
     fixture_clear(&f);
 }
 
+static void
+add_team(struct fleet_fixture *f, const char *name, int64_t maximum_milli)
+{
+    struct team_config *team = g_new0(struct team_config, 1);
+    team->name = g_strdup(name);
+    team->maximum.cpu_milli = maximum_milli;
+    g_ptr_array_add(f->config->teams, team);
+    scheduler_configure(f->sched, f->config);
+}
+
+static void
+add_job_of(struct fleet_fixture *f, const char *id, const char *team,
+           const char *steps)
+{
+    struct job *job = fixture_create_job(f, id, "p", steps);
+    g_free(job->team);
+    job->team = g_strdup(team);
+    scheduler_add_job(f->sched, job);
+    job_unref(job);
+}
+
+/* Answers the open request as the platform does: the backend servers that it
+ * names may run the step. */
+static void
+allow_all(struct fleet_fixture *f)
+{
+    char **ids =
+        g_strsplit(fixture_last(f, COMMAND_REQUEST_ADVICE)->target, " ", -1);
+    guint n_ids = g_strv_length(ids);
+    struct advice_grant *grants = g_new0(struct advice_grant, n_ids + 1);
+    for (guint i = 0; i < n_ids; i++) {
+        grants[i] =
+            (struct advice_grant){.backend_id = ids[i], .ticket = "t-1"};
+    }
+    struct advice_answer answer = {.given = true,
+                                   .valid_ms = TICKET_VALID_MS,
+                                   .grants = grants,
+                                   .n_grants = n_ids};
+    scheduler_on_advice(f->sched, &answer);
+    g_free(grants);
+    g_strfreev(ids);
+}
+
+/* Time until a job of another account starts, while @blocked jobs of one that
+ * is at its maximum wait. A call takes CALL_MS. */
+static int64_t
+start_of_other_account_ms(const char *blocked_steps)
+{
+    struct fleet_fixture f;
+    init_with_advice(&f, 8);
+    add_team(&f, "full", 8000);
+    add_team(&f, "other", 0);
+    add_job_of(&f, JOB_A, "full",
+               "[{\"count\":8,\"cpu\":1000,\"mem_mb\":100,"
+               "\"long_running\":true}]");
+    fixture_tick(&f, f.now_ms + 10);
+    allow_all(&f);
+    fixture_tick(&f, f.now_ms + 10);
+    fixture_accept_starts(&f);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 8);
+    for (int i = 0; i < BLOCKED_COUNT; i++) {
+        char *id = g_strdup_printf("0000000000001%03x", i);
+        add_job_of(&f, id, "full", blocked_steps);
+        g_free(id);
+    }
+    fixture_tick(&f, f.now_ms + 10);
+    add_job_of(&f, JOB_B, "other",
+               "[{\"count\":4,\"cpu\":1500,\"mem_mb\":100,"
+               "\"estimate_ms\":500}]");
+    int64_t begin_ms = f.now_ms;
+    int64_t sent_ms = begin_ms;
+    uint32_t answered = 1;
+    while (fixture_count(&f, COMMAND_START, NULL) == 8 &&
+           f.now_ms < begin_ms + 18000) {
+        fixture_tick(&f, f.now_ms + 10);
+        if (fixture_count(&f, COMMAND_REQUEST_ADVICE, NULL) == answered) {
+            sent_ms = f.now_ms;
+        }
+        else if (f.now_ms - sent_ms >= CALL_MS) {
+            answered++;
+            allow_all(&f);
+        }
+    }
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, NULL), 8 + 4);
+    int64_t passed_ms = f.now_ms - begin_ms;
+    fixture_clear(&f);
+    return passed_ms;
+}
+
+/* Guards against jobs of a client account at its maximum that take all calls
+ * for advice, so that no other account has a start. */
+static void
+test_account_at_its_maximum(void)
+{
+    /* One call, and the passes before and after it. */
+    CU_ASSERT(
+        start_of_other_account_ms("[{\"count\":4,\"cpu\":1000,\"mem_mb\":100,"
+                                  "\"estimate_ms\":500}]") <= CALL_MS + 50);
+    CU_ASSERT(start_of_other_account_ms(
+                  "[{\"count\":4,\"cpu\":1000,\"mem_mb\":100,"
+                  "\"estimate_ms\":500,\"gang\":true}]") <= CALL_MS + 50);
+}
+
 int
 main(void)
 {
@@ -182,6 +288,7 @@
         {"tickets are renewed", test_tickets_are_renewed},
         {"a refused ticket is requested anew", test_refused_ticket},
         {"advice is unavailable", test_advice_unavailable},
+        {"a client account at its maximum", test_account_at_its_maximum},
     };
     return suite_main("jobs advice", tests, sizeof(tests) / sizeof(tests[0]));
 }
