--- a/core/jobs/open_leases.c
+++ b/core/jobs/open_leases.c
@@ -11,9 +11,9 @@
 #include "scheduler_state.h"
 
 enum {
-    /* The list is short, and written seldom enough for its bytes not to
-     * matter. */
+    /* The list has less than 3 KB then; a daemon may use 4 KB/s. */
     SILENT_MAX = 64,
+    /* Each takeover adds up to this to the wait. */
     REWRITE_MS = 700,
 };
 
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -52,8 +52,8 @@
     /* More than fall silent in an outage in the time that it takes to prove a
      * crash; fewer only make an outage harder to tell. */
     SILENCES_KEPT = 64,
-    /* Refusals in a row after which the delay doubles, up to some seconds: a
-     * service task may not be away for longer. */
+    /* Refusals in a row after which the delay doubles, up to 2 s: a service
+     * task may be away for 9 s. */
     REFUSALS_FREE = 3,
     REFUSAL_DOUBLINGS_MAX = 4,
 };
