jobs: cap the wait for an inherited lease at what any version has granted

jobs-leaving-named failed since: a record that names 10 s was waited for 10.3 s, although no leader grants more than 8.5 s and a service task may be away for 9 s. had to raise the cap, which was the longest own lease, and raised it to what backend servers accept.

The wait now ends when a lease of 8.5 s would have, with its margin for slow clocks: 8.8 s in the test. The constant also replaces the one for records that name no lease.

--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -302,7 +302,9 @@
     backend->registered = true;
     /* The previous leader granted its last lease before this term began. */
     int64_t open_ms = MIN(lease_ms, sched->lease_accepted_max_ms);
-    backend->leases_expire_ms = lease_over_ms(sched->takeover_ms, open_ms);
+    backend->leases_expire_ms =
+        MIN(lease_over_ms(sched->takeover_ms, open_ms),
+            lease_over_ms(sched->takeover_ms, SCHED_ANY_LEASE_MAX_MS));
     sched_host_incarnation(sched, backend);
     sched_backend_changed(sched, backend);
 }
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -33,8 +33,6 @@
     READ_RETRY_MS = 150,
     /* Drift of this host's clock against the store's: 2 % of the TTL. */
     CLOCK_DRIFT_MARGIN_MS = 60,
-    /* Leaders of earlier versions granted this and didn't say so. */
-    UNNAMED_LEASE_MAX_MS = 8500,
 };
 
 /**
@@ -170,7 +168,7 @@
     leadership->term = (uint32_t)g_ascii_strtoull(item->value, &rest, 10) + 1;
     int64_t lease_max_ms = g_ascii_strtoll(rest, NULL, 10);
     leadership->previous_lease_max_ms =
-        lease_max_ms > 0 ? lease_max_ms : (int64_t)UNNAMED_LEASE_MAX_MS;
+        lease_max_ms > 0 ? lease_max_ms : (int64_t)SCHED_ANY_LEASE_MAX_MS;
 }
 
 static void
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -15,6 +15,12 @@
 #include "core/jobs/job.h"
 #include "core/jobs/overload.h"
 
+enum {
+    /* Longest lease that any version of this program has granted. Records of
+     * earlier versions may name a longer one, or none. */
+    SCHED_ANY_LEASE_MAX_MS = 8500,
+};
+
 /**
  * struct sched_timings - limits given by the platform's settings
  * @lease_max_ms: longest lease that a backend server accepts
