jobs: settings and seams for shares, priorities and reservations

The settings' new object "scheduling" switches the features on; each is off without it. A wrong type, an unknown member or a window out of range is a finding with its place, and the process doesn't start. The weight of a client account is read from the configuration.

The placement pass, the choice of a backend server and admission call the new modules, which decide nothing yet, so that behaviour is as before.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -156,6 +156,8 @@
         if (request->step->long_running) {
             reserve_for_service(placer, request);
         }
+        placer_reserve_ahead(placer, request);
+        placer_preempt(placer, request);
         return NULL;
     }
     task->isolation_since_ms = 0;
@@ -489,6 +491,7 @@
             }
             if (services) {
                 rank_pool(&placer);
+                sched_share_order(sched, placer.pool);
             }
             place_pool(&placer, services);
         }
--- a/core/jobs/placer.c
+++ b/core/jobs/placer.c
@@ -104,6 +104,7 @@
             (!sched_backend_reserved(placer->sched, backend) &&
              backend->isolation_until_ms <= placer->now_ms)) &&
            placer_has_capacity(backend, request->step) &&
+           placer_reservation_allows(placer, backend, request) &&
            placer_suitable(placer, backend, request);
 }
 
--- a/core/jobs/placer.h
+++ b/core/jobs/placer.h
@@ -70,6 +70,24 @@
 placer_choose_backend(const struct placer *placer,
                       const struct placement_request *request);
 
+/** placer_reserve_ahead() - a task found no place: reserve capacity that will
+ * be free soon, if that is due. */
+void
+placer_reserve_ahead(struct placer *placer,
+                     const struct placement_request *request);
+
+/** placer_reservation_allows() - whether reservations of others on @backend
+ * leave room for a task. */
+bool
+placer_reservation_allows(const struct placer *placer,
+                          const struct backend *backend,
+                          const struct placement_request *request);
+
+/** placer_preempt() - a task found no place: stop runs of a lower priority,
+ * if that is due. */
+void
+placer_preempt(struct placer *placer, const struct placement_request *request);
+
 /**
  * placer_place_isolated() - start a task that may crash its backend server
  *
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -220,11 +220,11 @@
     return MAX(hosts, load->spread_hosts);
 }
 
-/* Thousandths of a core that can work on the pool's jobs. While tasks wait for
- * answers to start commands it is this process or its link that limits them,
- * and only what runs counts. */
-static double
-working_milli(const struct scheduler *sched, const struct pool_load *load)
+/* While tasks wait for answers to start commands it is this process or its
+ * link that limits them, and only what runs counts. */
+double
+sched_working_milli(const struct scheduler *sched,
+                    const struct pool_load *load)
 {
     if (sched->start_waits) {
         return (double)load->used_milli;
@@ -247,9 +247,12 @@
         job->first_ms > 0 || job_is_service(job)) {
         return 0;
     }
+    if (sched->policy.account_shares || sched->policy.queue_priorities) {
+        return sched_share_refusal_ms(sched, load, queue, job);
+    }
     struct admission_input input = {
         .backlog_millicore_ms = load->backlog_millicore_ms,
-        .rate_milli = working_milli(sched, load),
+        .rate_milli = sched_working_milli(sched, load),
         .critical_path_ms = job_critical_path_ms(job),
     };
     input.objective_ms =
@@ -264,7 +267,7 @@
     const struct pool_load *load = sched_pool_load(sched, pool);
     struct admission_input input = {
         .backlog_millicore_ms = load->backlog_millicore_ms,
-        .rate_milli = working_milli(sched, load),
+        .rate_milli = sched_working_milli(sched, load),
     };
     return admission_wait_ms(&input) > BEHIND_MS;
 }
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -210,6 +210,16 @@
     g_free(fields);
 }
 
+void
+scheduler_set_policy(struct scheduler *sched,
+                     const struct sched_policy *policy)
+{
+    sched->policy = *policy;
+    if (sched->policy.share_window_ms == 0) {
+        sched->policy.share_window_ms = SHARE_WINDOW_DEFAULT_MS;
+    }
+}
+
 void
 scheduler_configure(struct scheduler *sched, const struct fleet_config *config)
 {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -334,6 +334,7 @@
  * @reserved_term: last term whose run numbers are this leader's; at least
  *                 @term
  * @wanted_term: term up to which they are to be reserved
+ * @policy: features that are switched on
  * @config: the active configuration, borrowed, or NULL
  * @generation: counts configurations, from 1
  * @racks: name of a rack to the GPtrArray of its struct backend
@@ -405,6 +406,7 @@
     uint32_t term;
     uint32_t reserved_term;
     uint32_t wanted_term;
+    struct sched_policy policy;
     const struct fleet_config *config;
     uint64_t generation;
     GHashTable *racks;
@@ -894,9 +896,23 @@
 sched_record_arrival(struct scheduler *sched, const struct job *job);
 void
 sched_measure_pools(struct scheduler *sched);
+/* Thousandths of a core that can work on the pool's jobs. */
+double
+sched_working_milli(const struct scheduler *sched,
+                    const struct pool_load *load);
 int64_t
 pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms);
 
+/* scheduler_shares.c */
+/* Orders the ranked jobs of a pool by the shares of their client accounts. */
+void
+sched_share_order(struct scheduler *sched, struct pool_load *pool);
+/* scheduler_refusal_ms() with shares or priorities. */
+int64_t
+sched_share_refusal_ms(struct scheduler *sched, const struct pool_load *pool,
+                       const struct queue_config *queue,
+                       const struct job *job);
+
 /* order.c */
 /* What is left of @job, computed again only after a change. */
 const struct job_remaining *
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -231,6 +231,7 @@
     struct sched_ops ops = leader_ops(leader);
     leader->sched = scheduler_create(&node->settings->timings, &ops, term,
                                      node->clock, node->unix_clock);
+    scheduler_set_policy(leader->sched, &node->settings->policy);
     leader->host_commands = host_commands_create(leader);
     leader_load_records(leader);
     timer_set(leader->hosts_timer, 0);
--- a/include/core/jobs/fleet_config.h
+++ b/include/core/jobs/fleet_config.h
@@ -14,11 +14,13 @@
  * @keys: its keys, NULL-terminated
  * @maximum: most resources that its tasks may use over all pools; 0 in a field
  *           means no limit
+ * @weight: its share of a full pool, relative to the other accounts; 0: none
  */
 struct team_config {
     char *name;
     char **keys;
     struct resources maximum;
+    int64_t weight;
 };
 
 /**
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -14,6 +14,7 @@
 #include "core/jobs/fleet_config.h"
 #include "core/jobs/job.h"
 #include "core/jobs/overload.h"
+#include "core/jobs/sched_policy.h"
 
 enum {
     /* Longest lease that any version of this program has granted. Records of
@@ -233,6 +234,11 @@
 void
 scheduler_destroy(struct scheduler *sched);
 
+/** scheduler_set_policy() - switch features on or off; all are off before. */
+void
+scheduler_set_policy(struct scheduler *sched,
+                     const struct sched_policy *policy);
+
 /** scheduler_configure() - make @config the active configuration; borrowed. */
 void
 scheduler_configure(struct scheduler *sched,
--- a/include/platform/job_settings.h
+++ b/include/platform/job_settings.h
@@ -25,6 +25,7 @@
  * @value_bytes_max: longest value that the store accepts
  * @min_ttl_ms: shortest time to live of a lease that the store grants
  * @timings: time limits of the scheduler
+ * @policy: features of the scheduler that are switched on
  */
 struct job_settings {
     char *node_name;
@@ -42,6 +43,7 @@
     size_t value_bytes_max;
     int64_t min_ttl_ms;
     struct sched_timings timings;
+    struct sched_policy policy;
 };
 
 /** job_settings_read() - read the settings in @path; NULL and findings on an
--- a/tests/jobs/settings_test.c
+++ b/tests/jobs/settings_test.c
@@ -100,6 +100,47 @@
     }
 }
 
+/* The settings with @scheduling as that member; true if they are accepted. */
+static bool
+scheduling_accepted(const char *scheduling, const char *place)
+{
+    char *text = g_strdup_printf(
+        "{\"node_name\":\"n\",\"zone\":\"dc\",\"ip\":\"127.0.0.1\","
+        "\"internal_ports\":[7000],\"listen\":{\"front\":\"127.0.0.1:1\","
+        "\"ready\":\"127.0.0.1:2\"},\"platform\":{\"address\":"
+        "\"127.0.0.1:3\"},\"cloud\":{\"address\":\"127.0.0.1:4\"},"
+        "\"scheduling\":%s}",
+        scheduling);
+    bool read = text_accepted(text, place);
+    g_free(text);
+    return read;
+}
+
+/* Guards against a misspelt or malformed switch that leaves a feature off
+ * without a word. */
+static void
+test_scheduling(void)
+{
+    CU_ASSERT(scheduling_accepted("{}", NULL));
+    CU_ASSERT(scheduling_accepted(
+        "{\"account_shares\":true,\"share_window_ms\":5000,"
+        "\"queue_priorities\":true,\"reservations\":false}",
+        NULL));
+    CU_ASSERT_FALSE(scheduling_accepted("true", "$.scheduling"));
+    CU_ASSERT_FALSE(scheduling_accepted("{\"account_shares\":1}",
+                                        "$.scheduling.account_shares"));
+    CU_ASSERT_FALSE(scheduling_accepted("{\"reservation\":true}",
+                                        "$.scheduling.reservation"));
+    static const char *const windows[] = {"0", "999", "3600001", "1000.5",
+                                          "\"5000\""};
+    for (size_t i = 0; i < G_N_ELEMENTS(windows); i++) {
+        char *text = g_strdup_printf("{\"share_window_ms\":%s}", windows[i]);
+        CU_ASSERT_FALSE(
+            scheduling_accepted(text, "$.scheduling.share_window_ms"));
+        g_free(text);
+    }
+}
+
 int
 main(void)
 {
@@ -107,6 +148,7 @@
         {"texts with U+0000", test_texts_with_nul},
         {"an address that is none", test_address_that_is_none},
         {"a port out of range", test_port_out_of_range},
+        {"switches of the scheduler", test_scheduling},
     };
     return suite_main("jobs settings", tests,
                       sizeof(tests) / sizeof(tests[0]));
