jobs: hosts are moved ahead of a demand peak that recurs

The first jobs of each peak waited until hosts had moved, although the peaks of a queue come again after about the same time. With the setting scheduling.demand_forecast the leader learns that time from what pools needed and moves spare hosts ahead, as long as no pool lacks hosts for work that is there. Off, nothing changes.

Peaks that don't come end it, and irregular ones make none.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -139,8 +139,8 @@
 static int64_t
 surplus_hosts(const struct pool_load *load)
 {
-    return load->hosts + load->incoming_hosts - load->wanted_hosts -
-           RESERVE_HOST_COUNT;
+    return load->hosts + load->incoming_hosts -
+           MAX(load->wanted_hosts, load->hosts_ahead) - RESERVE_HOST_COUNT;
 }
 
 static bool
@@ -155,10 +155,11 @@
            sched_host_empty(sched, host) && command_allowed(sched, host);
 }
 
-/* Best host to move to @target: a spare one, otherwise an idle one of a pool
- * with a surplus. */
+/* Best host to move to @target: a spare one, otherwise, unless @spare_only, an
+ * idle one of a pool with a surplus. */
 static struct host *
-find_source(struct scheduler *sched, const struct pool_load *target)
+find_source(struct scheduler *sched, const struct pool_load *target,
+            bool spare_only)
 {
     struct host *best = NULL;
     GHashTableIter iter;
@@ -170,7 +171,8 @@
             continue;
         }
         bool spare = is_spare(sched, host->load);
-        if ((!spare && (best != NULL || surplus_hosts(host->load) <= 0)) ||
+        if ((!spare &&
+             (spare_only || best != NULL || surplus_hosts(host->load) <= 0)) ||
             !host_is_movable(sched, host) ||
             (host->data_centre != NULL &&
              sched_is_out_of_service(sched, host->data_centre))) {
@@ -196,12 +198,29 @@
     advance_host(sched, host);
 }
 
-static void
+/* Whether the pool has as many hosts as it needs now. */
+static bool
 grow_pool(struct scheduler *sched, struct pool_load *load)
 {
-    while (sched->command_budget.available >= 1 &&
-           load->wanted_hosts > load->hosts + load->incoming_hosts) {
-        struct host *host = find_source(sched, load);
+    while (load->wanted_hosts > load->hosts + load->incoming_hosts) {
+        struct host *host = sched->command_budget.available >= 1
+                                ? find_source(sched, load, false)
+                                : NULL;
+        if (host == NULL) {
+            return false;
+        }
+        plan_move(sched, host, load->pool);
+    }
+    return true;
+}
+
+static void
+grow_pool_ahead(struct scheduler *sched, struct pool_load *load)
+{
+    while (load->hosts_ahead > load->hosts + load->incoming_hosts &&
+           command_budget_allows_deferrable(
+               &sched->command_budget, sched->timings.host_commands_per_s)) {
+        struct host *host = find_source(sched, load, true);
         if (host == NULL) {
             return;
         }
@@ -222,7 +241,8 @@
     if (load->surplus_since_ms == 0) {
         load->surplus_since_ms = now_ms;
     }
-    if (now_ms - load->surplus_since_ms < SURPLUS_MIN_MS) {
+    if (now_ms - load->surplus_since_ms < SURPLUS_MIN_MS &&
+        !sched_rests_until_peak(sched, load, SURPLUS_MIN_MS, now_ms)) {
         return;
     }
     GHashTableIter iter;
@@ -266,11 +286,20 @@
         struct pool_load *load = value;
         load->wanted_hosts = pool_load_wanted_hosts(load, now_ms);
     }
+    sched_forecast_hosts(sched, now_ms);
+    bool satisfied = true;
     for (guint i = 0; i < sched->config->pools->len; i++) {
         const struct pool_config *pool =
             g_ptr_array_index(sched->config->pools, i);
         if (!pool->spare) {
-            grow_pool(sched, sched_pool_load(sched, pool->name));
+            satisfied &= grow_pool(sched, sched_pool_load(sched, pool->name));
+        }
+    }
+    for (guint i = 0; satisfied && i < sched->config->pools->len; i++) {
+        const struct pool_config *pool =
+            g_ptr_array_index(sched->config->pools, i);
+        if (!pool->spare) {
+            grow_pool_ahead(sched, sched_pool_load(sched, pool->name));
         }
     }
     for (guint i = 0; i < sched->config->pools->len; i++) {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef CORE_JOBS_SCHEDULER_STATE_H
 #define CORE_JOBS_SCHEDULER_STATE_H
 
+#include "core/jobs/demand_cycle.h"
 #include "core/jobs/scheduler.h"
 
 enum {
@@ -236,6 +237,10 @@
  * @wanted_hosts: hosts that it needs, as of the last plan
  * @surplus_since_ms: since when it has had more hosts than it needs; 0: it has
  *                    not
+ * @cycle: its demand peaks
+ * @hosts_ahead: hosts that it should have for its next peak; 0: that is not
+ *               near, or not known
+ * @next_peak_ms: when that is expected; 0: not known
  * @config: its configuration, NULL: none
  * @generation: configuration for which @config was looked up
  * @index: its backend servers that take work
@@ -273,6 +278,9 @@
     double backlog_millicore_ms;
     int64_t wanted_hosts;
     int64_t surplus_since_ms;
+    struct demand_cycle cycle;
+    int64_t hosts_ahead;
+    int64_t next_peak_ms;
     uint32_t isolated_runs;
     const struct job_task *isolation_first;
     const struct job_task *isolation_next;
@@ -883,6 +891,18 @@
 void
 sched_plan_hosts(struct scheduler *sched);
 
+/* forecast_hosts.c */
+/* Decides how many hosts each pool should have ahead of its next peak, from
+ * what it needs as of this plan. */
+void
+sched_forecast_hosts(struct scheduler *sched, int64_t now_ms);
+/* Whether the next peak of @load is known to leave a host that moves away now
+ * and back in time at least @rest_min_ms in between. */
+bool
+sched_rests_until_peak(const struct scheduler *sched,
+                       const struct pool_load *load, int64_t rest_min_ms,
+                       int64_t now_ms);
+
 /* wave_plan.c */
 void
 sched_plan_waves(struct scheduler *sched);
--- a/include/core/jobs/sched_policy.h
+++ b/include/core/jobs/sched_policy.h
@@ -22,12 +22,15 @@
  *                    pool and may preempt others
  * @reservations: tasks that small ones would overtake for long get a
  *                reservation
+ * @demand_forecast: pools whose demand peaks again and again get hosts before
+ *                   the next peak
  */
 struct sched_policy {
     bool account_shares;
     int64_t share_window_ms;
     bool queue_priorities;
     bool reservations;
+    bool demand_forecast;
 };
 
 #endif
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -498,6 +498,8 @@
  * @lost: runs that ended without a completion
  * @stale_numbers: starts refused since the backend server knows a run that
  *                 isn't numbered lower
+ * @forecasts: demand peaks for which hosts were moved ahead
+ * @forecasts_missed: those that did not come
  * @shed: what is shed because of overload
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
@@ -513,6 +515,8 @@
     uint64_t failed;
     uint64_t lost;
     uint64_t stale_numbers;
+    uint64_t forecasts;
+    uint64_t forecasts_missed;
     enum shed_level shed;
     uint32_t start_window;
     uint32_t starts_in_flight;
