egretctl: place shows where a job would go now, and why

An operator could see that a job waits, not where it would run or what it lacks at the moment. The leader now answers that from memory at its metrics address; egretctl follows from any entry host to the leader. The explanation uses the functions of placement and admission, and adds nothing to the scheduler.

Tests: jobs-explain (the server that is named is the one on which the job then starts; each reason alone), jobs-explain-processes (three entry hosts as real processes, unknown queue, malformed job).

--- a/egretctl/commands.c
+++ b/egretctl/commands.c
@@ -161,6 +161,16 @@
         .max_args = 1,
         .run = command_maintain_stop,
     },
+    {
+        .name = "place",
+        .arguments = "ADDRESS QUEUE FILE [ACCOUNT]",
+        .summary = "show where a job would be placed now, and why, without "
+                   "sending it; ADDRESS serves the metrics of a job daemon",
+        .min_args = 3,
+        .max_args = 4,
+        .offline = true,
+        .run = command_place,
+    },
     {
         .name = "status",
         .arguments = "",
--- a/egretctl/commands.h
+++ b/egretctl/commands.h
@@ -76,6 +76,8 @@
 enum ctl_exit
 command_maintain_stop(struct ctl *ctl, int n_args, char **args);
 enum ctl_exit
+command_place(struct ctl *ctl, int n_args, char **args);
+enum ctl_exit
 command_status(struct ctl *ctl, int n_args, char **args);
 
 #endif
--- a/egretctl/completion/egretctl.bash
+++ b/egretctl/completion/egretctl.bash
@@ -10,7 +10,7 @@
 _egretctl() {
     local word=${COMP_WORDS[COMP_CWORD]}
     local commands="apply check dc diff explain gateway get history job key
-        maintain status"
+        maintain place status"
     local options="--store --secret-file --json --wait --yes --expires --pool
         --dc --older-than --help --version"
     local choices="" command="" subcommand="" i
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -7,6 +7,7 @@
 #include "common/text.h"
 #include "egretjobd/acceptor.h"
 #include "egretjobd/config_feed.h"
+#include "egretjobd/explain_call.h"
 #include "egretjobd/job_call.h"
 #include "egretjobd/job_queries.h"
 #include "egretjobd/leader.h"
@@ -351,6 +352,10 @@
 on_metrics(void *ctx, struct http_exchange *exchange)
 {
     struct frontend *frontend = ctx;
+    if (explain_call_matches(exchange)) {
+        explain_call_serve(frontend->node, exchange);
+        return;
+    }
     const struct frontend_counters *counters = &frontend->counters;
     struct sched_stats stats;
     leader_stats(frontend->node->leader, &stats);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -378,6 +378,14 @@
     reply->call(reply->ctx, &answer);
 }
 
+bool
+leader_explain(struct leader *leader, struct job *job,
+               struct job_explanation *explanation)
+{
+    return leader_ready(leader) &&
+           scheduler_explain(leader->sched, job, explanation);
+}
+
 /* Whether a new job is refused, because this process sheds new jobs or because
  * the job would finish too late to be of use. */
 static bool
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/jobs/explain.h"
 #include "core/jobs/scheduler.h"
 #include "egretjobd/job_call.h"
 #include "egretjobd/node.h"
@@ -46,6 +47,12 @@
 leader_handle_call(struct leader *leader, const struct job_call *call,
                    struct job_reply reply);
 
+/** leader_explain() - scheduler_explain(); false also while the stored state
+ * is being read. */
+bool
+leader_explain(struct leader *leader, struct job *job,
+               struct job_explanation *explanation);
+
 /** leader_renewal_delay() - a renewal of the leadership took @delay_ms. */
 void
 leader_renewal_delay(struct leader *leader, int64_t delay_ms);
