jobs: a repeated request starts the stored job, not its own body

A request that repeats an id with another body was answered as accepted, as it should be, but the leader then started what the request held in place of the record. The conflict's answer holds that record; the pending job takes it over.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -198,6 +198,17 @@
     return NULL;
 }
 
+/* What is stored counts, not what this caller sent: a request may come again
+ * with the same id and another body. */
+static void
+use_stored_record(struct pending_job *pending, const struct kv_item *found)
+{
+    if (found->value != NULL) {
+        g_free(pending->value);
+        pending->value = g_strndup(found->value, found->value_bytes);
+    }
+}
+
 static bool
 leader_changed(const struct acceptor *acceptor, const struct kv_result *result)
 {
@@ -228,6 +239,9 @@
             pending_finish(acceptor, pending, 410);
             continue;
         }
+        if (found != NULL) {
+            use_stored_record(pending, found);
+        }
         if (result->outcome == KV_OK ||
             find_item(result, pending->inbox_key) != NULL ||
             (found != NULL && slot->as_leader)) {
