jobs: order by queue priority, and preempt runs of a lower one

The priority of a queue was read and used by nothing. A job of priority 0 that arrived at a pool full of runs of priority 1 waited until they ended: in the replay of the new test 59 s with runs of 60 s.

With queue_priorities, jobs that are no services are ordered by the priority of their queue first. A task that found no place searches its pool: if enough room is expected in time by itself, it waits, otherwise the runs of a strictly lower priority on one backend server whose stops lose the least work are stopped, and their capacity is kept for its step until it has started. Service tasks, gang members, isolated runs, starts without a confirmation and backend servers that aren't reconciled are left alone; a task is preempted three times at most, and a quarter of a pool at a time. Where a small task has found no place, larger ones that may preempt are still looked at, so that the hook is reached.

All of it is state of the leader, lost with it: the next one decides again by the runs in run reports.

--- a/core/jobs/order.c
+++ b/core/jobs/order.c
@@ -2,7 +2,8 @@
  * Order of waiting jobs, for queues that at their peak request several times
  * the capacity of their pool. Jobs that can still meet their objective come
  * first, so that the pool isn't spent on late ones; within each class the job
- * with the least remaining work comes first.
+ * with the least remaining work comes first. With queue priorities, the
+ * priority of the job's queue comes before both.
  */
 #include "core/jobs/scheduler.h"
 
@@ -109,24 +110,40 @@
     return remaining;
 }
 
+int64_t
+job_priority(const struct job *job)
+{
+    return job->refs.queue == NULL ? INT64_MAX : job->refs.queue->priority;
+}
+
 void
-job_order_rank(struct job *job, int64_t unix_ms)
+job_order_rank(struct job *job, int64_t unix_ms, bool by_priority)
 {
     const struct job_remaining *remaining = job_remaining(job);
     if (remaining->service) {
-        job->rank = (struct job_rank){URGENCY_SERVICE, job->accepted_unix_ms};
+        job->rank = (struct job_rank){
+            .urgency = URGENCY_SERVICE,
+            .key = job->accepted_unix_ms,
+        };
         return;
     }
     job->rank = (struct job_rank){
-        unix_ms <= remaining->attainable_until_ms ? URGENCY_ATTAINABLE
-                                                  : URGENCY_LATE,
-        remaining->millicore_ms,
+        .priority = by_priority ? job_priority(job) : 0,
+        .urgency = unix_ms <= remaining->attainable_until_ms
+                       ? URGENCY_ATTAINABLE
+                       : URGENCY_LATE,
+        .key = remaining->millicore_ms,
     };
 }
 
 int
 job_order_compare(const struct job *a, const struct job *b)
 {
+    if (a->rank.priority != b->rank.priority &&
+        a->rank.urgency != URGENCY_SERVICE &&
+        b->rank.urgency != URGENCY_SERVICE) {
+        return a->rank.priority < b->rank.priority ? -1 : 1;
+    }
     if (a->rank.urgency != b->rank.urgency) {
         return a->rank.urgency < b->rank.urgency ? -1 : 1;
     }
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -12,9 +12,11 @@
  * any backend server may run has found none, larger ones needn't look.
  * Capacity only shrinks during a pass. */
 static bool
-known_to_fail(const struct placer *placer, const struct resources *need)
+known_to_fail(const struct placer *placer, const struct job *job,
+              const struct resources *need)
 {
-    return placer->need_failed && resources_fit(need, &placer->failed_need);
+    return placer->need_failed && resources_fit(need, &placer->failed_need) &&
+           !placer_has_priority(placer, job);
 }
 
 static void
@@ -61,6 +63,7 @@
     task->run_number = MAX(task->run_number, run->number);
     sched->stats.started++;
     overload_sent(&sched->overload);
+    sched_hold_take(sched, run);
     run->start_in_flight = true;
     struct start_command command = {
         .backend = backend,
@@ -138,7 +141,7 @@
              ->tasks[index];
     struct resources need = job_step_backend_need(request->step);
     if (number == 0 || !overload_may_start(&sched->overload) ||
-        pass_ended(sched) || known_to_fail(placer, &need) ||
+        pass_ended(sched) || known_to_fail(placer, job, &need) ||
         !sched_team_allows(sched, job, &request->step->need)) {
         return NULL;
     }
@@ -378,7 +381,7 @@
 {
     if (sched_inherited_runs_open(placer->sched, placer->pool, job) ||
         !pool_recorded(placer, job) ||
-        known_to_fail(placer, &job->remaining.least_need)) {
+        known_to_fail(placer, job, &job->remaining.least_need)) {
         placer->left = true;
         return;
     }
@@ -426,7 +429,8 @@
 {
     GPtrArray *jobs = placer->pool->unplaced;
     for (guint i = 0; i < jobs->len; i++) {
-        job_order_rank(g_ptr_array_index(jobs, i), placer->unix_ms);
+        job_order_rank(g_ptr_array_index(jobs, i), placer->unix_ms,
+                       placer->sched->policy.queue_priorities);
     }
     job_order_sort(jobs);
 }
@@ -473,6 +477,7 @@
         return;
     }
     sched->pass++;
+    sched_holds_update(sched);
     const GPtrArray *pools = sched->config->pools;
     for (int services = 1; services >= 0; services--) {
         for (guint i = 0; i < pools->len; i++) {
--- a/core/jobs/place_isolated.c
+++ b/core/jobs/place_isolated.c
@@ -96,6 +96,7 @@
             if (!sched_backend_usable(placer->sched, backend) ||
                 !placer_has_capacity(backend, request->step) ||
                 !placer_suitable(placer, backend, request) ||
+                sched_backend_held(backend) ||
                 (backend->isolation_owner != NULL &&
                  backend->isolation_owner != request->isolated &&
                  backend->isolation_until_ms > placer->now_ms)) {
--- a/core/jobs/placer.c
+++ b/core/jobs/placer.c
@@ -96,6 +96,18 @@
            request->step->max_per_backend > 0 || request->needs_advice;
 }
 
+/* Whether it fits beside what is kept for other tasks. */
+static bool
+hold_allows(const struct placer *placer, const struct backend *backend,
+            const struct placement_request *request)
+{
+    struct resources need = job_step_backend_need(request->step);
+    struct resources room =
+        sched_room_for(placer->sched, backend, request->job,
+                       request->occurrence, request->step_index);
+    return resources_fit(&room, &need);
+}
+
 static bool
 place_allowed(const struct placer *placer, const struct backend *backend,
               const struct placement_request *request)
@@ -104,6 +116,8 @@
             (!sched_backend_reserved(placer->sched, backend) &&
              backend->isolation_until_ms <= placer->now_ms)) &&
            placer_has_capacity(backend, request->step) &&
+           (placer->sched->holds->len == 0 ||
+            hold_allows(placer, backend, request)) &&
            placer_reservation_allows(placer, backend, request) &&
            placer_suitable(placer, backend, request);
 }
@@ -203,11 +217,32 @@
     }
 }
 
+/* Backend server on which room is kept for the step, if it is free. */
+static struct backend *
+choose_held(const struct placer *placer,
+            const struct placement_request *request)
+{
+    const GPtrArray *holds = placer->sched->holds;
+    struct candidate best = {0};
+    for (guint i = 0; i < holds->len && best.backend == NULL; i++) {
+        const struct hold *hold = g_ptr_array_index(holds, i);
+        if (hold->run == 0 && hold->job == request->job &&
+            hold->occurrence == request->occurrence &&
+            hold->step == request->step_index) {
+            consider(placer, hold->backend, request, &best);
+        }
+    }
+    return best.backend;
+}
+
 struct backend *
 placer_choose_backend(const struct placer *placer,
                       const struct placement_request *request)
 {
-    struct candidate best = {0};
+    struct candidate best = {.backend = choose_held(placer, request)};
+    if (best.backend != NULL) {
+        return best.backend;
+    }
     if (request->rack != NULL) {
         consider_all(placer, request->rack, request, &best);
         return best.backend;
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -122,6 +122,7 @@
     sched->crashed_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
+    sched->holds = g_ptr_array_new();
     sched->report_deadlines = deadline_heap_create();
     g_queue_init(&sched->dirty);
     sched->to_register = g_ptr_array_new_with_free_func(g_free);
@@ -163,6 +164,7 @@
     }
     sched_advice_clear(sched);
     sched_crash_clear(sched);
+    sched_holds_clear(sched);
     close_occurrences(sched);
     g_ptr_array_unref(sched->closing);
     g_hash_table_unref(sched->crashed_ids);
@@ -537,6 +539,7 @@
     stats->shed = sched->overload.level;
     stats->start_window = sched->overload.window;
     stats->starts_in_flight = sched->overload.in_flight;
+    stats->holds = sched->holds->len;
     stats->backends_unreconciled = 0;
     GHashTableIter iter;
     void *value;
--- a/core/jobs/scheduler_backends.c
+++ b/core/jobs/scheduler_backends.c
@@ -414,6 +414,7 @@
         sched_backend_refs_clear(backend);
         g_ptr_array_remove_fast(sched->draining, backend);
         g_ptr_array_remove_fast(sched->contenders, backend);
+        sched_holds_drop(sched, backend);
         deadline_heap_remove(sched->report_deadlines,
                              &backend->report_deadline);
         g_hash_table_iter_remove(&iter);
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -115,9 +115,11 @@
     }
     run->load_metric = reported->load_metric;
     update_progress(run, reported->percent, report->clock_ms);
-    job_save_checkpoint(
-        job_step_progress(run->job, run->occurrence, run->step), run->index,
-        reported->saved);
+    if (job_save_checkpoint(
+            job_step_progress(run->job, run->occurrence, run->step),
+            run->index, reported->saved)) {
+        run->saved_seen_ms = run->age_ms;
+    }
 }
 
 static void
@@ -147,6 +149,7 @@
     struct run *run = sched_run_create(sched, job, name.occurrence, name.step,
                                        name.index, reported->number, backend);
     run->state = RUN_WORKING;
+    run->adopted = true;
     job_open_occurrence(job, name.occurrence)->started = true;
     /* The previous leader may have throttled it. */
     run->cpu_limit_percent = -1;
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -67,6 +67,7 @@
     run->started_ms = sched_now(sched);
     run->percent = -1;
     run->cpu_limit_percent = 100;
+    run->saved_seen_ms = -1;
     g_hash_table_insert(sched->runs, &run->handle, run);
     g_ptr_array_add(backend->runs, run);
     struct job_task *task = run_task(run);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -214,6 +214,50 @@
     int64_t largest_milli;
 };
 
+enum {
+    /* A search of a pool of 1,300 backend servers takes about as long as the
+     * rest of a pass. */
+    PREEMPT_SEARCHES_MAX = 4,
+};
+
+/**
+ * struct preempt_round - decisions about preemption in a pool during
+ *                        PREEMPT_ROUND_MS
+ * @began_ms: when it began; 0: there was none yet
+ * @searched: jobs for which the pool was searched in it, only compared
+ * @n_searched: their number
+ * @waiting: tasks for which room is expected without a preemption
+ * @none_below: no run has a lower priority than this that may be stopped;
+ *              valid if @none
+ */
+struct preempt_round {
+    int64_t began_ms;
+    const struct job *searched[PREEMPT_SEARCHES_MAX];
+    uint32_t n_searched;
+    uint32_t waiting;
+    bool none;
+    int64_t none_below;
+};
+
+/**
+ * struct hold - capacity of a backend server that is kept for a task whose
+ *               step has preempted runs there
+ * @job: its job, referenced; @occurrence and @step: the step. The tasks of a
+ *       step are interchangeable
+ * @need: capacity
+ * @run: handle of the run that takes it, 0: none yet
+ * @until_ms: when it is given up
+ */
+struct hold {
+    struct backend *backend;
+    struct job *job;
+    uint32_t occurrence;
+    uint32_t step;
+    struct resources need;
+    uint64_t run;
+    int64_t until_ms;
+};
+
 /**
  * struct pool_load - demand on one pool and its capacity
  * @arrival_milli: rate of newly arriving work, decaying average; unit:
@@ -249,6 +293,7 @@
  * @isolation_next: the same of this pass
  * @isolation_next_ms: since when that waits
  * @isolation_pass: the pass that @isolation_next is of
+ * @preempt_round: limits of preemption, see preempt_runs.c
  */
 struct pool_load {
     char *pool;
@@ -278,6 +323,7 @@
     const struct job_task *isolation_next;
     int64_t isolation_next_ms;
     uint64_t isolation_pass;
+    struct preempt_round preempt_round;
 };
 
 /**
@@ -377,6 +423,7 @@
  * @contenders: struct backend, those that may or may not be the current
  *              incarnation of their host
  * @waves: struct wave
+ * @holds: struct hold
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
  * @to_release: ids of backend servers whose record is to be deleted
@@ -445,6 +492,7 @@
     GPtrArray *draining;
     GPtrArray *contenders;
     GPtrArray *waves;
+    GPtrArray *holds;
     GQueue dirty;
     GPtrArray *to_register;
     GPtrArray *to_release;
@@ -797,6 +845,41 @@
                       const struct job *job, uint32_t occurrence,
                       uint32_t step);
 
+/* preempt_hold.c */
+/* Keeps capacity as @wanted says, from now on; copied. */
+void
+sched_hold_add(struct scheduler *sched, const struct hold *wanted);
+/* Waiting tasks of the step for which no capacity is kept, were it not for the
+ * holds from position @n_holds on. */
+uint32_t
+sched_tasks_without_hold(const struct scheduler *sched, const struct job *job,
+                         uint32_t occurrence, uint32_t step, guint n_holds);
+/* Processor capacity of @pool that is kept or was just taken by its task. */
+int64_t
+sched_held_milli(const struct scheduler *sched, const struct pool_load *pool);
+/* Whether capacity is kept for some task of @job. */
+bool
+sched_job_held_for(const struct scheduler *sched, const struct job *job);
+/* Gives up capacity that is no longer kept for a task. */
+void
+sched_holds_update(struct scheduler *sched);
+/* @backend is no longer known. */
+void
+sched_holds_drop(struct scheduler *sched, const struct backend *backend);
+void
+sched_holds_clear(struct scheduler *sched);
+/* A new run takes what is kept for its step, if anything. */
+void
+sched_hold_take(struct scheduler *sched, const struct run *run);
+/* Whether capacity of @backend is kept for tasks that have preempted runs. */
+bool
+sched_backend_held(const struct backend *backend);
+/* What is free on @backend for a task of that step, regardless of what is kept
+ * for others; may be negative. */
+struct resources
+sched_room_for(const struct scheduler *sched, const struct backend *backend,
+               const struct job *job, uint32_t occurrence, uint32_t step);
+
 /* throttle_runs.c */
 void
 sched_throttle(struct scheduler *sched);
@@ -917,8 +1000,13 @@
 /* What is left of @job, computed again only after a change. */
 const struct job_remaining *
 job_remaining(struct job *job);
+/* Priority of its queue, smaller is higher; the lowest if the queue is
+ * unknown. */
+int64_t
+job_priority(const struct job *job);
+/* @by_priority: the priority of its queue counts. */
 void
-job_order_rank(struct job *job, int64_t unix_ms);
+job_order_rank(struct job *job, int64_t unix_ms, bool by_priority);
 int
 job_order_compare(const struct job *a, const struct job *b);
 /* Sorts ranked jobs; fast if few have moved since the last time. */
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -102,6 +102,9 @@
  * @age_ms: how long the run is known to have worked, on that clock
  * @isolated: nothing else starts beside it yet, see crash_blame.h
  * @isolated_in: pool that counts it as isolated
+ * @adopted: a previous leader has started it
+ * @saved_seen_ms: @age_ms in the first report with its last checkpoint; -1:
+ *                 none has shown a new one
  */
 struct run {
     uint64_t handle;
@@ -138,6 +141,8 @@
     int64_t age_ms;
     bool isolated;
     struct pool_load *isolated_in;
+    bool adopted;
+    int64_t saved_seen_ms;
 };
 
 /** run_step() - the step that @run belongs to. */
@@ -272,6 +277,8 @@
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_until_ms: kept for such a run until then
  * @isolation_owner: task that it is kept for, only compared; NULL: any
+ * @held: capacity kept for tasks that have preempted runs here, see
+ *        preempt_runs.c
  */
 struct backend {
     struct backend_entry entry;
@@ -328,6 +335,7 @@
     uint32_t isolated_runs;
     int64_t isolation_until_ms;
     const struct job_task *isolation_owner;
+    struct resources held;
 };
 
 struct backend *
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -119,6 +119,7 @@
  * @crash_shared: others may have crashed @crash_backend as well
  * @isolation_since_ms: since when it has waited for a backend server to
  * itself; 0: it has not
+ * @preemptions: runs that were preempted, as far as this leader knows
  */
 struct job_task {
     struct run *run;
@@ -139,6 +140,7 @@
     char *crash_backend;
     bool crash_shared;
     int64_t isolation_since_ms;
+    uint32_t preemptions;
 };
 
 /**
@@ -196,8 +198,12 @@
     URGENCY_LATE,
 };
 
-/** struct job_rank - position in the job order; smaller comes first */
+/**
+ * struct job_rank - position in the job order; smaller comes first
+ * @priority: of its queue; 0 for services, and without queue priorities
+ */
 struct job_rank {
+    int64_t priority;
     enum job_urgency urgency;
     int64_t key;
 };
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -502,6 +502,9 @@
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
  * @loop_lag_ms: how late the last pass began
+ * @preemptions: tasks for which runs were preempted
+ * @preempted: runs that were preempted
+ * @holds: tasks for which room is kept on a backend server
  */
 struct sched_stats {
     uint32_t jobs_active;
@@ -517,6 +520,9 @@
     uint32_t start_window;
     uint32_t starts_in_flight;
     int64_t loop_lag_ms;
+    uint64_t preemptions;
+    uint64_t preempted;
+    uint32_t holds;
 };
 
 void
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -218,6 +218,32 @@
     }
 }
 
+void
+fixture_set_queue_priorities(struct fleet_fixture *fixture, bool on)
+{
+    struct sched_policy policy = {.queue_priorities = on};
+    scheduler_set_policy(fixture->sched, &policy);
+}
+
+void
+fixture_add_queue(struct fleet_fixture *fixture, const char *name,
+                  const char *pool, int64_t priority)
+{
+    struct queue_config *queue = g_new0(struct queue_config, 1);
+    *queue = (struct queue_config){
+        .name = g_strdup(name),
+        .host = g_strdup("h"),
+        .prefix = g_strdup_printf("/%s/", name),
+        .pool = g_strdup(pool),
+        .priority = priority,
+        .attempts = 3,
+        .deadline_factor = 1.6,
+        .objective_ms = 600,
+    };
+    g_ptr_array_add(fixture->config->queues, queue);
+    scheduler_configure(fixture->sched, fixture->config);
+}
+
 void
 fixture_clear(struct fleet_fixture *fixture)
 {
@@ -365,6 +391,17 @@
     return job;
 }
 
+struct job *
+fixture_create_queue_job(struct fleet_fixture *fixture, const char *id,
+                         const char *queue, const char *pool,
+                         const char *steps)
+{
+    struct job *job = fixture_create_job(fixture, id, pool, steps);
+    g_free(job->queue);
+    job->queue = g_strdup(queue);
+    return job;
+}
+
 struct job *
 fixture_add_job(struct fleet_fixture *fixture, const char *id,
                 const char *pool, const char *steps)
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -87,6 +87,16 @@
 fixture_set_enforced(struct fleet_fixture *fixture, const char *pool,
                      bool enforced);
 
+/** fixture_set_queue_priorities() - switch that feature on or off. */
+void
+fixture_set_queue_priorities(struct fleet_fixture *fixture, bool on);
+
+/** fixture_add_queue() - add a queue of @pool with a priority; those of
+ * fixture_init() have the highest, 0. */
+void
+fixture_add_queue(struct fleet_fixture *fixture, const char *name,
+                  const char *pool, int64_t priority);
+
 /** fixture_add_backend() - list a backend server with 16 cores. */
 void
 fixture_add_backend(struct fleet_fixture *fixture, const char *id,
@@ -118,6 +128,12 @@
 fixture_create_job(struct fleet_fixture *fixture, const char *id,
                    const char *pool, const char *steps);
 
+/** fixture_create_queue_job() - the same, of a queue of another name. */
+struct job *
+fixture_create_queue_job(struct fleet_fixture *fixture, const char *id,
+                         const char *queue, const char *pool,
+                         const char *steps);
+
 /** fixture_add_job() - add a job of queue @pool; @steps is JSON. */
 struct job *
 fixture_add_job(struct fleet_fixture *fixture, const char *id,
