jobs: show preemptions, and test them across a change of the leader

Operators could not see that a priority has determined a decision, and no test with real processes had queues of two priorities.

The process fixture takes the setting "scheduling" and another configuration. scheduler_bench takes "priorities" as its second argument.

--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -3,7 +3,9 @@
  * output, under the load of the large site: four pools whose queues peak in
  * turn at five times their mean, service tasks, a client account for every
  * twentieth backend server. Simulated backend servers answer commands and run
- * reports; only the calls into the scheduler are timed.
+ * reports; only the calls into the scheduler are timed. With "priorities"
+ * after the number of backend servers, every other job is of a queue with a
+ * lower priority, which the others may preempt.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -19,6 +21,7 @@
     RING_MS = 8192,
     PASS_DELAY_MS = 6,
     ANSWER_MS = 2,
+    STOP_MS = 100,
     STORE_MS = 4,
     PEAK_MS = 4500,
     BACKENDS_PER_RACK = 12,
@@ -53,6 +56,7 @@
 enum event_kind {
     EVENT_START_ANSWER,
     EVENT_STOP_ANSWER,
+    EVENT_STOPPED,
     EVENT_TASK_END,
     EVENT_REPORT_ANSWER,
     EVENT_STORED,
@@ -64,12 +68,15 @@
     int64_t started_ms;
     int64_t run_ms;
     bool service;
+    bool stopping;
+    bool over;
 };
 
 struct sim_end {
     int64_t number;
     char task[JOB_ID_CHARS + 48];
     uint32_t run;
+    bool stopped;
 };
 
 struct sim_backend {
@@ -122,6 +129,7 @@
     uint64_t completed;
     uint64_t next_job;
     bool storing;
+    bool priorities;
     double arrivals[QUEUE_COUNT];
 };
 
@@ -180,6 +188,18 @@
     struct event *event = event_add(ctx, EVENT_STOP_ANSWER, ANSWER_MS);
     event->handle = command->handle;
     event->attempt = command->attempt;
+    struct sim_backend *sim = g_hash_table_lookup(((struct bench *)ctx)->by_id,
+                                                  command->backend->entry.id);
+    for (guint i = 0; i < sim->runs->len; i++) {
+        struct sim_run *run = g_ptr_array_index(sim->runs, i);
+        if (run->number == command->number && !run->stopping &&
+            strcmp(run->task, command->task) == 0) {
+            run->stopping = true;
+            struct event *stopped = event_add(ctx, EVENT_STOPPED, STOP_MS);
+            stopped->backend = sim;
+            stopped->run = run;
+        }
+    }
 }
 
 static void
@@ -275,7 +295,7 @@
             .number = sim_end->number,
             .task = sim_end->task,
             .run = sim_end->run,
-            .reason = END_DONE,
+            .reason = sim_end->stopped ? END_STOPPED : END_DONE,
             .saved = "",
         };
     }
@@ -291,12 +311,15 @@
 static void
 end_task(struct bench *bench, struct sim_backend *sim, struct sim_run *run)
 {
-    struct sim_end sim_end = {.number = ++sim->last_end, .run = run->number};
+    struct sim_end sim_end = {
+        .number = ++sim->last_end,
+        .run = run->number,
+        .stopped = run->stopping,
+    };
     g_strlcpy(sim_end.task, run->task, sizeof(sim_end.task));
     g_array_append_val(sim->ends, sim_end);
     g_ptr_array_remove_fast(sim->runs, run);
-    g_free(run);
-    bench->completed++;
+    bench->completed += !run->stopping;
     if (sim->report_open) {
         struct event *event = event_add(bench, EVENT_REPORT_ANSWER, ANSWER_MS);
         event->backend = sim;
@@ -304,6 +327,17 @@
     }
 }
 
+/* A run that is stopped has an event for its end by itself too. */
+static void
+release_run(struct sim_run *run)
+{
+    if (run->over) {
+        g_free(run);
+        return;
+    }
+    run->over = true;
+}
+
 static void
 event_handle(struct bench *bench, struct event *event)
 {
@@ -325,8 +359,17 @@
     case EVENT_STOP_ANSWER:
         scheduler_on_stop(bench->sched, event->handle, event->attempt, true);
         break;
+    case EVENT_STOPPED:
+        end_task(bench, event->backend, event->run);
+        release_run(event->run);
+        break;
     case EVENT_TASK_END:
+        if (event->run->stopping) {
+            release_run(event->run);
+            break;
+        }
         end_task(bench, event->backend, event->run);
+        g_free(event->run);
         break;
     case EVENT_REPORT_ANSWER:
         if (event->report_number == event->backend->report_number) {
@@ -350,7 +393,8 @@
     g_snprintf(job->id, sizeof(job->id), "%016" G_GINT64_MODIFIER "x",
                bench->next_job);
     uint32_t n_teams = MAX(bench->n_backends / BACKENDS_PER_TEAM, 1);
-    job->queue = g_strdup(load->name);
+    bool low = bench->priorities && bench->next_job % 2 == 1;
+    job->queue = g_strconcat(load->name, low ? "-low" : NULL, NULL);
     job->pool = g_strdup(load->name);
     job->team = g_strdup_printf("t%u", (uint32_t)(bench->next_job % n_teams));
     job->text = g_strdup("x");
@@ -423,22 +467,15 @@
 }
 
 static void
-add_pool(struct bench *bench, const char *name, bool spare)
+add_queue(struct bench *bench, char *name, const char *pool, int64_t priority)
 {
-    struct pool_config *pool = g_new0(struct pool_config, 1);
-    pool->name = g_strdup(name);
-    pool->enforces_capacity = true;
-    pool->spare = spare;
-    g_ptr_array_add(bench->config->pools, pool);
-    if (spare) {
-        return;
-    }
     struct queue_config *queue = g_new0(struct queue_config, 1);
     *queue = (struct queue_config){
-        .name = g_strdup(name),
+        .name = name,
         .host = g_strdup("h"),
         .prefix = g_strdup_printf("/%s/", name),
-        .pool = g_strdup(name),
+        .pool = g_strdup(pool),
+        .priority = priority,
         .attempts = 3,
         .deadline_factor = 1.6,
         .objective_ms = 600,
@@ -446,6 +483,23 @@
     g_ptr_array_add(bench->config->queues, queue);
 }
 
+static void
+add_pool(struct bench *bench, const char *name, bool spare)
+{
+    struct pool_config *pool = g_new0(struct pool_config, 1);
+    pool->name = g_strdup(name);
+    pool->enforces_capacity = true;
+    pool->spare = spare;
+    g_ptr_array_add(bench->config->pools, pool);
+    if (spare) {
+        return;
+    }
+    add_queue(bench, g_strdup(name), name, 0);
+    if (bench->priorities) {
+        add_queue(bench, g_strconcat(name, "-low", NULL), name, 1);
+    }
+}
+
 static void
 add_backends(struct bench *bench)
 {
@@ -483,9 +537,10 @@
 }
 
 static void
-bench_init(struct bench *bench, uint32_t n_backends)
+bench_init(struct bench *bench, uint32_t n_backends, bool priorities)
 {
-    *bench = (struct bench){.n_backends = n_backends, .now_ms = 100000};
+    *bench = (struct bench){
+        .n_backends = n_backends, .now_ms = 100000, .priorities = priorities};
     bench->config = fleet_config_create();
     for (int q = 0; q < QUEUE_COUNT; q++) {
         add_pool(bench, queue_loads[q].name, false);
@@ -518,6 +573,8 @@
     };
     struct ms_clock clock = {.now = bench_now, .ctx = bench};
     bench->sched = scheduler_create(&timings, &ops, 0, clock, clock);
+    struct sched_policy policy = {.queue_priorities = priorities};
+    scheduler_set_policy(bench->sched, &policy);
     scheduler_configure(bench->sched, bench->config);
     scheduler_set_leadership_valid(bench->sched, true);
     add_backends(bench);
@@ -585,10 +642,10 @@
 
 /* Returns the processor time per started task. */
 static double
-measure(uint32_t size)
+measure(uint32_t size, bool priorities)
 {
     struct bench *bench = g_new0(struct bench, 1);
-    bench_init(bench, size);
+    bench_init(bench, size, priorities);
     int64_t begin_ms = bench->now_ms + WARM_UP_MS;
     while (bench->now_ms < begin_ms) {
         bench_advance(bench);
@@ -610,6 +667,9 @@
     const struct timing *starts = &bench->timings[TIME_START];
     double per_start_us = total_us / (double)MAX(started, 1);
     print_figure("starts", size, (double)started, "count");
+    struct sched_stats stats;
+    scheduler_stats(bench->sched, &stats);
+    print_figure("preempted", size, (double)stats.preempted, "count");
     print_figure("per_started_task", size, per_start_us, "us");
     print_figure("per_completion", size, total_us / (double)MAX(completed, 1),
                  "us");
@@ -631,12 +691,13 @@
 {
     static const uint32_t sizes[] = {50, 350, 1100, 3000, 5700};
     if (argc > 1) {
-        measure((uint32_t)strtoul(argv[1], NULL, 10));
+        measure((uint32_t)strtoul(argv[1], NULL, 10),
+                argc > 2 && strcmp(argv[2], "priorities") == 0);
         return EXIT_SUCCESS;
     }
     double costs_us[G_N_ELEMENTS(sizes)];
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        costs_us[i] = measure(sizes[i]);
+        costs_us[i] = measure(sizes[i], false);
     }
     double growth = costs_us[4] / costs_us[1];
     bool met = growth <= GROWTH_BOUND_RATIO;
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -374,7 +374,10 @@
                "starts_stale_total %" G_GUINT64_FORMAT "\n"
                "shed_level %d\n"
                "start_window %u\nstarts_in_flight %u\n"
-               "loop_lag_ms %" G_GINT64_FORMAT "\n",
+               "loop_lag_ms %" G_GINT64_FORMAT "\n"
+               "preemptions_total %" G_GUINT64_FORMAT "\n"
+               "runs_preempted_total %" G_GUINT64_FORMAT "\n"
+               "preemption_holds %u\n",
                counters->requests, counters->accepted, counters->refused,
                counters->unauthorized, counters->not_found, counters->invalid,
                counters->unknown, leadership_held(frontend->node->leadership),
@@ -382,7 +385,8 @@
                stats.runs, stats.backends, stats.backends_unreconciled,
                stats.started, stats.done, stats.failed, stats.lost,
                stats.stale_numbers, (int)stats.shed, stats.start_window,
-               stats.starts_in_flight, stats.loop_lag_ms);
+               stats.starts_in_flight, stats.loop_lag_ms, stats.preemptions,
+               stats.preempted, stats.holds);
     http_exchange_reply(exchange, 200, text);
 }
 
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -73,6 +73,16 @@
 void
 fixture_limit_teams(int maximum_milli);
 
+/** fixture_set_scheduling() - the entry hosts get this JSON object as their
+ * setting "scheduling"; NULL: none. */
+void
+fixture_set_scheduling(const char *scheduling);
+
+/** fixture_set_config() - the next fixture_set_up() uses this file as the
+ * configuration; NULL: that of the examples. */
+void
+fixture_set_config(const char *path);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
