jobs: measure preemption in a full pool, and its failures halfway

scheduler_bench with priorities had no full pool and preempted nothing, and no test covered a refused start or a backend server that leaves while its capacity is kept.

The bench's jobs of the lower priority run four times as long; "two-queues" is the same load with priorities off. Whether a job may preempt is no longer asked where priorities are off.

--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -5,7 +5,9 @@
  * twentieth backend server. Simulated backend servers answer commands and run
  * reports; only the calls into the scheduler are timed. With "priorities"
  * after the number of backend servers, every other job is of a queue with a
- * lower priority, which the others may preempt.
+ * lower priority and runs longer, so that pools are full and the others
+ * preempt its runs; with "two-queues", the load is the same and priorities are
+ * off.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -22,6 +24,7 @@
     PASS_DELAY_MS = 6,
     ANSWER_MS = 2,
     STOP_MS = 100,
+    LOW_RUN_FACTOR = 4,
     STORE_MS = 4,
     PEAK_MS = 4500,
     BACKENDS_PER_RACK = 12,
@@ -129,7 +132,7 @@
     uint64_t completed;
     uint64_t next_job;
     bool storing;
-    bool priorities;
+    bool two_queues;
     double arrivals[QUEUE_COUNT];
 };
 
@@ -393,7 +396,7 @@
     g_snprintf(job->id, sizeof(job->id), "%016" G_GINT64_MODIFIER "x",
                bench->next_job);
     uint32_t n_teams = MAX(bench->n_backends / BACKENDS_PER_TEAM, 1);
-    bool low = bench->priorities && bench->next_job % 2 == 1;
+    bool low = bench->two_queues && !service && bench->next_job % 2 == 1;
     job->queue = g_strconcat(load->name, low ? "-low" : NULL, NULL);
     job->pool = g_strdup(load->name);
     job->team = g_strdup_printf("t%u", (uint32_t)(bench->next_job % n_teams));
@@ -405,7 +408,7 @@
         job->steps[s] = (struct job_step){
             .task_count = load->tasks,
             .need = {.cpu_milli = load->cpu_milli, .mem_mb = 512},
-            .estimate_ms = load->run_ms,
+            .estimate_ms = load->run_ms * (low ? LOW_RUN_FACTOR : 1),
         };
         if (service) {
             job->steps[s].long_running = true;
@@ -495,7 +498,7 @@
         return;
     }
     add_queue(bench, g_strdup(name), name, 0);
-    if (bench->priorities) {
+    if (bench->two_queues) {
         add_queue(bench, g_strconcat(name, "-low", NULL), name, 1);
     }
 }
@@ -537,10 +540,11 @@
 }
 
 static void
-bench_init(struct bench *bench, uint32_t n_backends, bool priorities)
+bench_init(struct bench *bench, uint32_t n_backends, const char *load)
 {
-    *bench = (struct bench){
-        .n_backends = n_backends, .now_ms = 100000, .priorities = priorities};
+    *bench = (struct bench){.n_backends = n_backends,
+                            .now_ms = 100000,
+                            .two_queues = load != NULL};
     bench->config = fleet_config_create();
     for (int q = 0; q < QUEUE_COUNT; q++) {
         add_pool(bench, queue_loads[q].name, false);
@@ -573,7 +577,8 @@
     };
     struct ms_clock clock = {.now = bench_now, .ctx = bench};
     bench->sched = scheduler_create(&timings, &ops, 0, clock, clock);
-    struct sched_policy policy = {.queue_priorities = priorities};
+    struct sched_policy policy = {.queue_priorities =
+                                      g_strcmp0(load, "priorities") == 0};
     scheduler_set_policy(bench->sched, &policy);
     scheduler_configure(bench->sched, bench->config);
     scheduler_set_leadership_valid(bench->sched, true);
@@ -642,10 +647,10 @@
 
 /* Returns the processor time per started task. */
 static double
-measure(uint32_t size, bool priorities)
+measure(uint32_t size, const char *load)
 {
     struct bench *bench = g_new0(struct bench, 1);
-    bench_init(bench, size, priorities);
+    bench_init(bench, size, load);
     int64_t begin_ms = bench->now_ms + WARM_UP_MS;
     while (bench->now_ms < begin_ms) {
         bench_advance(bench);
@@ -692,12 +697,12 @@
     static const uint32_t sizes[] = {50, 350, 1100, 3000, 5700};
     if (argc > 1) {
         measure((uint32_t)strtoul(argv[1], NULL, 10),
-                argc > 2 && strcmp(argv[2], "priorities") == 0);
+                argc > 2 ? argv[2] : NULL);
         return EXIT_SUCCESS;
     }
     double costs_us[G_N_ELEMENTS(sizes)];
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        costs_us[i] = measure(sizes[i], false);
+        costs_us[i] = measure(sizes[i], NULL);
     }
     double growth = costs_us[4] / costs_us[1];
     bool met = growth <= GROWTH_BOUND_RATIO;
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -9,14 +9,15 @@
 #include "placer.h"
 
 /* A pool at its peak has many waiting jobs and no capacity. Once a task that
- * any backend server may run has found none, larger ones needn't look.
- * Capacity only shrinks during a pass. */
+ * any backend server may run has found none, larger ones needn't look, unless
+ * they may preempt runs. Capacity only shrinks during a pass. */
 static bool
 known_to_fail(const struct placer *placer, const struct job *job,
               const struct resources *need)
 {
     return placer->need_failed && resources_fit(need, &placer->failed_need) &&
-           !placer_has_priority(placer, job);
+           !(placer->sched->policy.queue_priorities &&
+             placer_has_priority(placer, job));
 }
 
 static void
--- a/core/jobs/placer.h
+++ b/core/jobs/placer.h
@@ -88,8 +88,9 @@
 void
 placer_preempt(struct placer *placer, const struct placement_request *request);
 
-/** placer_has_priority() - whether a task of @job may find a place where none
- * of the same size did: room is kept for it, or it may preempt runs. */
+/** placer_has_priority() - with queue priorities, whether a task of @job may
+ * find a place where none of the same size did: room is kept for it, or it may
+ * preempt runs. */
 bool
 placer_has_priority(const struct placer *placer, const struct job *job);
 
--- a/core/jobs/preempt_runs.c
+++ b/core/jobs/preempt_runs.c
@@ -90,9 +90,6 @@
 bool
 placer_has_priority(const struct placer *placer, const struct job *job)
 {
-    if (!placer->sched->policy.queue_priorities) {
-        return false;
-    }
     return sched_job_held_for(placer->sched, job) || may_search(placer, job);
 }
 
--- a/tests/jobs/preemption_test.c
+++ b/tests/jobs/preemption_test.c
@@ -40,6 +40,7 @@
  * @completions: number of the last completion of each
  * @true_percent: true run time, in percent of the estimate
  * @reports_percent: reports show progress
+ * @refused: job whose next start is refused; NULL: none
  * @stopped: runs that ended by a stop
  * @done: runs that ended by themselves
  */
@@ -50,6 +51,7 @@
     int64_t completions[BACKEND_COUNT];
     int64_t true_percent;
     bool reports_percent;
+    const char *refused;
     uint32_t stopped;
     uint32_t done;
 };
@@ -122,7 +124,13 @@
     for (; world->seen < world->f.commands->len; world->seen++) {
         const struct recorded_command *command =
             g_ptr_array_index(world->f.commands, world->seen);
-        if (command->kind == COMMAND_START) {
+        if (command->kind == COMMAND_START && world->refused != NULL &&
+            g_str_has_prefix(command->task, world->refused)) {
+            world->refused = NULL;
+            scheduler_on_start(world->f.sched, command->handle,
+                               START_NO_CAPACITY, 0);
+        }
+        else if (command->kind == COMMAND_START) {
             struct sim_run run = {
                 .backend = (uint32_t)(command->target[1] - '0'),
                 .number = command->number,
@@ -787,6 +795,48 @@
     world_clear(&world);
 }
 
+/* Guards against others that take the freed capacity after the start was
+ * refused once, and against a second preemption for it. */
+static void
+test_refused(void)
+{
+    struct world world;
+    world_init(&world, true);
+    fill(&world, "00000000000000b0", "low", "");
+    add_job(&world, HIGH_JOB, "high", four_cores);
+    add_job(&world, "00000000000000b1", "low", four_cores);
+    world.refused = HIGH_JOB;
+    CU_ASSERT(wait_for_start(&world, HIGH_JOB, 2, OBJECTIVE_MS) >= 0);
+    CU_ASSERT_PTR_NULL(world.refused);
+    CU_ASSERT_EQUAL(stops(&world), 1);
+    CU_ASSERT_EQUAL(starts_of(&world, "00000000000000b1"), 0);
+    world_clear(&world);
+}
+
+/* Guards against a wait for capacity of a backend server that is about to
+ * leave, and of one that is removed. */
+static void
+test_backend_leaves(void)
+{
+    struct world world;
+    world_init(&world, true);
+    fill(&world, "00000000000000b0", "low", "");
+    add_job(&world, HIGH_JOB, "high", four_cores);
+    run_for(&world, PASS_MS);
+    CU_ASSERT_EQUAL_FATAL(stops(&world), 1);
+    char *first = g_strdup(fixture_last(&world.f, COMMAND_STOP)->target);
+    char host[] = "m0";
+    host[1] = first[1];
+    fixture_drain_backend(&world.f, first, "p", host);
+    CU_ASSERT(wait_for_start(&world, HIGH_JOB, 1, OBJECTIVE_MS) >= 0);
+    CU_ASSERT_STRING_NOT_EQUAL(fixture_last(&world.f, COMMAND_START)->target,
+                               first);
+    scheduler_backend_removed(world.f.sched, first);
+    run_for(&world, 1000);
+    g_free(first);
+    world_clear(&world);
+}
+
 /* Guards against a choice that loses more work than needed, or stops more. */
 static void
 test_choice(void)
@@ -853,6 +903,9 @@
         {"nothing is stopped without leadership", test_no_leadership},
         {"room counts when the end is listed", test_not_enforced},
         {"capacity is given up with the job", test_given_up},
+        {"capacity stays kept after a refused start", test_refused},
+        {"another backend server is chosen when one leaves",
+         test_backend_leaves},
         {"the least work is lost", test_choice},
     };
     return suite_main("jobs preemption", tests,
