jobs: wait for hosts that are moved in time before runs are preempted

A task with a long objective stopped runs at once, although spare hosts would be in its pool within seconds, long before it had to start.

Hosts on their way to the pool and spare ones count as room while the task may still wait for twice the time of a move.

--- a/core/jobs/preempt_runs.c
+++ b/core/jobs/preempt_runs.c
@@ -24,6 +24,9 @@
      * least one task. A pool is turned over in four times the time that a
      * stop takes, and three quarters of it always go on. */
     POOL_PART = 4,
+    /* Moves of a host that fit into the wait of a task that waits for one: the
+     * move, and as long for the plan before and the first report after it. */
+    MOVES_PER_WAIT = 2,
     /* Beside the time that a stop takes: for one whose first answer is lost,
      * for a late report, and for a start that is refused once. */
     HOLD_MARGIN_MS = 2000,
@@ -248,6 +251,23 @@
     }
 }
 
+/* Tasks for which hosts that are moved to the pool, or could be, have room in
+ * time. */
+static uint32_t
+room_on_new_hosts(const struct search *search)
+{
+    const struct scheduler *sched = search->placer->sched;
+    const struct pool_load *pool = search->placer->pool;
+    int64_t hosts = pool->incoming_hosts + sched->spare_hosts;
+    if (hosts <= 0 ||
+        search->request.wait_ms < MOVES_PER_WAIT * sched->timings.move_ms) {
+        return 0;
+    }
+    return (uint32_t)hosts * preemption_room_in_time(&search->request,
+                                                     &pool->largest_host, NULL,
+                                                     0);
+}
+
 /* Ends as soon as there is room for all without a stop. */
 static void
 search_pool(struct search *search)
@@ -403,6 +423,7 @@
             },
         .room_wanted = round->waiting + n_tasks,
     };
+    search.room = room_on_new_hosts(&search);
     search_pool(&search);
     if (!search.lower && search.room < search.room_wanted) {
         round->none = true;
--- a/tests/jobs/preemption_choice_test.c
+++ b/tests/jobs/preemption_choice_test.c
@@ -127,6 +127,34 @@
     world_clear(&world);
 }
 
+/* Guards against a stop where a host could be moved to the pool in time, and
+ * against a job that misses its objective since none is. */
+static void
+test_spare_host(void)
+{
+    static const char *const pools[] = {"p", "p", "p", "s", NULL};
+    struct world world;
+    world_init(&world, true);
+    fixture_add_hosts(&world.f, pools);
+    world_run_for(&world, 200);
+    world_add_job(&world, LOW_JOB, "low",
+                  "[{\"count\":16,\"cpu\":4000,\"mem_mb\":10,"
+                  "\"estimate_ms\":60000}]");
+    world_run_for(&world, 1000);
+    CU_ASSERT_EQUAL(world_starts_of(&world, LOW_JOB), 12);
+    CU_ASSERT(fixture_count(&world.f, COMMAND_MOVE, "m3") >= 1);
+    world_add_job(&world, HIGH_JOB, "high",
+                  "[{\"count\":1,\"cpu\":4000,\"mem_mb\":10,"
+                  "\"estimate_ms\":10000}]");
+    world_run_for(&world, 1000);
+    CU_ASSERT_EQUAL(world_stops(&world), 0);
+    /* The move gets no answer. The objective is 16,600 ms. */
+    int64_t waited_ms = world_wait_for_start(&world, HIGH_JOB, 1, LONG_MS);
+    printf("after %" G_GINT64_FORMAT " ms\n", 1000 + waited_ms);
+    CU_ASSERT(waited_ms >= 0 && 1000 + waited_ms <= 6600);
+    world_clear(&world);
+}
+
 /* Guards against the stop of service tasks and gangs. */
 static void
 test_never(void)
@@ -224,6 +252,7 @@
         {"runs that end in time are not stopped", test_ends_in_time},
         {"overdue runs are stopped", test_overdue},
         {"a larger task than one that waits preempts", test_larger_task},
+        {"a host that is moved in time is waited for", test_spare_host},
         {"service tasks and gangs are not stopped", test_never},
         {"nothing is stopped beside isolated runs", test_isolated},
         {"the least work is lost", test_choice},
