--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -381,7 +381,10 @@
                "demand_forecasts_missed_total %" G_GUINT64_FORMAT "\n"
                "shed_level %d\n"
                "start_window %u\nstarts_in_flight %u\n"
-               "loop_lag_ms %" G_GINT64_FORMAT "\n",
+               "loop_lag_ms %" G_GINT64_FORMAT "\n"
+               "preemptions_total %" G_GUINT64_FORMAT "\n"
+               "runs_preempted_total %" G_GUINT64_FORMAT "\n"
+               "preemption_holds %u\n",
                counters->requests, counters->accepted, counters->refused,
                counters->unauthorized, counters->not_found, counters->invalid,
                counters->unknown, leadership_held(frontend->node->leadership),
@@ -390,7 +393,8 @@
                stats.started, stats.done, stats.failed, stats.lost,
                stats.stale_numbers, stats.forecasts, stats.forecasts_missed,
                (int)stats.shed, stats.start_window, stats.starts_in_flight,
-               stats.loop_lag_ms);
+               stats.loop_lag_ms, stats.preemptions, stats.preempted,
+               stats.holds);
     http_exchange_reply(exchange, 200, text);
 }
 
