jobs: reserve capacity ahead for large tasks, and backfill

A task as large as a backend server never started beside a stream of small ones: each piece of capacity that becomes free is taken at once, and once a small task has found no place, larger ones are not looked at in a pass. In a replay of small tasks at 110 % of the capacity of 4 to 32 backend servers it did not start in 22 s.

With the setting scheduling.reservations, a task that needs more than half of a backend server, or a late one beside tasks of half its size, gets a start time on the backend server that is expected to have the capacity first. Others start there only if they end by then or fit beside it. At most an eighth of a pool is reserved. All is in the leader's memory. Idle hosts with a reservation are not moved. The call from place_task() has become one per pass and pool, since a failed small task keeps a pass from reaching large ones; a job with a reservation skips that shortcut.

--- a/core/jobs/host_plan.c
+++ b/core/jobs/host_plan.c
@@ -151,7 +151,8 @@
         return false;
     }
     const struct backend *backend = sched_host_backend(sched, host);
-    return (backend == NULL || !backend->entry.draining) &&
+    return (backend == NULL ||
+            (!backend->entry.draining && !sched_reserved_ahead(backend))) &&
            sched_host_empty(sched, host) && command_allowed(sched, host);
 }
 
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -8,30 +8,6 @@
 #include "core/jobs/gang.h"
 #include "placer.h"
 
-/* A pool at its peak has many waiting jobs and no capacity. Once a task that
- * any backend server may run has found none, larger ones needn't look.
- * Capacity only shrinks during a pass. */
-static bool
-known_to_fail(const struct placer *placer, const struct resources *need)
-{
-    return placer->need_failed && resources_fit(need, &placer->failed_need);
-}
-
-static void
-remember_failure(struct placer *placer,
-                 const struct placement_request *request)
-{
-    const struct job_step *step = request->step;
-    if (placer_has_constraints(request)) {
-        return;
-    }
-    struct resources need = job_step_backend_need(step);
-    if (!placer->need_failed || resources_fit(&placer->failed_need, &need)) {
-        placer->need_failed = true;
-        placer->failed_need = need;
-    }
-}
-
 bool
 sched_team_allows(struct scheduler *sched, const struct job *job,
                   const struct resources *need)
@@ -138,7 +114,8 @@
              ->tasks[index];
     struct resources need = job_step_backend_need(request->step);
     if (number == 0 || !overload_may_start(&sched->overload) ||
-        pass_ended(sched) || known_to_fail(placer, &need) ||
+        pass_ended(sched) ||
+        placer_known_to_fail(placer, job, &need, request->step->estimate_ms) ||
         !sched_team_allows(sched, job, &request->step->need)) {
         return NULL;
     }
@@ -150,17 +127,21 @@
                          placer->now_ms - task->isolation_since_ms))) {
         return placer_place_isolated(placer, job, request, index, number);
     }
+    uint64_t denials = placer->pool->reservation_denials;
     struct backend *backend = placer_choose_backend(placer, request);
     if (backend == NULL) {
-        remember_failure(placer, request);
+        placer_remember_failure(placer, request,
+                                denials != placer->pool->reservation_denials);
         if (request->step->long_running) {
             reserve_for_service(placer, request);
         }
-        placer_reserve_ahead(placer, request);
         placer_preempt(placer, request);
         return NULL;
     }
     task->isolation_since_ms = 0;
+    if (placer->reserved) {
+        placer_reservation_used(placer, backend, request);
+    }
     return sched_run_create(sched, job, request->occurrence,
                             request->step_index, index, number, backend);
 }
@@ -378,7 +359,7 @@
 {
     if (sched_inherited_runs_open(placer->sched, placer->pool, job) ||
         !pool_recorded(placer, job) ||
-        known_to_fail(placer, &job->remaining.least_need)) {
+        placer_known_to_fail(placer, job, &job->remaining.least_need, 0)) {
         placer->left = true;
         return;
     }
@@ -493,6 +474,9 @@
                 rank_pool(&placer);
                 sched_share_order(sched, placer.pool);
             }
+            else {
+                placer_reserve_ahead(&placer);
+            }
             place_pool(&placer, services);
         }
     }
--- a/core/jobs/place_isolated.c
+++ b/core/jobs/place_isolated.c
@@ -95,6 +95,7 @@
             struct backend *backend = g_ptr_array_index(backends, i);
             if (!sched_backend_usable(placer->sched, backend) ||
                 !placer_has_capacity(backend, request->step) ||
+                !placer_reservation_allows(placer, backend, request) ||
                 !placer_suitable(placer, backend, request) ||
                 (backend->isolation_owner != NULL &&
                  backend->isolation_owner != request->isolated &&
--- a/core/jobs/placer.c
+++ b/core/jobs/placer.c
@@ -226,6 +226,26 @@
     return best.backend;
 }
 
+void
+placer_remember_failure(struct placer *placer,
+                        const struct placement_request *request,
+                        bool by_reservation)
+{
+    const struct job_step *step = request->step;
+    if (placer_has_constraints(request)) {
+        return;
+    }
+    struct resources need = job_step_backend_need(step);
+    /* A task that ends sooner may start before a reserved time. */
+    int64_t estimate_ms = by_reservation ? step->estimate_ms : 0;
+    if (!placer->need_failed || (resources_fit(&placer->failed_need, &need) &&
+                                 estimate_ms <= placer->failed_estimate_ms)) {
+        placer->need_failed = true;
+        placer->failed_need = need;
+        placer->failed_estimate_ms = estimate_ms;
+    }
+}
+
 bool
 sched_backend_can_run(struct scheduler *sched, const struct backend *backend,
                       const struct job *job, uint32_t occurrence,
--- a/core/jobs/placer.h
+++ b/core/jobs/placer.h
@@ -10,6 +10,9 @@
  * @pool: the pool
  * @failed_need: no backend server has the capacity for this; valid if
  *               @need_failed
+ * @failed_estimate_ms: nor, because of reservations, for a task that takes at
+ *                      least this long; shorter ones may find a place
+ * @reserved: the pool has reservations
  * @left: some task of the job that is being placed is known to have found no
  *        place; a shortcut, as sched_job_is_unplaced() tells it of any job
  * @isolation_failed: there is no backend server for a task that may crash it
@@ -21,6 +24,8 @@
     struct pool_load *pool;
     bool need_failed;
     struct resources failed_need;
+    int64_t failed_estimate_ms;
+    bool reserved;
     bool left;
     bool isolation_failed;
 };
@@ -70,11 +75,35 @@
 placer_choose_backend(const struct placer *placer,
                       const struct placement_request *request);
 
-/** placer_reserve_ahead() - a task found no place: reserve capacity that will
- * be free soon, if that is due. */
+/**
+ * placer_known_to_fail() - whether no backend server can have a place for a
+ * task of @job that takes at least @need for at least @estimate_ms
+ *
+ * A pool at its peak has many waiting jobs and no capacity. Once a task that
+ * any backend server may run has found none, larger ones needn't look.
+ * Capacity only shrinks during a pass. What is reserved for @job is kept from
+ * the others, so they say nothing about it.
+ */
+static inline bool
+placer_known_to_fail(const struct placer *placer, const struct job *job,
+                     const struct resources *need, int64_t estimate_ms)
+{
+    return placer->need_failed && resources_fit(need, &placer->failed_need) &&
+           (!placer->reserved || (estimate_ms >= placer->failed_estimate_ms &&
+                                  job->reservations == 0));
+}
+
+/** placer_remember_failure() - a task found no place; @by_reservation: on some
+ * backend server only because of a reservation. */
 void
-placer_reserve_ahead(struct placer *placer,
-                     const struct placement_request *request);
+placer_remember_failure(struct placer *placer,
+                        const struct placement_request *request,
+                        bool by_reservation);
+
+/** placer_reserve_ahead() - update the reservations of the pool, if that is
+ * due, before its ranked jobs are placed. */
+void
+placer_reserve_ahead(struct placer *placer);
 
 /** placer_reservation_allows() - whether reservations of others on @backend
  * leave room for a task. */
@@ -83,6 +112,12 @@
                           const struct backend *backend,
                           const struct placement_request *request);
 
+/** placer_reservation_used() - a task starts on @backend: free its
+ * reservation, and account for it where others are reserved. */
+void
+placer_reservation_used(struct placer *placer, const struct backend *backend,
+                        const struct placement_request *request);
+
 /** placer_preempt() - a task found no place: stop runs of a lower priority,
  * if that is due. */
 void
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -63,6 +63,7 @@
         job_unref(g_ptr_array_index(load->unplaced, i));
     }
     g_ptr_array_unref(load->unplaced);
+    sched_reservations_destroy(load);
     pool_index_clear(&load->index);
     g_free(load->pool);
     g_free(load);
--- a/core/jobs/scheduler_reports.c
+++ b/core/jobs/scheduler_reports.c
@@ -150,6 +150,7 @@
     job_open_occurrence(job, name.occurrence)->started = true;
     /* The previous leader may have throttled it. */
     run->cpu_limit_percent = -1;
+    run->first_percent = MAX(reported->percent, 0);
     update_run(sched, run, reported, report);
     sched_log_event(sched, "run_adopted", "\"task\":\"%s\",\"backend\":\"%s\"",
                     reported->task, backend->entry.id);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -249,6 +249,10 @@
  * @isolation_next: the same of this pass
  * @isolation_next_ms: since when that waits
  * @isolation_pass: the pass that @isolation_next is of
+ * @reservations: capacity reserved for waiting tasks, see reserve_ahead.c;
+ *                NULL: there was none yet
+ * @reservation_denials: counts the times that one kept a task from a backend
+ *                       server
  */
 struct pool_load {
     char *pool;
@@ -278,6 +282,8 @@
     const struct job_task *isolation_next;
     int64_t isolation_next_ms;
     uint64_t isolation_pass;
+    struct pool_reservations *reservations;
+    uint64_t reservation_denials;
 };
 
 /**
@@ -797,6 +803,13 @@
                       const struct job *job, uint32_t occurrence,
                       uint32_t step);
 
+/* reserve_ahead.c */
+/* Whether capacity of @backend is reserved for a waiting task. */
+bool
+sched_reserved_ahead(const struct backend *backend);
+void
+sched_reservations_destroy(struct pool_load *pool);
+
 /* throttle_runs.c */
 void
 sched_throttle(struct scheduler *sched);
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -374,7 +374,12 @@
                "starts_stale_total %" G_GUINT64_FORMAT "\n"
                "shed_level %d\n"
                "start_window %u\nstarts_in_flight %u\n"
-               "loop_lag_ms %" G_GINT64_FORMAT "\n",
+               "loop_lag_ms %" G_GINT64_FORMAT "\n"
+               "reservations %u\n"
+               "reservations_made_total %" G_GUINT64_FORMAT "\n"
+               "reservations_moved_total %" G_GUINT64_FORMAT "\n"
+               "reservations_used_total %" G_GUINT64_FORMAT "\n"
+               "tasks_backfilled_total %" G_GUINT64_FORMAT "\n",
                counters->requests, counters->accepted, counters->refused,
                counters->unauthorized, counters->not_found, counters->invalid,
                counters->unknown, leadership_held(frontend->node->leadership),
@@ -382,7 +387,9 @@
                stats.runs, stats.backends, stats.backends_unreconciled,
                stats.started, stats.done, stats.failed, stats.lost,
                stats.stale_numbers, (int)stats.shed, stats.start_window,
-               stats.starts_in_flight, stats.loop_lag_ms);
+               stats.starts_in_flight, stats.loop_lag_ms, stats.reservations,
+               stats.reservations_made, stats.reservations_moved,
+               stats.reservations_used, stats.backfilled);
     http_exchange_reply(exchange, 200, text);
 }
 
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -90,6 +90,7 @@
  *           yet
  * @percent_clock_ms: clock of the backend server in the first report that has
  *                    shown @percent; 0: none yet
+ * @first_percent: progress when a previous leader's run was adopted
  * @unchanged_ms: how long reports have shown @percent, on that clock
  * @longest_pause_ms: longest such time after which the run went on
  * @load_metric: as reported, see struct reported_run
@@ -127,6 +128,7 @@
     bool stop_unconfirmed;
     int32_t percent;
     int64_t percent_clock_ms;
+    int32_t first_percent;
     int64_t unchanged_ms;
     int64_t longest_pause_ms;
     int64_t load_metric;
@@ -272,6 +274,7 @@
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_until_ms: kept for such a run until then
  * @isolation_owner: task that it is kept for, only compared; NULL: any
+ * @reservation: capacity of it that is reserved for a waiting task; NULL: none
  */
 struct backend {
     struct backend_entry entry;
@@ -328,6 +331,7 @@
     uint32_t isolated_runs;
     int64_t isolation_until_ms;
     const struct job_task *isolation_owner;
+    struct reservation *reservation;
 };
 
 struct backend *
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -276,6 +276,7 @@
  * @remaining: what is left of it, for the job order
  * @refs: what the scheduler looks up once for it
  * @active_index: its position among the active jobs of its scheduler
+ * @reservations: reservations of capacity for its waiting tasks
  * @unplaced: it may have tasks to place, and is among the unplaced jobs of its
  *            pool
  * @dirty: its progress is waiting to be stored
@@ -316,6 +317,7 @@
     struct job_remaining remaining;
     struct job_refs refs;
     uint32_t active_index;
+    uint32_t reservations;
     bool unplaced;
     bool dirty;
     bool closing;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -498,6 +498,11 @@
  * @lost: runs that ended without a completion
  * @stale_numbers: starts refused since the backend server knows a run that
  *                 isn't numbered lower
+ * @reservations: reservations of capacity for waiting tasks
+ * @reservations_made: all that were made
+ * @reservations_moved: moves of one to a better backend server
+ * @reservations_used: tasks with a reservation that were started
+ * @backfilled: tasks started on a backend server that is reserved for another
  * @shed: what is shed because of overload
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
@@ -513,6 +518,11 @@
     uint64_t failed;
     uint64_t lost;
     uint64_t stale_numbers;
+    uint32_t reservations;
+    uint64_t reservations_made;
+    uint64_t reservations_moved;
+    uint64_t reservations_used;
+    uint64_t backfilled;
     enum shed_level shed;
     uint32_t start_window;
     uint32_t starts_in_flight;
