--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -39,6 +39,8 @@
 struct fixture fixture;
 const char *build_root;
 
+static const char *scheduling = "{}";
+
 static pid_t
 spawn(const char *log, char *const *argv)
 {
@@ -92,9 +94,10 @@
         "\"advice\":\"127.0.0.1:%d\","
         "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
         "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
-        "\"config_ms\":2000,\"lease_ms\":3000}}",
+        "\"config_ms\":2000,\"lease_ms\":3000},\"scheduling\":%s}",
         entry, port + 2, port + 5, port, port + 1, store_port,
-        STORE_VALUE_BYTES, fixture.first_port + 1, fixture.first_port + 1);
+        STORE_VALUE_BYTES, fixture.first_port + 1, fixture.first_port + 1,
+        scheduling);
     char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
     char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
     char *program =
@@ -164,6 +167,12 @@
     g_free(log);
 }
 
+void
+fixture_set_scheduling(const char *settings)
+{
+    scheduling = settings;
+}
+
 static int team_maximum_milli;
 
 void
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -73,6 +73,11 @@
 void
 fixture_limit_teams(int maximum_milli);
 
+/** fixture_set_scheduling() - the next fixture_set_up() gives entry hosts this
+ * member "scheduling" of their settings. */
+void
+fixture_set_scheduling(const char *settings);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
