jobs: let a higher priority take the place of a reservation

Where all backend servers that may be reserved were reserved for jobs of a lower priority, a task of a higher priority found none for its own reservation: those with one were left out of the search. In a pool of one backend server it had none after 600 ms.

A search now includes backend servers whose reservation is of a lower priority, which is dropped when its place is taken.

--- a/core/jobs/reserve_ahead.c
+++ b/core/jobs/reserve_ahead.c
@@ -23,6 +23,8 @@
     OVERDUE_MS = 1000,
 };
 
+static const char HIGHER_WAITS[] = "a higher priority waits";
+
 static void
 reservation_destroy(struct reservation *entry)
 {
@@ -90,6 +92,18 @@
     remove_entry(sched, entry);
 }
 
+/* Drops the reservation on @backend, whose place one of a higher priority
+ * takes; false if there is none. */
+static bool
+drop_lower(struct scheduler *sched, const struct backend *backend)
+{
+    bool reserved = sched_reserved_ahead(backend);
+    if (reserved) {
+        drop_entry(sched, backend->reservation, HIGHER_WAITS);
+    }
+    return reserved;
+}
+
 static struct placement_request
 request_for(struct job *job, uint32_t occurrence, uint32_t step)
 {
@@ -145,12 +159,13 @@
         request_for(entry->job, entry->occurrence, entry->step);
     struct offer offer;
     if (!may_move(entry, placer->now_ms) ||
-        !reserve_find_offer(placer, &request, &offer) ||
+        !reserve_find_offer(placer, &request, entry->priority, &offer) ||
         !reservation_should_move(entry->free_ms - placer->now_ms,
                                  offer.free_ms - placer->now_ms)) {
         return;
     }
     release_backend(placer->sched, entry);
+    drop_lower(placer->sched, offer.backend);
     take_offer(entry, &offer, placer->now_ms);
     entry->moves++;
     placer->sched->stats.reservations_moved++;
@@ -271,11 +286,11 @@
     struct placement_request request =
         request_for(candidate->job, candidate->occurrence, candidate->step);
     struct offer offer;
-    if (!reserve_find_offer(placer, &request, &offer)) {
+    if (!reserve_find_offer(placer, &request, candidate->priority, &offer)) {
         return true;
     }
-    if (full) {
-        drop_entry(placer->sched, lower, "a higher priority waits");
+    if (!drop_lower(placer->sched, offer.backend) && full) {
+        drop_entry(placer->sched, lower, HIGHER_WAITS);
     }
     add_entry(placer, candidate, &offer);
     return true;
--- a/core/jobs/reserve_ahead.h
+++ b/core/jobs/reserve_ahead.h
@@ -111,11 +111,11 @@
                       const struct resources *need, int64_t start_ms,
                       struct offer *offer);
 
-/** reserve_find_offer() - the backend server without a reservation on which a
- * task fits first; false if there is none. */
+/** reserve_find_offer() - the backend server without a reservation of
+ * @priority or higher on which a task fits first; false if there is none. */
 bool
 reserve_find_offer(const struct placer *placer,
-                   const struct placement_request *request,
+                   const struct placement_request *request, int64_t priority,
                    struct offer *best);
 
 #endif
--- a/core/jobs/reserve_offer.c
+++ b/core/jobs/reserve_offer.c
@@ -98,11 +98,19 @@
     g_free(ends);
 }
 
-/* The backend server without a reservation on which a task fits first; false
- * if there is none. */
+/* Whether a reservation of @priority may not take the place of another on
+ * @backend. */
+static bool
+reserved_as_high(const struct backend *backend, int64_t priority)
+{
+    return sched_reserved_ahead(backend) &&
+           backend->reservation->priority <= priority;
+}
+
 bool
 reserve_find_offer(const struct placer *placer,
-                   const struct placement_request *request, struct offer *best)
+                   const struct placement_request *request, int64_t priority,
+                   struct offer *best)
 {
     struct resources need = job_step_backend_need(request->step);
     struct offer offers[EXAMINED_MAX];
@@ -112,7 +120,7 @@
         const GPtrArray *backends = placer->pool->index.slots[slot];
         for (guint i = 0; i < backends->len && n < EXAMINED_MAX; i++) {
             struct backend *backend = g_ptr_array_index(backends, i);
-            if (sched_reserved_ahead(backend) ||
+            if (reserved_as_high(backend, priority) ||
                 !reserve_may_use(placer, backend, request)) {
                 continue;
             }
