--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -299,6 +299,10 @@
  * @isolation_next_ms: since when that waits
  * @isolation_pass: the pass that @isolation_next is of
  * @preempt_round: limits of preemption, see preempt_runs.c
+ * @reservations: capacity reserved for waiting tasks, see reserve_ahead.c;
+ *                NULL: there was none yet
+ * @reservation_denials: counts the times that one kept a task from a backend
+ *                       server
  */
 struct pool_load {
     char *pool;
@@ -332,6 +336,8 @@
     int64_t isolation_next_ms;
     uint64_t isolation_pass;
     struct preempt_round preempt_round;
+    struct pool_reservations *reservations;
+    uint64_t reservation_denials;
 };
 
 /**
@@ -887,6 +893,12 @@
 struct resources
 sched_room_for(const struct scheduler *sched, const struct backend *backend,
                const struct job *job, uint32_t occurrence, uint32_t step);
+/* reserve_ahead.c */
+/* Whether capacity of @backend is reserved for a waiting task. */
+bool
+sched_reserved_ahead(const struct backend *backend);
+void
+sched_reservations_destroy(struct pool_load *pool);
 
 /* throttle_runs.c */
 void
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -384,7 +384,12 @@
                "loop_lag_ms %" G_GINT64_FORMAT "\n"
                "preemptions_total %" G_GUINT64_FORMAT "\n"
                "runs_preempted_total %" G_GUINT64_FORMAT "\n"
-               "preemption_holds %u\n",
+               "preemption_holds %u\n"
+               "reservations %u\n"
+               "reservations_made_total %" G_GUINT64_FORMAT "\n"
+               "reservations_moved_total %" G_GUINT64_FORMAT "\n"
+               "reservations_used_total %" G_GUINT64_FORMAT "\n"
+               "tasks_backfilled_total %" G_GUINT64_FORMAT "\n",
                counters->requests, counters->accepted, counters->refused,
                counters->unauthorized, counters->not_found, counters->invalid,
                counters->unknown, leadership_held(frontend->node->leadership),
@@ -394,7 +399,9 @@
                stats.stale_numbers, stats.forecasts, stats.forecasts_missed,
                (int)stats.shed, stats.start_window, stats.starts_in_flight,
                stats.loop_lag_ms, stats.preemptions, stats.preempted,
-               stats.holds);
+               stats.holds, stats.reservations, stats.reservations_made,
+               stats.reservations_moved, stats.reservations_used,
+               stats.backfilled);
     http_exchange_reply(exchange, 200, text);
 }
 
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -90,6 +90,7 @@
  *           yet
  * @percent_clock_ms: clock of the backend server in the first report that has
  *                    shown @percent; 0: none yet
+ * @first_percent: progress when a previous leader's run was adopted
  * @unchanged_ms: how long reports have shown @percent, on that clock
  * @longest_pause_ms: longest such time after which the run went on
  * @load_metric: as reported, see struct reported_run
@@ -130,6 +131,7 @@
     bool stop_unconfirmed;
     int32_t percent;
     int64_t percent_clock_ms;
+    int32_t first_percent;
     int64_t unchanged_ms;
     int64_t longest_pause_ms;
     int64_t load_metric;
@@ -279,6 +281,7 @@
  * @isolation_owner: task that it is kept for, only compared; NULL: any
  * @held: capacity kept for tasks that have preempted runs here, see
  *        preempt_runs.c
+ * @reservation: capacity of it that is reserved for a waiting task; NULL: none
  */
 struct backend {
     struct backend_entry entry;
@@ -336,6 +339,7 @@
     int64_t isolation_until_ms;
     const struct job_task *isolation_owner;
     struct resources held;
+    struct reservation *reservation;
 };
 
 struct backend *
