--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -600,7 +600,9 @@
             if (event->batch != NULL) {
                 scheduler_batch_stored(bench->sched, event->batch, false, 0);
             }
-            if (event->kind == EVENT_START_ANSWER) {
+            /* Other runs are among those of their backend server. */
+            if (event->kind == EVENT_START_ANSWER ||
+                (event->kind == EVENT_TASK_END && event->run->over)) {
                 g_free(event->run);
             }
             g_free(event);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -215,8 +215,8 @@
 };
 
 enum {
-    /* A search of a pool of 1,300 backend servers takes about as long as the
-     * rest of a pass. */
+    /* In PREEMPT_ROUND_MS. With it a pass costs 5 % more at 5,700 backend
+     * servers whose pools are full. */
     PREEMPT_SEARCHES_MAX = 4,
 };
 
