settings: read limits for connections of the gateway and the controller

max_connections, max_buffered_bytes, head_timeout_ms and stall_timeout_ms are read and checked, with findings for bad values. Nothing enforces them yet: tests that lower them are to run on the code before and after.

--- a/common/settings.c
+++ b/common/settings.c
@@ -8,8 +8,19 @@
     PORT_MAX = 65535,
     TIME_MAX_MS = 600000,
     SECRET_MIN_BYTES = 16,
+    /* Four connections for each of the 4,096 concurrent requests that are
+     * allowed by default. */
+    CONNECTIONS_DEFAULT = 16384,
+    /* 128 bodies of the largest size that is allowed by default. */
+    BUFFERED_DEFAULT_BYTES = 1 << 30,
+    /* 32 KiB of header at 1 KiB/s. */
+    HEAD_TIMEOUT_DEFAULT_MS = 30000,
+    /* Longer than TCP takes for six retransmissions of a lost segment. */
+    STALL_TIMEOUT_DEFAULT_MS = 60000,
 };
 
+#define BUFFERED_MAX_BYTES (INT64_C(1) << 40)
+
 static const char *const setting_names[] = {
     "name",
     "dc",
@@ -28,6 +39,10 @@
     "max_header_bytes",
     "max_body_bytes",
     "max_inflight",
+    "max_connections",
+    "max_buffered_bytes",
+    "head_timeout_ms",
+    "stall_timeout_ms",
     "shutdown_ms",
     "id_retention_ms",
     "fleet",
@@ -121,6 +136,25 @@
                                                      1000000, 4096, false);
 }
 
+static void
+read_connection_limits(const struct json_place *place,
+                       struct settings *settings)
+{
+    settings->max_connections = (uint32_t)json_read_int(
+        place, "max_connections", 16, 1000000, CONNECTIONS_DEFAULT, false);
+    settings->max_buffered_bytes = json_read_int(
+        place, "max_buffered_bytes", 1, BUFFERED_MAX_BYTES,
+        MAX(BUFFERED_DEFAULT_BYTES, settings->max_body_bytes), false);
+    settings->head_timeout_ms =
+        read_ms(place, "head_timeout_ms", HEAD_TIMEOUT_DEFAULT_MS);
+    settings->stall_timeout_ms =
+        read_ms(place, "stall_timeout_ms", STALL_TIMEOUT_DEFAULT_MS);
+    if (settings->max_buffered_bytes < settings->max_body_bytes) {
+        findings_add(place->findings, place->file, "$.max_buffered_bytes",
+                     "must be at least max_body_bytes");
+    }
+}
+
 static struct fleet_timings
 read_fleet(const struct json_place *place)
 {
@@ -164,6 +198,7 @@
     settings->log_level = read_level(&place);
     read_timeouts(&place, settings);
     read_limits(&place, settings);
+    read_connection_limits(&place, settings);
     settings->fleet = read_fleet(&place);
     json_node_unref(root);
     if (findings_count(findings) > before) {
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -31,6 +31,14 @@
  * @max_header_bytes: largest request header accepted
  * @max_body_bytes: largest request body accepted
  * @max_inflight: limit of concurrent requests on this gateway
+ * @max_connections: limit of connections to the HTTP port; half of the
+ *                   process's descriptors if that is less
+ * @max_buffered_bytes: limit of request and response bodies in memory, of all
+ *                      connections to the HTTP port
+ * @head_timeout_ms: longest time from the first byte of a request header to
+ *                   its last
+ * @stall_timeout_ms: longest time without a byte of an incomplete request body
+ *                    or of a response that the client does not read
  * @shutdown_ms: longest graceful shutdown
  * @id_retention_ms: how long the outcome of a request id is retained
  * @fleet: times of the fleet controller
@@ -53,6 +61,10 @@
     int64_t max_header_bytes;
     int64_t max_body_bytes;
     uint32_t max_inflight;
+    uint32_t max_connections;
+    int64_t max_buffered_bytes;
+    int64_t head_timeout_ms;
+    int64_t stall_timeout_ms;
     int64_t shutdown_ms;
     int64_t id_retention_ms;
     struct fleet_timings fleet;
--- a/tests/common/settings_test.c
+++ b/tests/common/settings_test.c
@@ -35,6 +35,10 @@
     CU_ASSERT_EQUAL(findings_count(findings), 0);
     CU_ASSERT_STRING_EQUAL(settings->hosts_url, "http://127.0.0.1:8500");
     CU_ASSERT_EQUAL(settings->quorum_lease_ms, 2000);
+    CU_ASSERT_EQUAL(settings->max_connections, 16384);
+    CU_ASSERT_EQUAL(settings->max_buffered_bytes, 1 << 30);
+    CU_ASSERT_EQUAL(settings->head_timeout_ms, 30000);
+    CU_ASSERT_EQUAL(settings->stall_timeout_ms, 60000);
     settings_destroy(settings);
     findings_destroy(findings);
     remove(path);
@@ -48,13 +52,28 @@
         write_file("{\"name\": 7, \"address\": \"here\", \"http_port\": 70000,"
                    " \"store_url\": \"ftp://x\", \"log_level\": \"loud\","
                    " \"support_ms\": -1, \"max_inflight\": \"many\","
+                   " \"max_connections\": 2, \"head_timeout_ms\": 0,"
+                   " \"stall_timeout_ms\": \"long\","
+                   " \"max_body_bytes\": 1000, \"max_buffered_bytes\": 999,"
                    " \"heartbeat_ms\": 1900, \"colour\": \"blue\"}");
     struct findings *findings = findings_create();
     CU_ASSERT_PTR_NULL(settings_read(path, findings));
     const char *const places[] = {
-        "$.name",         "$.dc",           "$.address",    "$.http_port",
-        "$.store_url",    "$.log_level",    "$.support_ms", "$.secret_file",
-        "$.max_inflight", "$.heartbeat_ms", "$.colour",
+        "$.name",
+        "$.dc",
+        "$.address",
+        "$.http_port",
+        "$.store_url",
+        "$.log_level",
+        "$.support_ms",
+        "$.secret_file",
+        "$.max_inflight",
+        "$.heartbeat_ms",
+        "$.colour",
+        "$.max_connections",
+        "$.max_buffered_bytes",
+        "$.head_timeout_ms",
+        "$.stall_timeout_ms",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(places); i++) {
         bool found = false;
