--- a/tests/process/process_fleet.c
+++ b/tests/process/process_fleet.c
@@ -258,8 +258,9 @@
         "{\"name\": \"%s\", \"dc\": \"split-1\", \"address\": \"127.0.0.1\","
         " \"http_port\": %u, \"peer_port\": %u,"
         " \"store_url\": \"http://127.0.0.1:%u\","
-        " \"secret_file\": \"%s/secret\", \"shutdown_ms\": 10000}",
-        name, http_port, peer_port, store_port, fleet->run_dir);
+        " \"secret_file\": \"%s/secret\", \"shutdown_ms\": 10000%s}",
+        name, http_port, peer_port, store_port, fleet->run_dir,
+        fleet->settings);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     g_free(file_name);
@@ -288,6 +289,7 @@
 {
     uint16_t port = 0;
     free_ports_find(&port, 1);
+    fleet->controller_ports[i] = port;
     fleet->controllers[i] =
         start(fleet, name, "egretfleetd/egretfleetd",
               write_settings(fleet, name, port, 0, store_port), NULL);
@@ -336,6 +338,8 @@
     fleet->session = soup_session_new_with_options("timeout", 30, NULL);
     fleet->n_gateways = options->gateways;
     fleet->config_file = run_path(fleet, "config.json");
+    fleet->settings =
+        g_strdup(options->settings == NULL ? "" : options->settings);
     g_mkdir_with_parents(fleet->run_dir, 0700);
     g_file_set_contents(fleet->config_file, options->config, -1, NULL);
     char *secret = run_path(fleet, "secret");
@@ -432,6 +436,7 @@
     g_object_unref(fleet->session);
     json_node_unref(fleet->hosts);
     g_free(fleet->config_file);
+    g_free(fleet->settings);
     g_free(fleet->build_dir);
     g_free(fleet->run_dir);
     g_free(fleet);
--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -20,6 +20,8 @@
  * @layout: pools and their hosts, for the backend stand-in
  * @dcs: data centres of the hosts
  * @config: configuration as JSON text
+ * @settings: further members of the settings of gateways and controllers as
+ *            JSON text, each with a comma before it; NULL for none
  * @direct_backends: reach backend servers without the proxy
  * @routed_controllers: number of controllers, each with its own route to the
  *                      store through the proxy; 0 for one without the proxy
@@ -30,6 +32,7 @@
     const char *layout;
     const char *dcs;
     const char *config;
+    const char *settings;
     bool direct_backends;
     uint32_t routed_controllers;
 };
@@ -53,6 +56,7 @@
     char *build_dir;
     char *run_dir;
     char *config_file;
+    char *settings;
     JsonNode *hosts;
     GPtrArray *processes;
     struct fleet_child *gateways[FLEET_GATEWAYS_MAX];
@@ -63,6 +67,7 @@
     uint16_t proxy_port;
     uint16_t http_ports[FLEET_GATEWAYS_MAX];
     uint16_t peer_ports[FLEET_GATEWAYS_MAX];
+    uint16_t controller_ports[FLEET_GATEWAYS_MAX];
     SoupSession *session;
 };
 
