--- a/common/settings.c
+++ b/common/settings.c
@@ -144,14 +144,14 @@
         place, "max_connections", 16, 1000000, CONNECTIONS_DEFAULT, false);
     settings->max_buffered_bytes = json_read_int(
         place, "max_buffered_bytes", 1, BUFFERED_MAX_BYTES,
-        MAX(BUFFERED_DEFAULT_BYTES, settings->max_body_bytes), false);
+        MAX(BUFFERED_DEFAULT_BYTES, 2 * settings->max_body_bytes), false);
     settings->head_timeout_ms =
         read_ms(place, "head_timeout_ms", HEAD_TIMEOUT_DEFAULT_MS);
     settings->stall_timeout_ms =
         read_ms(place, "stall_timeout_ms", STALL_TIMEOUT_DEFAULT_MS);
-    if (settings->max_buffered_bytes < settings->max_body_bytes) {
+    if (settings->max_buffered_bytes < 2 * settings->max_body_bytes) {
         findings_add(place->findings, place->file, "$.max_buffered_bytes",
-                     "must be at least max_body_bytes");
+                     "must be at least twice max_body_bytes");
     }
 }
 
--- a/tests/common/settings_test.c
+++ b/tests/common/settings_test.c
@@ -54,7 +54,7 @@
                    " \"support_ms\": -1, \"max_inflight\": \"many\","
                    " \"max_connections\": 2, \"head_timeout_ms\": 0,"
                    " \"stall_timeout_ms\": \"long\","
-                   " \"max_body_bytes\": 1000, \"max_buffered_bytes\": 999,"
+                   " \"max_body_bytes\": 1000, \"max_buffered_bytes\": 1999,"
                    " \"heartbeat_ms\": 1900, \"colour\": \"blue\"}");
     struct findings *findings = findings_create();
     CU_ASSERT_PTR_NULL(settings_read(path, findings));
