gateway, controller: limit what misbehaving clients hold

Nothing limited the connections to the HTTP port, the bodies of all of them together, or the time of an incomplete request. A body that was refused by its head, or sent to the controller, was kept without any limit. libsoup's listener accepts nothing more, also later, once accept() has failed for lack of a descriptor (seen in connections_test on a trial with the plain listener).

connections.c now counts connections and bodies. At max_connections, or when only a sixteenth of the descriptors is free, the connection without progress for the longest time is closed, never one whose request is being served. When max_buffered_bytes is used up, a request with a body gets 503 no-capacity, not-run, Retry-After: 1, and is not passed on; connections that hold bodies and have stalled for 1 s are closed. Incomplete headers, bodies and unread responses time out. A listener that has stopped is started again. The controller uses the same code and keeps no bodies; both listen with a backlog of 1,024. Own accepting through soup_server_accept_iostream() was tried and left: libsoup closes such a connection after one response.

The cost per request is not measured.

--- a/egretd/cancel.c
+++ b/egretd/cancel.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "egretd/connections.h"
+
 struct cancel_relay {
     SoupSession *session;
     int64_t timeout_ms;
@@ -58,6 +60,9 @@
         reply(call->message, SOUP_STATUS_OK, g_strndup(text, size_bytes));
         g_bytes_unref(body);
     }
+    connection_response_ready(
+        call->message,
+        soup_server_message_get_response_body(call->message)->length);
     soup_server_message_unpause(call->message);
     g_hash_table_remove(call->relay->calls, call);
 }
--- a/egretd/frontend.c
+++ b/egretd/frontend.c
@@ -7,12 +7,6 @@
 #include "egretd/operator_api.h"
 #include "egretd/submit.h"
 
-enum {
-    /* With libsoup's own backlog of 10, callers under load wait a second for
-     * their connection. */
-    LISTEN_BACKLOG = 1024,
-};
-
 struct frontend {
     struct frontend_options options;
     SoupServer *server;
@@ -46,6 +40,13 @@
                                      SOUP_MEMORY_TAKE, text, strlen(text));
 }
 
+static void
+note_response(SoupServerMessage *message)
+{
+    connection_response_ready(
+        message, soup_server_message_get_response_body(message)->length);
+}
+
 static void
 on_head(SoupServer *server, SoupServerMessage *message, const char *path,
         GHashTable *query, void *data)
@@ -53,7 +54,16 @@
     struct frontend *frontend = data;
     (void)server;
     (void)query;
-    submit_check_head(&frontend->options, message, path);
+    bool refused = submit_check_head(&frontend->options, message, path);
+    if (!refused && !connections_admit(frontend->connections, message)) {
+        submit_refuse_memory(&frontend->options, message);
+        refused = true;
+    }
+    if (refused) {
+        soup_message_body_set_accumulate(
+            soup_server_message_get_request_body(message), FALSE);
+        note_response(message);
+    }
 }
 
 static bool
@@ -84,6 +94,7 @@
         return true;
     }
     if (g_str_equal(path, "/metrics")) {
+        connections_update_metrics(frontend->connections);
         operator_metrics(&frontend->options, message);
         return true;
     }
@@ -138,47 +149,9 @@
     if (!routed) {
         reply_error(message, SOUP_STATUS_NOT_FOUND);
     }
-}
-
-static GSocket *
-open_socket(const struct settings *settings, GError **error)
-{
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        settings->address, settings->http_port);
-    GSocket *socket =
-        g_socket_new(g_socket_address_get_family(address),
-                     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
-    if (socket != NULL) {
-        g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
-        if (!g_socket_bind(socket, address, TRUE, error) ||
-            !g_socket_listen(socket, error)) {
-            g_clear_object(&socket);
-        }
-    }
-    g_object_unref(address);
-    return socket;
-}
-
-static bool
-start_listening(struct frontend *frontend, struct status *status)
-{
-    const struct settings *settings = frontend->options.settings;
-    GError *error = NULL;
-    GSocket *socket = open_socket(settings, &error);
-    if (socket == NULL ||
-        !soup_server_listen_socket(frontend->server, socket, 0, &error)) {
-        status_set(status, STATUS_UNAVAILABLE, "cannot listen on %s:%u: %s",
-                   settings->address, settings->http_port, error->message);
-        g_error_free(error);
-        g_clear_object(&socket);
-        return false;
+    if (soup_server_message_get_status(message) != 0) {
+        note_response(message);
     }
-    GSocketAddress *bound = g_socket_get_local_address(socket, NULL);
-    frontend->port =
-        g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
-    g_object_unref(bound);
-    g_object_unref(socket);
-    return true;
 }
 
 struct frontend *
@@ -187,7 +160,12 @@
     struct frontend *frontend = g_new0(struct frontend, 1);
     frontend->options = *options;
     frontend->server = soup_server_new("server-header", "egretd", NULL);
-    frontend->connections = connections_create(frontend->server);
+    frontend->connections = connections_create(&(struct connections_options){
+        .server = frontend->server,
+        .settings = options->settings,
+        .counters = options->counters,
+        .clock = ms_clock_system(),
+    });
     soup_server_add_early_handler(frontend->server, NULL, on_head, frontend,
                                   NULL);
     soup_server_add_handler(frontend->server, NULL, on_request, frontend,
@@ -198,7 +176,8 @@
         frontend_destroy(frontend);
         return NULL;
     }
-    if (!start_listening(frontend, status)) {
+    frontend->port = connections_listen(frontend->connections, status);
+    if (frontend->port == 0) {
         frontend_destroy(frontend);
         return NULL;
     }
@@ -208,11 +187,7 @@
 void
 frontend_stop_listening(struct frontend *frontend)
 {
-    GSList *listeners = soup_server_get_listeners(frontend->server);
-    for (GSList *link = listeners; link != NULL; link = link->next) {
-        g_socket_close(link->data, NULL);
-    }
-    g_slist_free(listeners);
+    connections_stop_listening(frontend->connections);
 }
 
 void
--- a/egretd/request.c
+++ b/egretd/request.c
@@ -102,6 +102,8 @@
         SoupServerMessage *message = g_object_ref(waiter->message);
         g_ptr_array_set_size(request->waiters, (int)request->waiters->len - 1);
         answer_write(answer, message, request->task_name, request->request_id);
+        connection_response_ready(
+            message, soup_server_message_get_response_body(message)->length);
         soup_server_message_unpause(message);
         g_object_unref(message);
     }
@@ -128,6 +130,7 @@
     request->wrote_chunk_handler = g_signal_connect(
         waiter->message, "wrote-chunk", G_CALLBACK(on_wrote_chunk), request);
     answer_write_head(head, waiter->message, request->task_name);
+    connection_response_started(waiter->message);
     soup_server_message_unpause(waiter->message);
     return true;
 }
@@ -140,6 +143,8 @@
     }
     soup_message_body_append_bytes(
         soup_server_message_get_response_body(request->streaming), piece);
+    connection_response_ready(request->streaming,
+                              (int64_t)g_bytes_get_size(piece));
     soup_server_message_unpause(request->streaming);
 }
 
@@ -158,10 +163,10 @@
     if (complete) {
         soup_message_body_complete(
             soup_server_message_get_response_body(message));
+        connection_response_completed(message);
     }
     else {
-        g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE,
-                          NULL);
+        connection_response_aborted(message);
     }
     soup_server_message_unpause(message);
     g_object_unref(message);
--- a/egretd/submit.c
+++ b/egretd/submit.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "common/request_auth.h"
 #include "egretd/cancel.h"
+#include "egretd/connections.h"
 #include "egretd/forwards.h"
 
 enum {
@@ -18,8 +19,8 @@
 #define BEARER_PREFIX "Bearer "
 
 static void
-refuse_early(const struct frontend_options *options,
-             SoupServerMessage *message, enum reason reason)
+refuse_for(const struct frontend_options *options, SoupServerMessage *message,
+           enum reason reason, int64_t retry_after_ms)
 {
     char labels[64];
     g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason_name(reason));
@@ -28,10 +29,34 @@
              log_quote(g_uri_get_path(soup_server_message_get_uri(message))),
              reason_name(reason));
     struct answer *answer = answer_create(OUTCOME_NOT_RUN, reason);
+    answer->retry_after_ms = retry_after_ms;
     answer_write(answer, message, "-", NULL);
     answer_destroy(answer);
 }
 
+static void
+refuse_early(const struct frontend_options *options,
+             SoupServerMessage *message, enum reason reason)
+{
+    refuse_for(options, message, reason, 0);
+}
+
+static void
+close_after_response(SoupServerMessage *message)
+{
+    soup_message_headers_append(
+        soup_server_message_get_response_headers(message), "Connection",
+        "close");
+}
+
+void
+submit_refuse_memory(const struct frontend_options *options,
+                     SoupServerMessage *message)
+{
+    refuse_for(options, message, REASON_NO_CAPACITY, CONNECTIONS_RETRY_MS);
+    close_after_response(message);
+}
+
 static const char *
 find_header(SoupServerMessage *message, const char *name)
 {
@@ -236,9 +261,7 @@
         refuse_early(options, message, reason);
         if (reason == REASON_BODY_TOO_LARGE || reason == REASON_BAD_REQUEST) {
             /* The body is not read. */
-            soup_message_headers_append(
-                soup_server_message_get_response_headers(message),
-                "Connection", "close");
+            close_after_response(message);
         }
         return true;
     }
--- a/egretfleetd/fleet_status.c
+++ b/egretfleetd/fleet_status.c
@@ -6,10 +6,12 @@
 
 #include "common/json_write.h"
 #include "common/request_auth.h"
+#include "egretd/connections.h"
 
 struct fleet_status {
     struct fleet_status_options options;
     SoupServer *server;
+    struct connections *connections;
     uint16_t port;
 };
 
@@ -20,6 +22,19 @@
     soup_server_message_set_status(message, status, NULL);
     soup_server_message_set_response(message, type, SOUP_MEMORY_TAKE, text,
                                      strlen(text));
+    connection_response_ready(message, (int64_t)strlen(text));
+}
+
+static void
+serve_unknown(SoupServer *server, SoupServerMessage *message, const char *path,
+              GHashTable *query, gpointer data)
+{
+    (void)server;
+    (void)path;
+    (void)query;
+    (void)data;
+    reply(message, SOUP_STATUS_NOT_FOUND, "text/plain",
+          g_strdup("not found\n"));
 }
 
 static void
@@ -45,6 +60,7 @@
     struct fleet_status *self = data;
     GString *text = g_string_new(NULL);
     self->options.refresh(self->options.ctx);
+    connections_update_metrics(self->connections);
     counters_render(self->options.counters, text);
     reply(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
           g_string_free(text, FALSE));
@@ -80,27 +96,6 @@
     reply(message, SOUP_STATUS_OK, "application/json", build_text(self));
 }
 
-static bool
-listen_on(struct fleet_status *self, struct status *status)
-{
-    const struct settings *settings = self->options.settings;
-    GError *error = NULL;
-    GSocketAddress *address = g_inet_socket_address_new_from_string(
-        settings->address, settings->http_port);
-    bool listening = soup_server_listen(self->server, address, 0, &error);
-    g_object_unref(address);
-    if (!listening) {
-        status_set(status, STATUS_UNAVAILABLE, "cannot listen on port %u: %s",
-                   settings->http_port, error->message);
-        g_error_free(error);
-        return false;
-    }
-    GSList *uris = soup_server_get_uris(self->server);
-    self->port = (uint16_t)g_uri_get_port(uris->data);
-    g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
-    return true;
-}
-
 struct fleet_status *
 fleet_status_create(const struct fleet_status_options *options,
                     struct status *status)
@@ -108,13 +103,28 @@
     struct fleet_status *self = g_new0(struct fleet_status, 1);
     self->options = *options;
     self->server = soup_server_new(NULL, NULL);
+    self->connections = connections_create(&(struct connections_options){
+        .server = self->server,
+        .settings = options->settings,
+        .counters = options->counters,
+        .clock = ms_clock_system(),
+        .discard_bodies = true,
+    });
+    if (self->connections == NULL) {
+        status_set(status, STATUS_INTERNAL,
+                   "cannot create an epoll descriptor");
+        fleet_status_destroy(self);
+        return NULL;
+    }
+    soup_server_add_handler(self->server, NULL, serve_unknown, self, NULL);
     soup_server_add_handler(self->server, "/healthz", serve_health, self,
                             NULL);
     soup_server_add_handler(self->server, "/metrics", serve_metrics, self,
                             NULL);
     soup_server_add_handler(self->server, "/v1/fleet", serve_fleet, self,
                             NULL);
-    if (!listen_on(self, status)) {
+    self->port = connections_listen(self->connections, status);
+    if (self->port == 0) {
         fleet_status_destroy(self);
         return NULL;
     }
@@ -129,6 +139,7 @@
     }
     soup_server_disconnect(self->server);
     g_object_unref(self->server);
+    connections_destroy(self->connections);
     g_free(self);
 }
 
--- a/include/egretd/submit.h
+++ b/include/egretd/submit.h
@@ -16,6 +16,12 @@
 submit_check_head(const struct frontend_options *options,
                   SoupServerMessage *message, const char *path);
 
+/** submit_refuse_memory() - refuse a request whose body does not fit into
+ * memory now; its body is not read. */
+void
+submit_refuse_memory(const struct frontend_options *options,
+                     SoupServerMessage *message);
+
 /** submit_task() - POST /v1/queues/{queue}/tasks. */
 void
 submit_task(const struct frontend_options *options, SoupServerMessage *message,
--- a/tests/process/client_flood_test.c
+++ b/tests/process/client_flood_test.c
@@ -415,6 +415,19 @@
     check_gateway("flood-endless", &flood);
 }
 
+/* Each chunk costs far more memory than its one byte. */
+static void
+test_small_chunks(void)
+{
+    const struct flood flood = {
+        .clients = 20,
+        .head = "POST /v1/queues/open/tasks HTTP/1.1\r\n" HOST CHUNKED,
+        .repeat = "1\r\nx\r\n1\r\nx\r\n1\r\nx\r\n1\r\nx\r\n",
+        .bytes_max = 4 * MIB,
+    };
+    check_gateway("flood-chunks", &flood);
+}
+
 /* Refused by its head, but the body still comes. */
 static void
 test_endless_bodies_at_unknown_queue(void)
@@ -482,6 +495,69 @@
     check_controller("flood-controller-idle", &idle_connections);
 }
 
+/* Waits until the gateway holds memory for this many bytes of bodies. */
+static bool
+wait_buffered(int64_t min_bytes)
+{
+    static const char metric[] = "egret_buffered_bytes ";
+    int64_t end_ms = fleet_now_ms() + ANSWER_TIMEOUT_MS;
+    int64_t buffered_bytes = 0;
+    while (buffered_bytes < min_bytes && fleet_now_ms() < end_ms) {
+        char *text = fleet_call(fleet, "GET", fleet->http_ports[0], "/metrics",
+                                NULL, NULL);
+        const char *line = text == NULL ? NULL : strstr(text, metric);
+        if (line != NULL) {
+            buffered_bytes = g_ascii_strtoll(line + strlen(metric), NULL, 10);
+        }
+        g_free(text);
+        fleet_sleep_ms(20);
+    }
+    return buffered_bytes >= min_bytes;
+}
+
+/* Guards against passing on a request that is refused, and against a refusal
+ * without the outcome and the time that the protocol requires. */
+static void
+test_refusal_without_memory(void)
+{
+    const struct flood flood = {
+        .clients = 14,
+        .head = "POST /v1/queues/open/tasks HTTP/1.1\r\n" HOST
+                "Content-Length: 1048576\r\n\r\n",
+    };
+    open_fleet("flood-refusal");
+    struct target target = gateway_target();
+    start_flood(&flood, target.port);
+    CU_ASSERT(wait_buffered(14 * MIB));
+    int64_t before = fleet_backend_stat(fleet, "teams", "public", "started");
+    char *uri =
+        g_strdup_printf("http://127.0.0.1:%u%s", target.port, target.path);
+    SoupMessage *message = soup_message_new("POST", uri);
+    GBytes *body = g_bytes_new_static("run_ms=1", strlen("run_ms=1"));
+    soup_message_set_request_body_from_bytes(message, "text/plain", body);
+    GBytes *answer =
+        soup_session_send_and_read(fleet->session, message, NULL, NULL);
+    SoupMessageHeaders *headers = soup_message_get_response_headers(message);
+    CU_ASSERT_EQUAL(soup_message_get_status(message),
+                    SOUP_STATUS_SERVICE_UNAVAILABLE);
+    CU_ASSERT_EQUAL(
+        g_strcmp0(soup_message_headers_get_one(headers, "Egret-Outcome"),
+                  "not-run"),
+        0);
+    CU_ASSERT_EQUAL(
+        g_strcmp0(soup_message_headers_get_one(headers, "Retry-After"), "1"),
+        0);
+    CU_ASSERT_EQUAL(fleet_backend_stat(fleet, "teams", "public", "started"),
+                    before);
+    CU_ASSERT(is_answered(&target));
+    stop_flood(&flood);
+    g_clear_pointer(&answer, g_bytes_unref);
+    g_bytes_unref(body);
+    g_object_unref(message);
+    g_free(uri);
+    CU_ASSERT(fleet_stop(fleet));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -495,6 +571,7 @@
         {"half bodies", test_half_bodies},
         {"half bodies at unknown path", test_half_bodies_at_unknown_path},
         {"endless bodies", test_endless_bodies},
+        {"small chunks", test_small_chunks},
         {"endless bodies at unknown queue",
          test_endless_bodies_at_unknown_queue},
         {"idle connections", test_idle_connections},
@@ -503,6 +580,7 @@
         {"controller half bodies", test_controller_half_bodies},
         {"controller endless bodies", test_controller_endless_bodies},
         {"controller idle connections", test_controller_idle_connections},
+        {"refusal without memory", test_refusal_without_memory},
     };
     return suite_main_one("client_flood", tests, G_N_ELEMENTS(tests), argc,
                           argv);
