--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -585,10 +585,11 @@
 
 /* Returns the processor time per started task. */
 static double
-measure(uint32_t size)
+measure(uint32_t size, const struct sched_policy *policy)
 {
     struct bench *bench = g_new0(struct bench, 1);
     bench_init(bench, size);
+    scheduler_set_policy(bench->sched, policy);
     int64_t begin_ms = bench->now_ms + WARM_UP_MS;
     while (bench->now_ms < begin_ms) {
         bench_advance(bench);
@@ -630,13 +631,15 @@
 main(int argc, char **argv)
 {
     static const uint32_t sizes[] = {50, 350, 1100, 3000, 5700};
+    struct sched_policy policy = {0};
     if (argc > 1) {
-        measure((uint32_t)strtoul(argv[1], NULL, 10));
+        policy.reservations = argc > 2 && strcmp(argv[2], "reservations") == 0;
+        measure((uint32_t)strtoul(argv[1], NULL, 10), &policy);
         return EXIT_SUCCESS;
     }
     double costs_us[G_N_ELEMENTS(sizes)];
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        costs_us[i] = measure(sizes[i]);
+        costs_us[i] = measure(sizes[i], &policy);
     }
     double growth = costs_us[4] / costs_us[1];
     bool met = growth <= GROWTH_BOUND_RATIO;
