--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -103,6 +103,16 @@
     struct event *next;
 };
 
+/**
+ * struct bench_features - what a measurement switches on
+ * @two_queues: each pool serves a second queue of a lower priority, so that it
+ *              is always full
+ */
+struct bench_features {
+    struct sched_policy policy;
+    bool two_queues;
+};
+
 struct timing {
     const char *name;
     double us;
@@ -540,11 +550,12 @@
 }
 
 static void
-bench_init(struct bench *bench, uint32_t n_backends, const char *load)
+bench_init(struct bench *bench, uint32_t n_backends,
+           const struct bench_features *features)
 {
     *bench = (struct bench){.n_backends = n_backends,
                             .now_ms = 100000,
-                            .two_queues = load != NULL};
+                            .two_queues = features->two_queues};
     bench->config = fleet_config_create();
     for (int q = 0; q < QUEUE_COUNT; q++) {
         add_pool(bench, queue_loads[q].name, false);
@@ -577,9 +588,7 @@
     };
     struct ms_clock clock = {.now = bench_now, .ctx = bench};
     bench->sched = scheduler_create(&timings, &ops, 0, clock, clock);
-    struct sched_policy policy = {.queue_priorities =
-                                      g_strcmp0(load, "priorities") == 0};
-    scheduler_set_policy(bench->sched, &policy);
+    scheduler_set_policy(bench->sched, &features->policy);
     scheduler_configure(bench->sched, bench->config);
     scheduler_set_leadership_valid(bench->sched, true);
     add_backends(bench);
@@ -649,10 +658,10 @@
 
 /* Returns the processor time per started task. */
 static double
-measure(uint32_t size, const char *load)
+measure(uint32_t size, const struct bench_features *features)
 {
     struct bench *bench = g_new0(struct bench, 1);
-    bench_init(bench, size, load);
+    bench_init(bench, size, features);
     int64_t begin_ms = bench->now_ms + WARM_UP_MS;
     while (bench->now_ms < begin_ms) {
         bench_advance(bench);
@@ -693,18 +702,33 @@
     return per_start_us;
 }
 
+static void
+read_features(struct bench_features *features, int n_words, char **words)
+{
+    struct sched_policy *policy = &features->policy;
+    for (int i = 0; i < n_words; i++) {
+        policy->account_shares |= strcmp(words[i], "shares") == 0;
+        policy->queue_priorities |= strcmp(words[i], "priorities") == 0;
+        policy->reservations |= strcmp(words[i], "reservations") == 0;
+        features->two_queues |= strcmp(words[i], "two-queues") == 0;
+    }
+    features->two_queues |= policy->queue_priorities;
+}
+
 int
 main(int argc, char **argv)
 {
     static const uint32_t sizes[] = {50, 350, 1100, 3000, 5700};
+    struct bench_features features = {0};
     if (argc > 1) {
-        measure((uint32_t)strtoul(argv[1], NULL, 10),
-                argc > 2 ? argv[2] : NULL);
+        /* SIZE and features that are switched on. */
+        read_features(&features, argc - 2, argv + 2);
+        measure((uint32_t)strtoul(argv[1], NULL, 10), &features);
         return EXIT_SUCCESS;
     }
     double costs_us[G_N_ELEMENTS(sizes)];
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        costs_us[i] = measure(sizes[i], NULL);
+        costs_us[i] = measure(sizes[i], &features);
     }
     double growth = costs_us[4] / costs_us[1];
     bool met = growth <= GROWTH_BOUND_RATIO;
