jobs: divide a full pool between client accounts by their weight

With scheduling.account_shares, the jobs of a pool that is short of capacity are tried in an order that follows weighted dominant resource fairness: always one of the account with the least use by its weight, job by job. The use is what runs now plus a decaying average over the window, so an account that comes back after a pause gets at most twice its share. The list of jobs that are tried first is made at most every 20 ms, or when it is used up or many jobs have arrived, and covers only what may become free by then; all others follow in the order as before.

Admission computes the wait of a new job from the backlog of its own account, of higher priorities, and of the other accounts as far as their weights entitle them, as in a fluid model. A job of an account with no other work in the pool is not refused. Without weights and priorities it decides exactly as before.

--- a/bench/scheduler_bench.c
+++ b/bench/scheduler_bench.c
@@ -483,7 +483,8 @@
 }
 
 static void
-bench_init(struct bench *bench, uint32_t n_backends)
+bench_init(struct bench *bench, uint32_t n_backends,
+           const struct sched_policy *policy)
 {
     *bench = (struct bench){.n_backends = n_backends, .now_ms = 100000};
     bench->config = fleet_config_create();
@@ -496,6 +497,7 @@
         struct team_config *team = g_new0(struct team_config, 1);
         team->name = g_strdup_printf("t%u", t);
         team->maximum.cpu_milli = (int64_t)n_backends * 16000;
+        team->weight = 10 * (1 + t % 4);
         g_ptr_array_add(bench->config->teams, team);
     }
     struct sched_timings timings = {
@@ -518,6 +520,7 @@
     };
     struct ms_clock clock = {.now = bench_now, .ctx = bench};
     bench->sched = scheduler_create(&timings, &ops, 0, clock, clock);
+    scheduler_set_policy(bench->sched, policy);
     scheduler_configure(bench->sched, bench->config);
     scheduler_set_leadership_valid(bench->sched, true);
     add_backends(bench);
@@ -585,10 +588,10 @@
 
 /* Returns the processor time per started task. */
 static double
-measure(uint32_t size)
+measure(uint32_t size, const struct sched_policy *policy)
 {
     struct bench *bench = g_new0(struct bench, 1);
-    bench_init(bench, size);
+    bench_init(bench, size, policy);
     int64_t begin_ms = bench->now_ms + WARM_UP_MS;
     while (bench->now_ms < begin_ms) {
         bench_advance(bench);
@@ -630,13 +633,20 @@
 main(int argc, char **argv)
 {
     static const uint32_t sizes[] = {50, 350, 1100, 3000, 5700};
+    struct sched_policy policy = {0};
     if (argc > 1) {
-        measure((uint32_t)strtoul(argv[1], NULL, 10));
+        /* SIZE and features that are switched on. */
+        for (int i = 2; i < argc; i++) {
+            policy.account_shares |= strcmp(argv[i], "shares") == 0;
+            policy.queue_priorities |= strcmp(argv[i], "priorities") == 0;
+            policy.reservations |= strcmp(argv[i], "reservations") == 0;
+        }
+        measure((uint32_t)strtoul(argv[1], NULL, 10), &policy);
         return EXIT_SUCCESS;
     }
     double costs_us[G_N_ELEMENTS(sizes)];
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
-        costs_us[i] = measure(sizes[i]);
+        costs_us[i] = measure(sizes[i], &policy);
     }
     double growth = costs_us[4] / costs_us[1];
     bool met = growth <= GROWTH_BOUND_RATIO;
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -431,12 +431,40 @@
     job_order_sort(jobs);
 }
 
+/* Jobs that the shares of their client accounts put before the others; those
+ * that still wait stay listed for the next pass. */
+static void
+place_share_first(struct placer *placer)
+{
+    GPtrArray *first = placer->pool->shares.first;
+    guint kept = 0;
+    for (guint i = 0; first != NULL && i < first->len; i++) {
+        struct job *job = g_ptr_array_index(first, i);
+        if (!sched_share_keeps(placer->pool, job)) {
+            job_unref(job);
+            continue;
+        }
+        if (overload_may_start(&placer->sched->overload) &&
+            !pass_ended(placer->sched)) {
+            place_job(placer, job);
+            job->share_pass = placer->sched->pass;
+        }
+        g_ptr_array_index(first, kept++) = job;
+    }
+    if (first != NULL) {
+        g_ptr_array_set_size(first, (int)kept);
+    }
+}
+
 /* Places the jobs of the pool that are services, or those that are not. */
 static void
 place_pool(struct placer *placer, bool services)
 {
     GPtrArray *jobs = placer->pool->unplaced;
     guint kept = 0;
+    if (!services) {
+        place_share_first(placer);
+    }
     for (guint i = 0; i < jobs->len; i++) {
         struct job *job = g_ptr_array_index(jobs, i);
         bool is_service = job->rank.urgency == URGENCY_SERVICE;
@@ -447,7 +475,7 @@
         bool may_start = overload_may_start(&placer->sched->overload);
         placer->sched->start_waits = placer->sched->start_waits || !may_start;
         placer->left = !may_start || pass_ended(placer->sched);
-        if (!placer->left) {
+        if (!placer->left && job->share_pass != placer->sched->pass) {
             place_job(placer, job);
         }
         if (job->state == JOB_ACTIVE &&
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -64,7 +64,7 @@
 }
 
 void
-sched_record_arrival(struct scheduler *sched, const struct job *job)
+sched_record_arrival(struct scheduler *sched, struct job *job)
 {
     struct pool_load *load = job->refs.pool;
     if (job_is_service(job) || load == NULL) {
@@ -82,6 +82,7 @@
         decayed(load, load->recent_jobs, RECENT_TAU_MS, now_ms) + 1;
     load->arrival_at_ms = now_ms;
     load->backlog_millicore_ms += work;
+    sched_share_add_backlog(sched, job, work, true);
 }
 
 /* @tasks_left: tasks of the step that may run and are not done.
@@ -117,9 +118,11 @@
     struct pool_load *load = job->refs.pool;
     const struct queue_config *queue = job->refs.queue;
     const struct job_remaining *remaining = job_remaining(job);
-    if (!remaining->service && job->first_ms == 0 &&
-        unix_ms <= remaining->attainable_until_ms) {
-        load->backlog_millicore_ms += (double)remaining->millicore_ms;
+    if (!remaining->service && job->first_ms == 0) {
+        bool attainable = unix_ms <= remaining->attainable_until_ms;
+        double work = (double)remaining->millicore_ms;
+        load->backlog_millicore_ms += attainable ? work : 0;
+        sched_share_add_backlog(sched, job, work, attainable);
     }
     double allowed_fraction =
         queue != NULL && queue->needs_advice
@@ -184,6 +187,7 @@
         load->incoming_hosts = 0;
         load->used_milli = 0;
         load->backlog_millicore_ms = 0;
+        sched_share_reset_backlogs(sched, load);
     }
     for (guint i = 0; i < sched->active->len; i++) {
         struct job *job = g_ptr_array_index(sched->active, i);
@@ -266,7 +270,8 @@
 {
     const struct pool_load *load = sched_pool_load(sched, pool);
     struct admission_input input = {
-        .backlog_millicore_ms = load->backlog_millicore_ms,
+        .backlog_millicore_ms = load->backlog_millicore_ms +
+                                sched_share_late_millicore_ms(sched, load),
         .rate_milli = sched_working_milli(sched, load),
     };
     return admission_wait_ms(&input) > BEHIND_MS;
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -63,6 +63,7 @@
         job_unref(g_ptr_array_index(load->unplaced, i));
     }
     g_ptr_array_unref(load->unplaced);
+    sched_share_clear(load);
     pool_index_clear(&load->index);
     g_free(load->pool);
     g_free(load);
@@ -123,6 +124,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
     sched->report_deadlines = deadline_heap_create();
+    share_order_init(&sched->share_order);
     g_queue_init(&sched->dirty);
     sched->to_register = g_ptr_array_new_with_free_func(g_free);
     sched->to_release = g_ptr_array_new_with_free_func(g_free);
@@ -187,6 +189,7 @@
     if (sched->racks != NULL) {
         g_hash_table_unref(sched->racks);
     }
+    share_order_clear(&sched->share_order);
     g_ptr_array_unref(sched->to_register);
     g_ptr_array_unref(sched->to_release);
     g_hash_table_unref(sched->backend_records);
--- a/core/jobs/scheduler_refs.c
+++ b/core/jobs/scheduler_refs.c
@@ -54,6 +54,8 @@
     const char *pool = refs->queue == NULL ? job->pool : refs->queue->pool;
     refs->pool = pool == NULL ? NULL : sched_pool_load(sched, pool);
     refs->team = sched_team_usage(sched, job->team);
+    refs->account = NULL;
+    refs->backlog = 0;
 }
 
 static void
--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -40,6 +40,7 @@
     struct resources need = job_step_backend_need(step);
     resources_add(&run->backend->used, &need, factor);
     resources_add(&run->job->refs.team->used, &step->need, factor);
+    sched_share_count_run(sched, run, factor);
     if (step->tail_latency_target_ms > 0) {
         run->backend->latency_sensitive_runs += (uint32_t)factor;
     }
--- a/core/jobs/scheduler_shares.c
+++ b/core/jobs/scheduler_shares.c
@@ -1,23 +1,343 @@
-/* Shares of client accounts in a full pool, applied to the scheduler's jobs.
+/*
+ * Shares of client accounts in a pool that is short of capacity: which of the
+ * waiting jobs are tried first.
+ *
+ * Load pattern: accounts with weights 30 and 10 each send more than their pool
+ * can do. Its jobs are tried in an order that gives each account the capacity
+ * that its weight entitles it to. Service tasks hold what they have until they
+ * are cancelled, so they don't count; accounts share what these leave.
  */
 #include "core/jobs/scheduler.h"
 
+#include "common/text.h"
 #include "scheduler_state.h"
 
+enum {
+    /* Time between two orders of the same jobs. The order stays valid
+     * meanwhile, since it counts what its jobs will use; only new jobs are
+     * missing from it. */
+    ORDER_PERIOD_MS = 20,
+    /* Keeps a line of the log below its limit of 4,096 bytes. */
+    LOGGED_ACCOUNTS_MAX = 8,
+};
+
+/* Jobs of a pool are ordered until they take this multiple of what is free,
+ * those of one account until they take half of it. More than once, as not
+ * every job fits that is tried; the rest can only wait. */
+static const double ORDERED_FREE_RATIO = 4;
+/* In addition, what becomes free until the order is made again: tasks of 0.4 s
+ * in a full pool free this fraction of it in ORDER_PERIOD_MS. */
+static const double ORDERED_AHEAD_FRACTION = 0.05;
+
+static struct pool_account *
+pool_account(struct pool_load *pool, struct team_usage *team)
+{
+    if (pool->shares.accounts == NULL) {
+        pool->shares.accounts =
+            g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    }
+    struct pool_account *account =
+        g_hash_table_lookup(pool->shares.accounts, team);
+    if (account == NULL) {
+        account = g_new0(struct pool_account, 1);
+        account->team = team;
+        g_hash_table_insert(pool->shares.accounts, team, account);
+    }
+    return account;
+}
+
+static struct pool_account *
+job_account(struct job *job)
+{
+    struct job_refs *refs = &job->refs;
+    if (refs->account == NULL) {
+        refs->account = pool_account(refs->pool, refs->team);
+    }
+    return refs->account;
+}
+
+void
+sched_share_count_run(struct scheduler *sched, struct run *run, int64_t factor)
+{
+    const struct job_step *step = run_step(run);
+    if (factor > 0 && sched->policy.account_shares && !step->long_running) {
+        run->account =
+            run->backend->pool == run->job->refs.pool
+                ? job_account(run->job)
+                : pool_account(run->backend->pool, run->job->refs.team);
+    }
+    if (run->account != NULL) {
+        struct resources need = job_step_backend_need(step);
+        share_use_add(&run->account->use, &need, factor, sched_now(sched),
+                      sched->policy.share_window_ms);
+    }
+}
+
+/* Resources of the tasks that may run now and are not done. Those that run
+ * already count as well; few jobs have both. */
+static const struct job_waiting *
+waiting_need(struct job *job)
+{
+    struct job_waiting *waiting = &job->waiting;
+    if (waiting->version == job->version + 1) {
+        return waiting;
+    }
+    *waiting = (struct job_waiting){
+        .version = job->version + 1,
+        .constrained =
+            job->refs.queue != NULL && job->refs.queue->needs_advice,
+    };
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        for (uint32_t s = 0; s < job->n_steps; s++) {
+            const struct job_step *step = &job->steps[s];
+            if (job_step_ready(job, occurrence->number, s)) {
+                struct resources need = job_step_backend_need(step);
+                waiting->constrained = waiting->constrained || step->gang ||
+                                       step->required_label != NULL ||
+                                       step->max_per_backend > 0;
+                resources_add(&waiting->need, &need,
+                              step->task_count - occurrence->steps[s].done);
+            }
+        }
+    }
+    return waiting;
+}
+
+static void
+clear_first(struct pool_shares *shares)
+{
+    for (guint i = 0; i < shares->first->len; i++) {
+        job_unref(g_ptr_array_index(shares->first, i));
+    }
+    g_ptr_array_set_size(shares->first, 0);
+}
+
+/* Thousandths of a core that are free on backend servers on which a task that
+ * takes @least_milli may fit. */
+static int64_t
+measure_free_milli(const struct pool_index *index, int64_t least_milli)
+{
+    int64_t free_milli = 0;
+    for (uint32_t slot = pool_index_slot(index, least_milli);
+         slot < POOL_SLOT_COUNT; slot++) {
+        int64_t upper_milli = index->largest_milli *
+                              MIN(slot + 1, POOL_FREE_SLOT_COUNT) /
+                              POOL_FREE_SLOT_COUNT;
+        free_milli += index->slots[slot]->len * upper_milli;
+    }
+    return free_milli;
+}
+
+/**
+ * struct waiting_jobs - the waiting jobs of a pool, services left out
+ * @first: position of the first one among the unplaced jobs
+ * @n_accounts: accounts that they belong to
+ * @weighted: some of these has a weight
+ * @least_milli: no waiting task takes less of a processor
+ */
+struct waiting_jobs {
+    guint first;
+    uint32_t n_accounts;
+    bool weighted;
+    int64_t least_milli;
+};
+
+static void
+add_account(struct scheduler *sched, const struct pool_load *pool,
+            struct pool_account *account, struct waiting_jobs *waiting)
+{
+    int64_t weight = sched_team_weight(sched, account->team);
+    double use =
+        share_use_fraction(&account->use, &pool->index.capacity,
+                           sched_now(sched), sched->policy.share_window_ms);
+    account->pass = sched->pass;
+    account->ordered = 0;
+    account->index =
+        share_order_add_account(&sched->share_order, (double)weight, use);
+    waiting->n_accounts++;
+    waiting->weighted = waiting->weighted || weight > 0;
+}
+
+/* Service tasks come first among the unplaced jobs. */
+static struct waiting_jobs
+collect_jobs(struct scheduler *sched, const struct pool_load *pool)
+{
+    struct waiting_jobs waiting = {
+        .least_milli = pool->index.largest_milli,
+    };
+    share_order_reset(&sched->share_order);
+    const GPtrArray *unplaced = pool->unplaced;
+    for (guint i = 0; i < unplaced->len; i++) {
+        struct job *job = g_ptr_array_index(unplaced, i);
+        if (job->rank.urgency == URGENCY_SERVICE) {
+            waiting.first = i + 1;
+            continue;
+        }
+        struct pool_account *account = job_account(job);
+        if (account->pass != sched->pass) {
+            add_account(sched, pool, account, &waiting);
+        }
+        share_order_add_job(&sched->share_order, account->index,
+                            sched_share_priority(sched, job->refs.queue));
+        waiting.least_milli =
+            MIN(waiting.least_milli, job->remaining.least_need.cpu_milli);
+    }
+    return waiting;
+}
+
+/* Whether the waiting tasks may not all fit. Half of what is free counts, as
+ * tasks leave gaps on each backend server. */
+static bool
+pool_is_short(const struct pool_load *pool, const struct waiting_jobs *waiting,
+              int64_t free_milli)
+{
+    const struct resources *available = &pool->index.free;
+    struct resources sum = {0};
+    for (guint i = waiting->first; i < pool->unplaced->len; i++) {
+        resources_add(
+            &sum, &waiting_need(g_ptr_array_index(pool->unplaced, i))->need,
+            1);
+        if (sum.cpu_milli > free_milli / 2 ||
+            sum.mem_mb > available->mem_mb / 2 || sum.gpus > available->gpus) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Fills the list of jobs that are tried first. Jobs that the maximum of their
+ * account keeps waiting, or that need more than any backend server has left,
+ * aren't charged to its share. */
+static void
+order_jobs(struct scheduler *sched, struct pool_load *pool,
+           const struct waiting_jobs *waiting, int64_t free_milli)
+{
+    const struct resources *capacity = &pool->index.capacity;
+    double fraction_max =
+        ORDERED_AHEAD_FRACTION + ORDERED_FREE_RATIO * (double)free_milli /
+                                     (double)MAX(capacity->cpu_milli, 1);
+    double ordered = 0;
+    uint32_t number;
+    while (ordered <= fraction_max &&
+           share_order_peek(&sched->share_order, &number)) {
+        struct job *job =
+            g_ptr_array_index(pool->unplaced, waiting->first + number);
+        struct pool_account *account = job->refs.account;
+        if (!sched_team_allows(sched, job, &job->remaining.least_need)) {
+            share_order_take(&sched->share_order, 0, false);
+            continue;
+        }
+        const struct job_waiting *need = waiting_need(job);
+        double fraction = share_fraction(&need->need, capacity);
+        account->ordered += fraction;
+        ordered += need->constrained ? 0 : fraction;
+        g_ptr_array_add(pool->shares.first, job_ref(job));
+        share_order_take(&sched->share_order, fraction,
+                         account->ordered > fraction_max / 2);
+    }
+}
+
+/* Once in a window, which accounts share the pool. */
+static void
+log_shares(struct scheduler *sched, struct pool_load *pool,
+           const struct waiting_jobs *waiting)
+{
+    int64_t now_ms = sched_now(sched);
+    struct pool_shares *shares = &pool->shares;
+    if (shares->logged_ms != 0 &&
+        now_ms - shares->logged_ms < sched->policy.share_window_ms) {
+        return;
+    }
+    shares->logged_ms = now_ms;
+    GString *text = g_string_new(NULL);
+    GHashTableIter iter;
+    void *value;
+    int logged = 0;
+    g_hash_table_iter_init(&iter, shares->accounts);
+    while (logged < LOGGED_ACCOUNTS_MAX &&
+           g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct pool_account *account = value;
+        if (account->pass == sched->pass) {
+            g_string_append_printf(
+                text,
+                "%s{\"account\":%s,\"weight\":%" G_GINT64_FORMAT
+                ",\"cpu\":%" G_GINT64_FORMAT "}",
+                logged++ > 0 ? "," : "", text_quote(account->team->team),
+                sched_team_weight(sched, account->team),
+                account->use.now.cpu_milli);
+        }
+    }
+    sched_log_event(sched, "shares_applied",
+                    "\"pool\":%s,\"waiting\":%u,\"n_accounts\":%u,"
+                    "\"accounts\":[%s]",
+                    text_quote(pool->pool),
+                    pool->unplaced->len - waiting->first, waiting->n_accounts,
+                    text->str);
+    g_string_free(text, TRUE);
+}
+
+/* Whether the order is outdated: its jobs have started, or many have arrived
+ * since. */
+static bool
+order_due(const struct scheduler *sched, const struct pool_load *pool)
+{
+    const struct pool_shares *shares = &pool->shares;
+    return sched_now(sched) >= shares->due_ms ||
+           (shares->applied && shares->first->len == 0) ||
+           pool->unplaced->len > 2 * shares->n_unplaced;
+}
+
 void
 sched_share_order(struct scheduler *sched, struct pool_load *pool)
 {
-    (void)sched;
-    (void)pool;
+    struct pool_shares *shares = &pool->shares;
+    if (!sched->policy.account_shares) {
+        return;
+    }
+    if (shares->first == NULL) {
+        shares->first = g_ptr_array_new();
+    }
+    if (!order_due(sched, pool)) {
+        sched->stats.share_passes += shares->applied;
+        return;
+    }
+    clear_first(shares);
+    shares->applied = false;
+    shares->due_ms = sched_now(sched) + ORDER_PERIOD_MS;
+    shares->n_unplaced = pool->unplaced->len;
+    struct waiting_jobs waiting = collect_jobs(sched, pool);
+    if (!waiting.weighted || waiting.n_accounts < 2) {
+        return;
+    }
+    int64_t free_milli = measure_free_milli(&pool->index, waiting.least_milli);
+    if (pool_is_short(pool, &waiting, free_milli)) {
+        shares->applied = true;
+        sched->stats.share_passes++;
+        log_shares(sched, pool, &waiting);
+        order_jobs(sched, pool, &waiting, free_milli);
+    }
 }
 
-int64_t
-sched_share_refusal_ms(struct scheduler *sched, const struct pool_load *pool,
-                       const struct queue_config *queue, const struct job *job)
+bool
+sched_share_keeps(const struct pool_load *pool, const struct job *job)
+{
+    return job->unplaced && job->refs.pool == pool &&
+           sched_job_is_unplaced(job);
+}
+
+void
+sched_share_clear(struct pool_load *pool)
 {
-    (void)sched;
-    (void)pool;
-    (void)queue;
-    (void)job;
-    return 0;
+    if (pool->shares.accounts != NULL) {
+        g_hash_table_unref(pool->shares.accounts);
+    }
+    if (pool->shares.backlogs != NULL) {
+        g_array_unref(pool->shares.backlogs);
+    }
+    if (pool->shares.first != NULL) {
+        clear_first(&pool->shares);
+        g_ptr_array_unref(pool->shares.first);
+    }
 }
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef CORE_JOBS_SCHEDULER_STATE_H
 #define CORE_JOBS_SCHEDULER_STATE_H
 
+#include "core/jobs/account_share.h"
 #include "core/jobs/scheduler.h"
 
 enum {
@@ -194,6 +195,43 @@
     uint64_t generation;
 };
 
+/**
+ * struct pool_account - what a client account uses of one pool
+ * @use: what its runs take, service tasks not counted
+ * @pass: last pass that ordered jobs of it
+ * @index: number of the account in that order
+ * @ordered: fraction of the pool that its ordered jobs take
+ */
+struct pool_account {
+    struct team_usage *team;
+    struct share_use use;
+    uint64_t pass;
+    uint32_t index;
+    double ordered;
+};
+
+/**
+ * struct pool_shares - shares of client accounts in one pool; zeroed if they
+ *                      are off
+ * @accounts: struct pool_account by struct team_usage
+ * @backlogs: struct share_backlog, the backlog of the pool by account and
+ *            priority
+ * @first: struct job, referenced; tried before the others, in this order
+ * @applied: @first was made since the pool is short of capacity
+ * @due_ms: when the order is to be made again
+ * @n_unplaced: number of unplaced jobs when it was made
+ * @logged_ms: when it was last logged that shares decided
+ */
+struct pool_shares {
+    GHashTable *accounts;
+    GArray *backlogs;
+    GPtrArray *first;
+    bool applied;
+    int64_t due_ms;
+    guint n_unplaced;
+    int64_t logged_ms;
+};
+
 enum {
     /* Slots by free processor capacity; a slot spans a quarter of a core of a
      * 16-core backend server. */
@@ -208,10 +246,14 @@
  * @slots: struct backend; those with runs by free processor capacity, then
  *         those without
  * @largest_milli: largest processor capacity that the slots span
+ * @capacity: of these backend servers
+ * @free: what is free on them
  */
 struct pool_index {
     GPtrArray *slots[POOL_SLOT_COUNT];
     int64_t largest_milli;
+    struct resources capacity;
+    struct resources free;
 };
 
 /**
@@ -243,6 +285,7 @@
  * @unreconciled: some backend server of it is unreconciled, as of the last
  *                pass
  * @unseen: capacity on which runs of a previous leader may not be known
+ * @shares: shares of client accounts
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_first: task that has waited longest for a backend server to
  *                   itself, as of the last pass; only compared
@@ -273,6 +316,7 @@
     double backlog_millicore_ms;
     int64_t wanted_hosts;
     int64_t surplus_since_ms;
+    struct pool_shares shares;
     uint32_t isolated_runs;
     const struct job_task *isolation_first;
     const struct job_task *isolation_next;
@@ -377,6 +421,7 @@
  * @contenders: struct backend, those that may or may not be the current
  *              incarnation of their host
  * @waves: struct wave
+ * @share_order: order of the jobs of one pool, kept for its memory
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
  * @to_release: ids of backend servers whose record is to be deleted
@@ -445,6 +490,7 @@
     GPtrArray *draining;
     GPtrArray *contenders;
     GPtrArray *waves;
+    struct share_order share_order;
     GQueue dirty;
     GPtrArray *to_register;
     GPtrArray *to_release;
@@ -893,7 +939,7 @@
 
 /* pool_load.c */
 void
-sched_record_arrival(struct scheduler *sched, const struct job *job);
+sched_record_arrival(struct scheduler *sched, struct job *job);
 void
 sched_measure_pools(struct scheduler *sched);
 /* Thousandths of a core that can work on the pool's jobs. */
@@ -904,9 +950,41 @@
 pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms);
 
 /* scheduler_shares.c */
-/* Orders the ranked jobs of a pool by the shares of their client accounts. */
+/* Decides which of the ranked jobs of a pool are tried first, and in which
+ * order, by the shares of their client accounts. */
 void
 sched_share_order(struct scheduler *sched, struct pool_load *pool);
+/* Counts a run that starts or ends as use of its account. */
+void
+sched_share_count_run(struct scheduler *sched, struct run *run,
+                      int64_t factor);
+/* Whether @job is still to be tried where shares have put it. */
+bool
+sched_share_keeps(const struct pool_load *pool, const struct job *job);
+void
+sched_share_clear(struct pool_load *pool);
+
+/* share_admission.c */
+/* Weight of a client account; 0: none. */
+int64_t
+sched_team_weight(const struct scheduler *sched, struct team_usage *team);
+/* Priority of the jobs of @queue; 0: none, and the highest. */
+int64_t
+sched_share_priority(const struct scheduler *sched,
+                     const struct queue_config *queue);
+/* Sets the backlogs of all accounts to zero. */
+void
+sched_share_reset_backlogs(struct scheduler *sched, struct pool_load *pool);
+/* Adds work of @job to the backlog of its account.
+ * @attainable: it can still meet its objective */
+void
+sched_share_add_backlog(struct scheduler *sched, struct job *job,
+                        double millicore_ms, bool attainable);
+/* scheduler_pool_behind() with shares or priorities: work that may come before
+ * a new job in addition to @backlog_millicore_ms. */
+double
+sched_share_late_millicore_ms(const struct scheduler *sched,
+                              const struct pool_load *pool);
 /* scheduler_refusal_ms() with shares or priorities. */
 int64_t
 sched_share_refusal_ms(struct scheduler *sched, const struct pool_load *pool,
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -398,6 +398,7 @@
         return false;
     }
     job->queue = g_strdup(call->queue);
+    job->team = g_strdup(call->team);
     refusal->status = 429;
     refusal->retry_after_ms =
         scheduler_refusal_ms(leader->sched, call->pool, job);
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -102,6 +102,7 @@
  * @age_ms: how long the run is known to have worked, on that clock
  * @isolated: nothing else starts beside it yet, see crash_blame.h
  * @isolated_in: pool that counts it as isolated
+ * @account: counts it as use of a pool; NULL: nothing does
  */
 struct run {
     uint64_t handle;
@@ -138,6 +139,7 @@
     int64_t age_ms;
     bool isolated;
     struct pool_load *isolated_in;
+    struct pool_account *account;
 };
 
 /** run_step() - the step that @run belongs to. */
@@ -216,6 +218,8 @@
  * @rack: backend servers of its rack, this one included
  * @pool_slot: where the pool keeps it, see pool_index.c; 0: it takes no work
  * @slot_index: its position there
+ * @indexed_capacity: its capacity as the pool counts it
+ * @indexed_free: what is free on it, likewise
  * @reserved_pass: last pass of placement in which it was reserved for a
  * service task that waits for capacity
  * @latency_sensitive_runs: runs of tasks with a tail latency target
@@ -284,6 +288,8 @@
     GPtrArray *rack;
     uint32_t pool_slot;
     uint32_t slot_index;
+    struct resources indexed_capacity;
+    struct resources indexed_free;
     uint64_t reserved_pass;
     uint32_t latency_sensitive_runs;
     uint32_t best_effort_runs;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -223,6 +223,7 @@
 struct queue_config;
 struct pool_load;
 struct team_usage;
+struct pool_account;
 
 /**
  * struct job_refs - a job's queue, pool and client account, by reference
@@ -230,12 +231,29 @@
  * @queue: NULL if the queue was removed since the job was submitted
  * @pool: pool that runs its tasks, NULL if there is none
  * @team: use of its client account
+ * @account: use of @pool by that account, NULL: not looked up yet
+ * @backlog: entry of @pool that counts its work, plus one, see
+ *           scheduler_shares.c; 0: not looked up yet
  */
 struct job_refs {
     uint64_t generation;
     const struct queue_config *queue;
     struct pool_load *pool;
     struct team_usage *team;
+    struct pool_account *account;
+    uint32_t backlog;
+};
+
+/**
+ * struct job_waiting - what the tasks take that a job may run now
+ * @version: version of the job that it belongs to, plus one; 0: none
+ * @need: resources of the tasks of its ready steps that are not done
+ * @constrained: they may find no place although there is capacity
+ */
+struct job_waiting {
+    uint64_t version;
+    struct resources need;
+    bool constrained;
 };
 
 /**
@@ -274,6 +292,9 @@
  * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
+ * @waiting: what its tasks take, for the shares of client accounts
+ * @share_pass: last pass that tried it at the place that its account's share
+ *              gave it
  * @refs: what the scheduler looks up once for it
  * @active_index: its position among the active jobs of its scheduler
  * @unplaced: it may have tasks to place, and is among the unplaced jobs of its
@@ -314,6 +335,8 @@
     uint64_t left_pool_version;
     struct job_rank rank;
     struct job_remaining remaining;
+    struct job_waiting waiting;
+    uint64_t share_pass;
     struct job_refs refs;
     uint32_t active_index;
     bool unplaced;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -498,6 +498,11 @@
  * @lost: runs that ended without a completion
  * @stale_numbers: starts refused since the backend server knows a run that
  *                 isn't numbered lower
+ * @share_passes: passes over a pool in which shares of client accounts decided
+ *                which jobs come first
+ * @share_accepted: jobs accepted by the share of their account or by their
+ *                  priority that the backlog of the pool would have refused
+ * @share_refused: jobs refused likewise that it would have accepted
  * @shed: what is shed because of overload
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
@@ -513,6 +518,9 @@
     uint64_t failed;
     uint64_t lost;
     uint64_t stale_numbers;
+    uint64_t share_passes;
+    uint64_t share_accepted;
+    uint64_t share_refused;
     enum shed_level shed;
     uint32_t start_window;
     uint32_t starts_in_flight;
--- a/tests/jobs/fleet_fixture.c
+++ b/tests/jobs/fleet_fixture.c
@@ -227,6 +227,16 @@
     g_free(fixture->last_event);
 }
 
+void
+fixture_add_team(struct fleet_fixture *fixture, const char *name,
+                 int64_t weight)
+{
+    struct team_config *team = g_new0(struct team_config, 1);
+    team->name = g_strdup(name);
+    team->weight = weight;
+    g_ptr_array_add(fixture->config->teams, team);
+}
+
 static void
 add_backend(struct fleet_fixture *fixture, const char *id, const char *pool,
             const char *host, int64_t cpu_milli, bool draining)
--- a/tests/jobs/fleet_fixture.h
+++ b/tests/jobs/fleet_fixture.h
@@ -87,6 +87,12 @@
 fixture_set_enforced(struct fleet_fixture *fixture, const char *pool,
                      bool enforced);
 
+/** fixture_add_team() - configure a further client account; for jobs of it set
+ * the team of a fixture_create_job(). */
+void
+fixture_add_team(struct fleet_fixture *fixture, const char *name,
+                 int64_t weight);
+
 /** fixture_add_backend() - list a backend server with 16 cores. */
 void
 fixture_add_backend(struct fleet_fixture *fixture, const char *id,
