jobs: order jobs by shares from the tasks that really wait

The list of jobs that are tried first charged each job for all tasks of its ready steps, also for those that ran, and was used up after a few starts; the pass that used it up went on by the order without shares. Jobs that have started now count half of the use of their account, so that a second step does not wait until all other accounts have had their turn. Capacity is taken from the plan instead of being counted at each start and end.

--- a/core/jobs/account_share.c
+++ b/core/jobs/account_share.c
@@ -71,6 +71,9 @@
     return weight > 0 ? weight : 1;
 }
 
+/* Part of the use of an account that counts for a job which has started. */
+static const double STARTED_RATIO = 0.5;
+
 enum {
     NO_JOB = UINT32_MAX,
 };
@@ -79,72 +82,75 @@
  * struct share_account - an account with waiting jobs
  * @first: its next job of the priority that is being ordered, NO_JOB: none
  * @last: its last one
- * @key: its use by its weight
+ * @by_weight: its use by its weight
+ * @key: the part of it that counts for its next job
  */
 struct share_account {
     double weight;
+    double by_weight;
     double key;
     uint32_t first;
     uint32_t last;
 };
 
-void
-share_order_init(struct share_order *order)
-{
-    *order = (struct share_order){
-        .accounts = g_array_new(FALSE, FALSE, sizeof(struct share_account)),
-        .jobs = g_array_new(FALSE, FALSE, sizeof(struct share_job)),
-        .next = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
-        .heap = g_array_new(FALSE, FALSE, sizeof(uint32_t)),
-    };
-}
-
 void
 share_order_clear(struct share_order *order)
 {
-    g_array_unref(order->accounts);
-    g_array_unref(order->jobs);
-    g_array_unref(order->next);
-    g_array_unref(order->heap);
+    g_free(order->accounts);
+    g_free(order->jobs);
+    g_free(order->heap);
+    *order = (struct share_order){0};
 }
 
 void
-share_order_reset(struct share_order *order)
+share_order_reset(struct share_order *order, uint32_t n_jobs)
 {
-    g_array_set_size(order->accounts, 0);
-    g_array_set_size(order->jobs, 0);
-    g_array_set_size(order->next, 0);
-    g_array_set_size(order->heap, 0);
+    if (n_jobs > order->jobs_room) {
+        order->jobs_room = n_jobs + n_jobs / 2;
+        order->jobs = g_renew(struct share_job, order->jobs, order->jobs_room);
+    }
+    order->n_jobs = 0;
+    order->n_accounts = 0;
+    order->n_heap = 0;
     order->begun = false;
 }
 
 uint32_t
 share_order_add_account(struct share_order *order, double weight, double use)
 {
-    struct share_account account = {
+    if (order->n_accounts == order->accounts_room) {
+        order->accounts_room = order->accounts_room * 2 + 8;
+        order->accounts = g_renew(struct share_account, order->accounts,
+                                  order->accounts_room);
+        order->heap = g_renew(uint32_t, order->heap, order->accounts_room);
+    }
+    order->accounts[order->n_accounts] = (struct share_account){
         .weight = weight_of(weight),
-        .key = use / weight_of(weight),
+        .by_weight = use / weight_of(weight),
         .first = NO_JOB,
     };
-    g_array_append_val(order->accounts, account);
-    return order->accounts->len - 1;
+    return order->n_accounts++;
 }
 
 void
 share_order_add_job(struct share_order *order, uint32_t account,
-                    int64_t priority)
+                    int64_t priority, bool started)
 {
-    struct share_job job = {.account = account, .priority = priority};
-    uint32_t next = NO_JOB;
-    g_array_append_val(order->jobs, job);
-    g_array_append_val(order->next, next);
+    order->jobs[order->n_jobs++] = (struct share_job){.account = account,
+                                                      .next = NO_JOB,
+                                                      .priority = priority,
+                                                      .started = started};
 }
 
-static struct share_account *
-heap_account(const struct share_order *order, guint i)
+static void
+set_first(const struct share_order *order, struct share_account *account,
+          uint32_t first)
 {
-    return &g_array_index(order->accounts, struct share_account,
-                          g_array_index(order->heap, uint32_t, i));
+    account->first = first;
+    account->key = account->by_weight;
+    if (first != NO_JOB && order->jobs[first].started) {
+        account->key *= STARTED_RATIO;
+    }
 }
 
 static bool
@@ -154,22 +160,21 @@
 }
 
 static void
-sift_down(struct share_order *order, guint i)
+sift_down(struct share_order *order, uint32_t i)
 {
-    uint32_t *heap = (uint32_t *)(void *)order->heap->data;
+    const struct share_account *accounts = order->accounts;
+    uint32_t *heap = order->heap;
     uint32_t entry = heap[i];
-    const struct share_account *account = heap_account(order, i);
     for (;;) {
-        guint child = 2 * i + 1;
-        if (child >= order->heap->len) {
+        uint32_t child = 2 * i + 1;
+        if (child >= order->n_heap) {
             break;
         }
-        if (child + 1 < order->heap->len &&
-            comes_before(heap_account(order, child + 1),
-                         heap_account(order, child))) {
+        if (child + 1 < order->n_heap &&
+            comes_before(&accounts[heap[child + 1]], &accounts[heap[child]])) {
             child++;
         }
-        if (!comes_before(heap_account(order, child), account)) {
+        if (!comes_before(&accounts[heap[child]], &accounts[entry])) {
             break;
         }
         heap[i] = heap[child];
@@ -184,9 +189,8 @@
 {
     int64_t above = order->priority;
     bool found = false;
-    for (guint i = 0; i < order->jobs->len; i++) {
-        int64_t priority =
-            g_array_index(order->jobs, struct share_job, i).priority;
+    for (uint32_t i = 0; i < order->n_jobs; i++) {
+        int64_t priority = order->jobs[i].priority;
         if ((!order->begun || priority > above) &&
             (!found || priority < order->priority)) {
             order->priority = priority;
@@ -200,28 +204,25 @@
 static void
 fill_heap(struct share_order *order)
 {
-    uint32_t *next = (uint32_t *)(void *)order->next->data;
-    for (guint a = 0; a < order->accounts->len; a++) {
-        g_array_index(order->accounts, struct share_account, a).first = NO_JOB;
+    for (uint32_t a = 0; a < order->n_accounts; a++) {
+        order->accounts[a].first = NO_JOB;
     }
-    for (guint i = 0; i < order->jobs->len; i++) {
-        const struct share_job *job =
-            &g_array_index(order->jobs, struct share_job, i);
+    for (uint32_t i = 0; i < order->n_jobs; i++) {
+        const struct share_job *job = &order->jobs[i];
         if (job->priority != order->priority) {
             continue;
         }
-        struct share_account *account = &g_array_index(
-            order->accounts, struct share_account, job->account);
+        struct share_account *account = &order->accounts[job->account];
         if (account->first == NO_JOB) {
-            account->first = i;
-            g_array_append_val(order->heap, job->account);
+            set_first(order, account, i);
+            order->heap[order->n_heap++] = job->account;
         }
         else {
-            next[account->last] = i;
+            order->jobs[account->last].next = i;
         }
         account->last = i;
     }
-    for (guint i = order->heap->len / 2; i > 0; i--) {
+    for (uint32_t i = order->n_heap / 2; i > 0; i--) {
         sift_down(order, i - 1);
     }
 }
@@ -229,26 +230,26 @@
 bool
 share_order_peek(struct share_order *order, uint32_t *job)
 {
-    if (order->heap->len == 0) {
+    if (order->n_heap == 0) {
         if (!next_priority(order)) {
             return false;
         }
         fill_heap(order);
     }
-    *job = heap_account(order, 0)->first;
+    *job = order->accounts[order->heap[0]].first;
     return true;
 }
 
 void
 share_order_take(struct share_order *order, double fraction, bool last)
 {
-    struct share_account *account = heap_account(order, 0);
-    account->key += fraction / account->weight;
-    account->first = g_array_index(order->next, uint32_t, account->first);
+    struct share_account *account = &order->accounts[order->heap[0]];
+    account->by_weight += fraction / account->weight;
+    set_first(order, account, order->jobs[account->first].next);
     if (last || account->first == NO_JOB) {
-        g_array_remove_index_fast(order->heap, 0);
+        order->heap[0] = order->heap[--order->n_heap];
     }
-    if (order->heap->len > 0) {
+    if (order->n_heap > 0) {
         sift_down(order, 0);
     }
 }
--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -431,55 +431,58 @@
     job_order_sort(jobs);
 }
 
-/* Jobs that the shares of their client accounts put before the others; those
- * that still wait stay listed for the next pass. */
-static void
-place_share_first(struct placer *placer)
+/**
+ * enum job_list - jobs to place
+ * @LIST_SERVICES: the services among the unplaced jobs of a pool
+ * @LIST_SHARE_FIRST: jobs that the shares of their accounts put first
+ * @LIST_OTHERS: unplaced jobs that are no services
+ */
+enum job_list {
+    LIST_SERVICES,
+    LIST_SHARE_FIRST,
+    LIST_OTHERS,
+};
+
+/* Whether a job that was to be tried first has left the unplaced jobs. */
+static bool
+is_gone(const struct placer *placer, const struct job *job)
 {
-    GPtrArray *first = placer->pool->shares.first;
-    guint kept = 0;
-    for (guint i = 0; first != NULL && i < first->len; i++) {
-        struct job *job = g_ptr_array_index(first, i);
-        if (!sched_share_keeps(placer->pool, job)) {
-            job_unref(job);
-            continue;
-        }
-        if (overload_may_start(&placer->sched->overload) &&
-            !pass_ended(placer->sched)) {
-            place_job(placer, job);
-            job->share_pass = placer->sched->pass;
-        }
-        g_ptr_array_index(first, kept++) = job;
-    }
-    if (first != NULL) {
-        g_ptr_array_set_size(first, (int)kept);
-    }
+    return !job->unplaced || job->state != JOB_ACTIVE ||
+           job->refs.pool != placer->pool;
 }
 
-/* Places the jobs of the pool that are services, or those that are not. */
+/* Places the jobs of a list and leaves those in it that still wait. */
 static void
-place_pool(struct placer *placer, bool services)
+place_list(struct placer *placer, GPtrArray *jobs, enum job_list list)
 {
-    GPtrArray *jobs = placer->pool->unplaced;
     guint kept = 0;
-    if (!services) {
-        place_share_first(placer);
-    }
     for (guint i = 0; i < jobs->len; i++) {
         struct job *job = g_ptr_array_index(jobs, i);
         bool is_service = job->rank.urgency == URGENCY_SERVICE;
-        if (is_service != services && job->state == JOB_ACTIVE) {
+        if (is_service != (list == LIST_SERVICES) &&
+            job->state == JOB_ACTIVE) {
             g_ptr_array_index(jobs, kept++) = job;
             continue;
         }
         bool may_start = overload_may_start(&placer->sched->overload);
         placer->sched->start_waits = placer->sched->start_waits || !may_start;
-        placer->left = !may_start || pass_ended(placer->sched);
-        if (!placer->left && job->share_pass != placer->sched->pass) {
+        placer->left = !may_start || pass_ended(placer->sched) ||
+                       job->share_pass == placer->sched->pass;
+        bool gone = list == LIST_SHARE_FIRST && is_gone(placer, job);
+        if (!placer->left && !gone) {
             place_job(placer, job);
         }
-        if (job->state == JOB_ACTIVE &&
-            (placer->left || sched_job_is_unplaced(job))) {
+        if (list == LIST_SHARE_FIRST) {
+            if (placer->left && !gone) {
+                job->share_pass = placer->sched->pass;
+                g_ptr_array_index(jobs, kept++) = job;
+            }
+            else {
+                job_unref(job);
+            }
+        }
+        else if (job->state == JOB_ACTIVE &&
+                 (placer->left || sched_job_is_unplaced(job))) {
             g_ptr_array_index(jobs, kept++) = job;
         }
         else {
@@ -490,6 +493,17 @@
     g_ptr_array_set_size(jobs, (int)kept);
 }
 
+/* Places the jobs of the pool that are services, or those that are not. */
+static void
+place_pool(struct placer *placer, bool services)
+{
+    struct pool_load *pool = placer->pool;
+    if (!services && pool->shares.first != NULL) {
+        place_list(placer, pool->shares.first, LIST_SHARE_FIRST);
+    }
+    place_list(placer, pool->unplaced, services ? LIST_SERVICES : LIST_OTHERS);
+}
+
 /* Services of all pools come before the other jobs. */
 void
 sched_place_tasks(struct scheduler *sched)
--- a/core/jobs/pool_index.c
+++ b/core/jobs/pool_index.c
@@ -36,8 +36,6 @@
     last->slot_index = backend->slot_index;
     g_ptr_array_set_size(slot, (int)slot->len - 1);
     backend->pool_slot = 0;
-    resources_add(&index->capacity, &backend->indexed_capacity, -1);
-    resources_add(&index->free, &backend->indexed_free, -1);
 }
 
 uint32_t
@@ -49,19 +47,6 @@
     return (uint32_t)CLAMP(slot, 0, POOL_FREE_SLOT_COUNT - 1);
 }
 
-/* A capacity may have shrunk below what is in use. */
-static struct resources
-free_resources(const struct backend *backend)
-{
-    const struct resources *capacity = &backend->entry.capacity;
-    const struct resources *used = &backend->used;
-    return (struct resources){
-        .cpu_milli = MAX(capacity->cpu_milli - used->cpu_milli, 0),
-        .mem_mb = MAX(capacity->mem_mb - used->mem_mb, 0),
-        .gpus = MAX(capacity->gpus - used->gpus, 0),
-    };
-}
-
 static void
 index_add(struct pool_index *index, struct backend *backend)
 {
@@ -73,10 +58,6 @@
     backend->pool_slot = slot + 1;
     backend->slot_index = index->slots[slot]->len;
     g_ptr_array_add(index->slots[slot], backend);
-    backend->indexed_capacity = backend->entry.capacity;
-    backend->indexed_free = free_resources(backend);
-    resources_add(&index->capacity, &backend->indexed_capacity, 1);
-    resources_add(&index->free, &backend->indexed_free, 1);
 }
 
 /* Spreads the slots over a larger capacity. */
@@ -89,8 +70,6 @@
         g_ptr_array_set_size(index->slots[i], 0);
     }
     index->largest_milli = largest_milli;
-    index->capacity = (struct resources){0};
-    index->free = (struct resources){0};
     for (guint i = 0; i < all->len; i++) {
         index_add(index, g_ptr_array_index(all, i));
     }
--- a/core/jobs/pool_load.c
+++ b/core/jobs/pool_load.c
@@ -167,6 +167,7 @@
         !sched_is_out_of_service(sched, backend->entry.data_centre)) {
         load->hosts++;
         load->used_milli += backend->used.cpu_milli;
+        sched_share_add_capacity(sched, backend);
     }
 }
 
@@ -187,7 +188,7 @@
         load->incoming_hosts = 0;
         load->used_milli = 0;
         load->backlog_millicore_ms = 0;
-        sched_share_reset_backlogs(sched, load);
+        sched_share_reset(sched, load);
     }
     for (guint i = 0; i < sched->active->len; i++) {
         struct job *job = g_ptr_array_index(sched->active, i);
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -124,7 +124,6 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     sched->waves = g_ptr_array_new_with_free_func(wave_destroy);
     sched->report_deadlines = deadline_heap_create();
-    share_order_init(&sched->share_order);
     g_queue_init(&sched->dirty);
     sched->to_register = g_ptr_array_new_with_free_func(g_free);
     sched->to_release = g_ptr_array_new_with_free_func(g_free);
--- a/core/jobs/scheduler_shares.c
+++ b/core/jobs/scheduler_shares.c
@@ -73,33 +73,50 @@
     }
 }
 
-/* Resources of the tasks that may run now and are not done. Those that run
- * already count as well; few jobs have both. */
-static const struct job_waiting *
-waiting_need(struct job *job)
+/**
+ * struct waiting_need - what a job waits for
+ * @need: resources of its tasks that may run now and do not
+ * @constrained: they may find no place although there is capacity
+ */
+struct waiting_need {
+    struct resources need;
+    bool constrained;
+};
+
+static int64_t
+waiting_tasks(const struct job_step *step,
+              const struct step_progress *progress)
 {
-    struct job_waiting *waiting = &job->waiting;
-    if (waiting->version == job->version + 1) {
-        return waiting;
+    int64_t count = 0;
+    for (uint32_t t = 0;
+         progress->done < step->task_count && t < step->task_count; t++) {
+        const struct job_task *task = &progress->tasks[t];
+        count += task->run == NULL && !task->done;
     }
-    *waiting = (struct job_waiting){
-        .version = job->version + 1,
-        .constrained =
-            job->refs.queue != NULL && job->refs.queue->needs_advice,
+    return count;
+}
+
+static struct waiting_need
+measure_waiting(const struct job *job)
+{
+    const struct queue_config *queue = job->refs.queue;
+    struct waiting_need waiting = {
+        .constrained = queue != NULL && queue->needs_advice,
     };
     for (guint i = 0; i < job->open->len; i++) {
         const struct job_occurrence *occurrence =
             g_ptr_array_index(job->open, i);
         for (uint32_t s = 0; s < job->n_steps; s++) {
             const struct job_step *step = &job->steps[s];
-            if (job_step_ready(job, occurrence->number, s)) {
-                struct resources need = job_step_backend_need(step);
-                waiting->constrained = waiting->constrained || step->gang ||
-                                       step->required_label != NULL ||
-                                       step->max_per_backend > 0;
-                resources_add(&waiting->need, &need,
-                              step->task_count - occurrence->steps[s].done);
+            if (!job_step_ready(job, occurrence->number, s)) {
+                continue;
             }
+            struct resources need = job_step_backend_need(step);
+            resources_add(&waiting.need, &need,
+                          waiting_tasks(step, &occurrence->steps[s]));
+            waiting.constrained = waiting.constrained || step->gang ||
+                                  step->required_label != NULL ||
+                                  step->max_per_backend > 0;
         }
     }
     return waiting;
@@ -150,7 +167,7 @@
 {
     int64_t weight = sched_team_weight(sched, account->team);
     double use =
-        share_use_fraction(&account->use, &pool->index.capacity,
+        share_use_fraction(&account->use, &pool->shares.capacity,
                            sched_now(sched), sched->policy.share_window_ms);
     account->pass = sched->pass;
     account->ordered = 0;
@@ -167,8 +184,8 @@
     struct waiting_jobs waiting = {
         .least_milli = pool->index.largest_milli,
     };
-    share_order_reset(&sched->share_order);
     const GPtrArray *unplaced = pool->unplaced;
+    share_order_reset(&sched->share_order, unplaced->len);
     for (guint i = 0; i < unplaced->len; i++) {
         struct job *job = g_ptr_array_index(unplaced, i);
         if (job->rank.urgency == URGENCY_SERVICE) {
@@ -180,7 +197,8 @@
             add_account(sched, pool, account, &waiting);
         }
         share_order_add_job(&sched->share_order, account->index,
-                            sched_share_priority(sched, job->refs.queue));
+                            sched_share_priority(sched, job->refs.queue),
+                            job->started);
         waiting.least_milli =
             MIN(waiting.least_milli, job->remaining.least_need.cpu_milli);
     }
@@ -193,12 +211,12 @@
 pool_is_short(const struct pool_load *pool, const struct waiting_jobs *waiting,
               int64_t free_milli)
 {
-    const struct resources *available = &pool->index.free;
+    const struct resources *available = &pool->shares.free;
     struct resources sum = {0};
     for (guint i = waiting->first; i < pool->unplaced->len; i++) {
-        resources_add(
-            &sum, &waiting_need(g_ptr_array_index(pool->unplaced, i))->need,
-            1);
+        struct waiting_need need =
+            measure_waiting(g_ptr_array_index(pool->unplaced, i));
+        resources_add(&sum, &need.need, 1);
         if (sum.cpu_milli > free_milli / 2 ||
             sum.mem_mb > available->mem_mb / 2 || sum.gpus > available->gpus) {
             return true;
@@ -214,7 +232,7 @@
 order_jobs(struct scheduler *sched, struct pool_load *pool,
            const struct waiting_jobs *waiting, int64_t free_milli)
 {
-    const struct resources *capacity = &pool->index.capacity;
+    const struct resources *capacity = &pool->shares.capacity;
     double fraction_max =
         ORDERED_AHEAD_FRACTION + ORDERED_FREE_RATIO * (double)free_milli /
                                      (double)MAX(capacity->cpu_milli, 1);
@@ -229,10 +247,10 @@
             share_order_take(&sched->share_order, 0, false);
             continue;
         }
-        const struct job_waiting *need = waiting_need(job);
-        double fraction = share_fraction(&need->need, capacity);
+        struct waiting_need need = measure_waiting(job);
+        double fraction = share_fraction(&need.need, capacity);
         account->ordered += fraction;
-        ordered += need->constrained ? 0 : fraction;
+        ordered += need.constrained ? 0 : fraction;
         g_ptr_array_add(pool->shares.first, job_ref(job));
         share_order_take(&sched->share_order, fraction,
                          account->ordered > fraction_max / 2);
@@ -308,7 +326,8 @@
     shares->due_ms = sched_now(sched) + ORDER_PERIOD_MS;
     shares->n_unplaced = pool->unplaced->len;
     struct waiting_jobs waiting = collect_jobs(sched, pool);
-    if (!waiting.weighted || waiting.n_accounts < 2) {
+    if (!waiting.weighted || waiting.n_accounts < 2 ||
+        shares->capacity.cpu_milli == 0) {
         return;
     }
     int64_t free_milli = measure_free_milli(&pool->index, waiting.least_milli);
@@ -320,13 +339,6 @@
     }
 }
 
-bool
-sched_share_keeps(const struct pool_load *pool, const struct job *job)
-{
-    return job->unplaced && job->refs.pool == pool &&
-           sched_job_is_unplaced(job);
-}
-
 void
 sched_share_clear(struct pool_load *pool)
 {
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -214,6 +214,8 @@
  * struct pool_shares - shares of client accounts in one pool; zeroed if they
  *                      are off
  * @accounts: struct pool_account by struct team_usage
+ * @capacity: of the hosts that take work, as of the last plan
+ * @free: what was free on them then
  * @backlogs: struct share_backlog, the backlog of the pool by account and
  *            priority
  * @first: struct job, referenced; tried before the others, in this order
@@ -224,6 +226,8 @@
  */
 struct pool_shares {
     GHashTable *accounts;
+    struct resources capacity;
+    struct resources free;
     GArray *backlogs;
     GPtrArray *first;
     bool applied;
@@ -246,14 +250,10 @@
  * @slots: struct backend; those with runs by free processor capacity, then
  *         those without
  * @largest_milli: largest processor capacity that the slots span
- * @capacity: of these backend servers
- * @free: what is free on them
  */
 struct pool_index {
     GPtrArray *slots[POOL_SLOT_COUNT];
     int64_t largest_milli;
-    struct resources capacity;
-    struct resources free;
 };
 
 /**
@@ -958,9 +958,6 @@
 void
 sched_share_count_run(struct scheduler *sched, struct run *run,
                       int64_t factor);
-/* Whether @job is still to be tried where shares have put it. */
-bool
-sched_share_keeps(const struct pool_load *pool, const struct job *job);
 void
 sched_share_clear(struct pool_load *pool);
 
@@ -972,9 +969,13 @@
 int64_t
 sched_share_priority(const struct scheduler *sched,
                      const struct queue_config *queue);
-/* Sets the backlogs of all accounts to zero. */
+/* Counts a backend server that takes work, for the plan. */
+void
+sched_share_add_capacity(const struct scheduler *sched,
+                         const struct backend *backend);
+/* Sets the backlogs of all accounts and the capacity to zero, for the plan. */
 void
-sched_share_reset_backlogs(struct scheduler *sched, struct pool_load *pool);
+sched_share_reset(struct scheduler *sched, struct pool_load *pool);
 /* Adds work of @job to the backlog of its account.
  * @attainable: it can still meet its objective */
 void
--- a/core/jobs/share_admission.c
+++ b/core/jobs/share_admission.c
@@ -27,8 +27,22 @@
 }
 
 void
-sched_share_reset_backlogs(struct scheduler *sched, struct pool_load *pool)
+sched_share_add_capacity(const struct scheduler *sched,
+                         const struct backend *backend)
 {
+    if (sched->policy.account_shares) {
+        struct pool_shares *shares = &backend->pool->shares;
+        resources_add(&shares->capacity, &backend->entry.capacity, 1);
+        resources_add(&shares->free, &backend->entry.capacity, 1);
+        resources_add(&shares->free, &backend->used, -1);
+    }
+}
+
+void
+sched_share_reset(struct scheduler *sched, struct pool_load *pool)
+{
+    pool->shares.capacity = (struct resources){0};
+    pool->shares.free = (struct resources){0};
     for (guint i = 0;
          pool->shares.backlogs != NULL && i < pool->shares.backlogs->len;
          i++) {
--- a/include/core/jobs/account_share.h
+++ b/include/core/jobs/account_share.h
@@ -51,14 +51,20 @@
 double
 share_fraction(const struct resources *need, const struct resources *capacity);
 
+struct share_account;
+
 /**
  * struct share_job - a waiting job
  * @account: index of its account
+ * @next: the next one of its account and priority
  * @priority: 0 is the highest
+ * @started: tasks of it have started
  */
 struct share_job {
     uint32_t account;
+    uint32_t next;
     int64_t priority;
+    bool started;
 };
 
 /**
@@ -66,32 +72,39 @@
  *
  * All jobs of a priority come before those of a lower one. Among them, the
  * next job is always one of the account with the least use by its weight; of
- * two accounts with the same, the one whose job was added first.
+ * two accounts with the same, the one whose job was added first. For a job
+ * that has started only half of the use counts: otherwise the second step of
+ * each job would wait until all other accounts have had their turn, and the
+ * pool would be full of half-done jobs.
  *
- * @accounts: struct share_account
- * @jobs: struct share_job, in the order that holds within each account
- * @next: uint32_t, for each job the next one of its account and priority
- * @heap: uint32_t, accounts with jobs of @priority, least use first
+ * @accounts: accounts with waiting jobs
+ * @jobs: in the order that holds within each account
+ * @heap: accounts with jobs of @priority, least use first
  * @priority: that of the jobs which are being ordered
  * @begun: @priority is valid
  */
 struct share_order {
-    GArray *accounts;
-    GArray *jobs;
-    GArray *next;
-    GArray *heap;
+    struct share_account *accounts;
+    uint32_t n_accounts;
+    uint32_t accounts_room;
+    struct share_job *jobs;
+    uint32_t n_jobs;
+    uint32_t jobs_room;
+    uint32_t *heap;
+    uint32_t n_heap;
     int64_t priority;
     bool begun;
 };
 
-void
-share_order_init(struct share_order *order);
+/** share_order_clear() - free what a share_order holds, which is zeroed at
+ * first. */
 void
 share_order_clear(struct share_order *order);
 
-/** share_order_reset() - forget all accounts and jobs. */
+/** share_order_reset() - make room for this many jobs and their accounts, and
+ * forget all others. */
 void
-share_order_reset(struct share_order *order);
+share_order_reset(struct share_order *order, uint32_t n_jobs);
 
 /**
  * share_order_add_account() - add an account with waiting jobs
@@ -104,10 +117,10 @@
 share_order_add_account(struct share_order *order, double weight, double use);
 
 /** share_order_add_job() - add a job, behind the others of its account; jobs
- * are numbered from 0. */
+ * are numbered from 0, no more than share_order_reset() made room for. */
 void
 share_order_add_job(struct share_order *order, uint32_t account,
-                    int64_t priority);
+                    int64_t priority, bool started);
 
 /**
  * share_order_peek() - number of the job that comes next
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -218,8 +218,6 @@
  * @rack: backend servers of its rack, this one included
  * @pool_slot: where the pool keeps it, see pool_index.c; 0: it takes no work
  * @slot_index: its position there
- * @indexed_capacity: its capacity as the pool counts it
- * @indexed_free: what is free on it, likewise
  * @reserved_pass: last pass of placement in which it was reserved for a
  * service task that waits for capacity
  * @latency_sensitive_runs: runs of tasks with a tail latency target
@@ -288,8 +286,6 @@
     GPtrArray *rack;
     uint32_t pool_slot;
     uint32_t slot_index;
-    struct resources indexed_capacity;
-    struct resources indexed_free;
     uint64_t reserved_pass;
     uint32_t latency_sensitive_runs;
     uint32_t best_effort_runs;
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -244,18 +244,6 @@
     uint32_t backlog;
 };
 
-/**
- * struct job_waiting - what the tasks take that a job may run now
- * @version: version of the job that it belongs to, plus one; 0: none
- * @need: resources of the tasks of its ready steps that are not done
- * @constrained: they may find no place although there is capacity
- */
-struct job_waiting {
-    uint64_t version;
-    struct resources need;
-    bool constrained;
-};
-
 /**
  * struct job - steps of tasks and their progress
  * @id: sixteen hexadecimal digits chosen by the client
@@ -292,9 +280,8 @@
  * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
- * @waiting: what its tasks take, for the shares of client accounts
- * @share_pass: last pass that tried it at the place that its account's share
- *              gave it
+ * @share_pass: last pass that tried it where the share of its account has put
+ *              it, and left tasks waiting
  * @refs: what the scheduler looks up once for it
  * @active_index: its position among the active jobs of its scheduler
  * @unplaced: it may have tasks to place, and is among the unplaced jobs of its
@@ -335,7 +322,6 @@
     uint64_t left_pool_version;
     struct job_rank rank;
     struct job_remaining remaining;
-    struct job_waiting waiting;
     uint64_t share_pass;
     struct job_refs refs;
     uint32_t active_index;
--- a/tests/jobs/account_share_test.c
+++ b/tests/jobs/account_share_test.c
@@ -97,6 +97,23 @@
     check_three_to_one(measure_ratio(&shares, 30, 10, second_large));
 }
 
+/* Jobs that have started come first, but their accounts pay for it. */
+static void
+test_jobs_of_steps(void)
+{
+    const struct world_load chain = {.count = 4,
+                                     .cpu_milli = 2000,
+                                     .mem_mb = 100,
+                                     .estimate_ms = 300,
+                                     .steps = 4};
+    const struct world_load both[] = {chain, chain};
+    check_three_to_one(measure_ratio(&shares, 30, 10, both));
+    const struct world_load second[] = {small, chain};
+    check_three_to_one(measure_ratio(&shares, 30, 10, second));
+    const struct world_load first[] = {chain, small};
+    check_three_to_one(measure_ratio(&shares, 30, 10, first));
+}
+
 /* Failure: shares by declared run times favour an account that declares too
  * little. */
 static void
@@ -327,14 +344,13 @@
 static void
 test_order(void)
 {
-    struct share_order order;
-    share_order_init(&order);
+    struct share_order order = {0};
     for (int round = 0; round < 2; round++) {
-        share_order_reset(&order);
+        share_order_reset(&order, 8);
         CU_ASSERT_EQUAL(share_order_add_account(&order, 30, 0), 0);
         CU_ASSERT_EQUAL(share_order_add_account(&order, 10, 0), 1);
         for (int i = 0; i < 8; i++) {
-            share_order_add_job(&order, i < 4 ? 1 : 0, i == 3 ? 0 : 1);
+            share_order_add_job(&order, i < 4 ? 1 : 0, i == 3 ? 0 : 1, false);
         }
         static const uint32_t expected[] = {3, 4, 5, 6, 0, 7, 1, 2};
         uint32_t job;
@@ -348,6 +364,30 @@
     share_order_clear(&order);
 }
 
+/* Failure: a job that has started waits for its next step until all other
+ * accounts have had their turn. */
+static void
+test_started_first(void)
+{
+    struct share_order order = {0};
+    share_order_reset(&order, 4);
+    share_order_add_account(&order, 10, 0.3);
+    share_order_add_account(&order, 10, 0.2);
+    share_order_add_account(&order, 10, 0.1);
+    share_order_add_job(&order, 1, 0, false);
+    share_order_add_job(&order, 0, 0, true);
+    share_order_add_job(&order, 0, 0, false);
+    share_order_add_job(&order, 2, 0, false);
+    static const uint32_t expected[] = {3, 1, 0, 2};
+    for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+        uint32_t job;
+        CU_ASSERT_FATAL(share_order_peek(&order, &job));
+        CU_ASSERT_EQUAL(job, expected[i]);
+        share_order_take(&order, 0.1, false);
+    }
+    share_order_clear(&order);
+}
+
 static void
 test_use(void)
 {
@@ -369,9 +409,11 @@
 {
     static const struct suite_test tests[] = {
         {"the order of jobs", test_order},
+        {"a job that has started", test_started_first},
         {"the use of an account", test_use},
         {"weights 30 and 10", test_three_to_one},
         {"uneven tasks", test_uneven_tasks},
+        {"jobs of several steps", test_jobs_of_steps},
         {"wrong estimates", test_wrong_estimates},
         {"the dominant resource", test_dominant_resource},
         {"across a takeover", test_takeover},
--- a/tests/jobs/share_world.c
+++ b/tests/jobs/share_world.c
@@ -108,13 +108,24 @@
 static struct job *
 create_job(struct share_world *world, const struct world_job *known)
 {
-    char *steps = g_strdup_printf("[{\"count\":%u,\"cpu\":%" G_GINT64_FORMAT
-                                  ",\"mem_mb\":%" G_GINT64_FORMAT
-                                  ",\"estimate_ms\":%" G_GINT64_FORMAT "}]",
-                                  known->load.count, known->load.cpu_milli,
-                                  known->load.mem_mb, known->load.estimate_ms);
-    struct job *job = fixture_create_job(&world->f, known->id, "p", steps);
-    g_free(steps);
+    GString *steps = g_string_new("[");
+    for (uint32_t s = 0; s < MAX(known->load.steps, 1); s++) {
+        g_string_append_printf(steps,
+                               "%s{\"count\":%u,\"cpu\":%" G_GINT64_FORMAT
+                               ",\"mem_mb\":%" G_GINT64_FORMAT
+                               ",\"estimate_ms\":%" G_GINT64_FORMAT,
+                               s > 0 ? "," : "", known->load.count,
+                               known->load.cpu_milli, known->load.mem_mb,
+                               known->load.estimate_ms);
+        if (s > 0) {
+            g_string_append_printf(steps, ",\"after\":[%u]", s - 1);
+        }
+        g_string_append_c(steps, '}');
+    }
+    g_string_append_c(steps, ']');
+    struct job *job =
+        fixture_create_job(&world->f, known->id, "p", steps->str);
+    g_string_free(steps, TRUE);
     g_free(job->team);
     job->team = g_strdup(world->accounts[known->account].name);
     return job;
@@ -194,6 +205,15 @@
     return NULL;
 }
 
+/* Position of a task JOB.OCCURRENCE.STEP.INDEX among those of its job. */
+static uint32_t
+task_bit(const char *task, const struct world_load *load)
+{
+    const char *index = strrchr(task, '.');
+    const char *step = g_strrstr_len(task, index - task, ".");
+    return (uint32_t)atoi(step + 1) * load->count + (uint32_t)atoi(index + 1);
+}
+
 static void
 start_run(struct share_world *world, const struct recorded_command *command)
 {
@@ -207,7 +227,7 @@
         CU_FAIL("start of an unknown job");
         return;
     }
-    run.index = (uint32_t)atoi(strrchr(command->task, '.') + 1);
+    run.index = task_bit(command->task, &run.job->load);
     struct world_account *account = &world->accounts[run.job->account];
     if (!run.job->started) {
         run.job->started = true;
@@ -251,16 +271,23 @@
     g_ptr_array_set_size(commands, 0);
 }
 
+static uint32_t
+n_tasks(const struct world_load *load)
+{
+    return load->count * MAX(load->steps, 1);
+}
+
 static void
 finish_task(struct share_world *world, struct world_job *job, uint32_t index)
 {
     struct world_account *account = &world->accounts[job->account];
     job->done |= 1ULL << index;
     job->n_done++;
-    if (job->n_done == job->load.count) {
+    if (job->n_done == n_tasks(&job->load)) {
         account->finished++;
-        int64_t objective_ms =
-            (int64_t)(1.6 * (double)job->load.estimate_ms) + OBJECTIVE_MS;
+        int64_t path_ms =
+            job->load.estimate_ms * (int64_t)MAX(job->load.steps, 1);
+        int64_t objective_ms = (int64_t)(1.6 * (double)path_ms) + OBJECTIVE_MS;
         account->late += world->f.now_ms - job->accepted_ms >
                          objective_ms * 3 * 5 / 4 + 2 * WORLD_STEP_MS;
     }
@@ -347,9 +374,10 @@
     struct job *job = create_job(world, known);
     job->accepted_unix_ms = known->accepted_unix_ms;
     job->inherited = true;
-    for (uint32_t t = 0; t < known->load.count; t++) {
+    for (uint32_t t = 0; t < n_tasks(&known->load); t++) {
         if ((known->done & (1ULL << t)) != 0) {
-            job_task_finish(job, 0, 0, t);
+            job_task_finish(job, 0, t / known->load.count,
+                            t % known->load.count);
         }
     }
     scheduler_add_job(world->f.sched, job);
@@ -381,7 +409,7 @@
     g_hash_table_iter_init(&iter, world->jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct world_job *known = value;
-        if (known->n_done < known->load.count) {
+        if (known->n_done < n_tasks(&known->load)) {
             inherit_job(world, known);
         }
     }
--- a/tests/jobs/share_world.h
+++ b/tests/jobs/share_world.h
@@ -38,8 +38,10 @@
 };
 
 /**
- * struct world_load - jobs of one step
+ * struct world_load - jobs of steps that follow each other
+ * @count: tasks of each step
  * @actual_ms: run time of its tasks; 0: as declared
+ * @steps: number of steps; 0: one
  */
 struct world_load {
     uint32_t count;
@@ -47,6 +49,7 @@
     int64_t mem_mb;
     int64_t estimate_ms;
     int64_t actual_ms;
+    uint32_t steps;
 };
 
 /**
