jobs: let shares decide about all capacity that a pass hands out

When a pass had started all jobs that were to be tried first, it went on by the order without shares; it now asks for the next jobs by share. Too few jobs were listed in a small pool.

--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -466,15 +466,19 @@
         }
         bool may_start = overload_may_start(&placer->sched->overload);
         placer->sched->start_waits = placer->sched->start_waits || !may_start;
-        placer->left = !may_start || pass_ended(placer->sched) ||
-                       job->share_pass == placer->sched->pass;
+        placer->left = !may_start || pass_ended(placer->sched);
         bool gone = list == LIST_SHARE_FIRST && is_gone(placer, job);
-        if (!placer->left && !gone) {
+        if (job->share_pass == placer->sched->pass) {
+            /* Tried before; placing it again may only tell that nothing fits,
+             * also of a job without waiting tasks. */
+            placer->left = sched_job_is_unplaced(job);
+        }
+        else if (!placer->left && !gone) {
             place_job(placer, job);
         }
         if (list == LIST_SHARE_FIRST) {
+            job->share_pass = placer->sched->pass;
             if (placer->left && !gone) {
-                job->share_pass = placer->sched->pass;
                 g_ptr_array_index(jobs, kept++) = job;
             }
             else {
@@ -498,8 +502,17 @@
 place_pool(struct placer *placer, bool services)
 {
     struct pool_load *pool = placer->pool;
-    if (!services && pool->shares.first != NULL) {
+    const GPtrArray *first = pool->shares.first;
+    if (!services && first != NULL) {
         place_list(placer, pool->shares.first, LIST_SHARE_FIRST);
+        /* What is left belongs to the next jobs by share. */
+        uint64_t started = 0;
+        while (pool->shares.applied && first->len == 0 &&
+               placer->sched->stats.started > started) {
+            started = placer->sched->stats.started;
+            sched_share_order(placer->sched, pool);
+            place_list(placer, pool->shares.first, LIST_SHARE_FIRST);
+        }
     }
     place_list(placer, pool->unplaced, services ? LIST_SERVICES : LIST_OTHERS);
 }
--- a/core/jobs/scheduler_shares.c
+++ b/core/jobs/scheduler_shares.c
@@ -17,6 +17,10 @@
      * meanwhile, since it counts what its jobs will use; only new jobs are
      * missing from it. */
     ORDER_PERIOD_MS = 20,
+    /* Least number of jobs that are ordered, of one account and of all: in a
+     * small pool few jobs take a large fraction. */
+    ORDERED_OF_ACCOUNT_MIN = 16,
+    ORDERED_MIN = 32,
     /* Keeps a line of the log below its limit of 4,096 bytes. */
     LOGGED_ACCOUNTS_MAX = 8,
 };
@@ -24,10 +28,15 @@
 /* Jobs of a pool are ordered until they take this multiple of what is free,
  * those of one account until they take half of it. More than once, as not
  * every job fits that is tried; the rest can only wait. */
-static const double ORDERED_FREE_RATIO = 4;
-/* In addition, what becomes free until the order is made again: tasks of 0.4 s
+static const double ORDERED_FREE_RATIO = 2;
+/* In addition, what becomes free until the order is made again: tasks of 1 s
  * in a full pool free this fraction of it in ORDER_PERIOD_MS. */
-static const double ORDERED_AHEAD_FRACTION = 0.05;
+static const double ORDERED_AHEAD_FRACTION = 0.02;
+/* A job that has begun to start stays first until all its tasks have started,
+ * if they take no more than this fraction of the pool: otherwise many jobs run
+ * with some of their tasks, which takes longer for all and makes passes
+ * dearer. Larger jobs would hold up the shares for too long. */
+static const double STARTING_FRACTION_MAX = 0.01;
 
 static struct pool_account *
 pool_account(struct pool_load *pool, struct team_usage *team)
@@ -122,6 +131,49 @@
     return waiting;
 }
 
+static bool
+has_begun(const struct job *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct job_occurrence *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (occurrence->started) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Priority of the first job that is no service, the highest; 0: none waits. */
+static int64_t
+highest_priority(const struct scheduler *sched, const struct pool_load *pool)
+{
+    for (guint i = 0; i < pool->unplaced->len; i++) {
+        const struct job *job = g_ptr_array_index(pool->unplaced, i);
+        if (job->rank.urgency != URGENCY_SERVICE) {
+            return sched_share_priority(sched, job->refs.queue);
+        }
+    }
+    return 0;
+}
+
+/* Whether @job, which was tried first, stays first in the next order. */
+static bool
+stays_first(const struct scheduler *sched, const struct pool_load *pool,
+            const struct job *job)
+{
+    if (!job->unplaced || job->state != JOB_ACTIVE || job->refs.pool != pool ||
+        !has_begun(job) ||
+        sched_share_priority(sched, job->refs.queue) >
+            highest_priority(sched, pool)) {
+        return false;
+    }
+    struct waiting_need need = measure_waiting(job);
+    return !need.constrained &&
+           share_fraction(&need.need, &pool->shares.capacity) <=
+               STARTING_FRACTION_MAX;
+}
+
 static void
 clear_first(struct pool_shares *shares)
 {
@@ -131,6 +183,25 @@
     g_ptr_array_set_size(shares->first, 0);
 }
 
+/* Removes all but the jobs that stay first. */
+static void
+begin_first(const struct scheduler *sched, struct pool_load *pool)
+{
+    GPtrArray *first = pool->shares.first;
+    guint kept = 0;
+    for (guint i = 0; i < first->len; i++) {
+        struct job *job = g_ptr_array_index(first, i);
+        if (stays_first(sched, pool, job)) {
+            job->share_listed = sched->share_orders;
+            g_ptr_array_index(first, kept++) = job;
+        }
+        else {
+            job_unref(job);
+        }
+    }
+    g_ptr_array_set_size(first, (int)kept);
+}
+
 /* Thousandths of a core that are free on backend servers on which a task that
  * takes @least_milli may fit. */
 static int64_t
@@ -169,8 +240,9 @@
     double use =
         share_use_fraction(&account->use, &pool->shares.capacity,
                            sched_now(sched), sched->policy.share_window_ms);
-    account->pass = sched->pass;
+    account->order = sched->share_orders;
     account->ordered = 0;
+    account->n_ordered = 0;
     account->index =
         share_order_add_account(&sched->share_order, (double)weight, use);
     waiting->n_accounts++;
@@ -193,7 +265,7 @@
             continue;
         }
         struct pool_account *account = job_account(job);
-        if (account->pass != sched->pass) {
+        if (account->order != sched->share_orders) {
             add_account(sched, pool, account, &waiting);
         }
         share_order_add_job(&sched->share_order, account->index,
@@ -238,22 +310,29 @@
                                      (double)MAX(capacity->cpu_milli, 1);
     double ordered = 0;
     uint32_t number;
-    while (ordered <= fraction_max &&
+    guint n_ordered = 0;
+    while ((ordered <= fraction_max || n_ordered < ORDERED_MIN) &&
            share_order_peek(&sched->share_order, &number)) {
         struct job *job =
             g_ptr_array_index(pool->unplaced, waiting->first + number);
         struct pool_account *account = job->refs.account;
-        if (!sched_team_allows(sched, job, &job->remaining.least_need)) {
+        if (!sched_team_allows(sched, job, &job->remaining.least_need) ||
+            !sched_job_is_unplaced(job)) {
             share_order_take(&sched->share_order, 0, false);
             continue;
         }
         struct waiting_need need = measure_waiting(job);
         double fraction = share_fraction(&need.need, capacity);
         account->ordered += fraction;
+        account->n_ordered++;
+        n_ordered++;
         ordered += need.constrained ? 0 : fraction;
-        g_ptr_array_add(pool->shares.first, job_ref(job));
+        if (job->share_listed != sched->share_orders) {
+            g_ptr_array_add(pool->shares.first, job_ref(job));
+        }
         share_order_take(&sched->share_order, fraction,
-                         account->ordered > fraction_max / 2);
+                         account->ordered > fraction_max / 2 &&
+                             account->n_ordered >= ORDERED_OF_ACCOUNT_MIN);
     }
 }
 
@@ -277,7 +356,7 @@
     while (logged < LOGGED_ACCOUNTS_MAX &&
            g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct pool_account *account = value;
-        if (account->pass == sched->pass) {
+        if (account->order == sched->share_orders) {
             g_string_append_printf(
                 text,
                 "%s{\"account\":%s,\"weight\":%" G_GINT64_FORMAT
@@ -303,7 +382,12 @@
 {
     const struct pool_shares *shares = &pool->shares;
     return sched_now(sched) >= shares->due_ms ||
-           (shares->applied && shares->first->len == 0) ||
+           (shares->applied &&
+            (shares->first->len == 0 ||
+             sched_share_priority(
+                 sched,
+                 ((const struct job *)g_ptr_array_index(shares->first, 0))
+                     ->refs.queue) > highest_priority(sched, pool))) ||
            pool->unplaced->len > 2 * shares->n_unplaced;
 }
 
@@ -321,13 +405,14 @@
         sched->stats.share_passes += shares->applied;
         return;
     }
-    clear_first(shares);
+    sched->share_orders++;
     shares->applied = false;
     shares->due_ms = sched_now(sched) + ORDER_PERIOD_MS;
     shares->n_unplaced = pool->unplaced->len;
     struct waiting_jobs waiting = collect_jobs(sched, pool);
     if (!waiting.weighted || waiting.n_accounts < 2 ||
         shares->capacity.cpu_milli == 0) {
+        clear_first(shares);
         return;
     }
     int64_t free_milli = measure_free_milli(&pool->index, waiting.least_milli);
@@ -335,8 +420,12 @@
         shares->applied = true;
         sched->stats.share_passes++;
         log_shares(sched, pool, &waiting);
+        begin_first(sched, pool);
         order_jobs(sched, pool, &waiting, free_milli);
     }
+    else {
+        clear_first(shares);
+    }
 }
 
 void
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -198,16 +198,18 @@
 /**
  * struct pool_account - what a client account uses of one pool
  * @use: what its runs take, service tasks not counted
- * @pass: last pass that ordered jobs of it
+ * @order: the last order that has jobs of it
  * @index: number of the account in that order
  * @ordered: fraction of the pool that its ordered jobs take
+ * @n_ordered: their number
  */
 struct pool_account {
     struct team_usage *team;
     struct share_use use;
-    uint64_t pass;
+    uint64_t order;
     uint32_t index;
     double ordered;
+    uint32_t n_ordered;
 };
 
 /**
@@ -422,6 +424,7 @@
  *              incarnation of their host
  * @waves: struct wave
  * @share_order: order of the jobs of one pool, kept for its memory
+ * @share_orders: counts such orders
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
  * @to_release: ids of backend servers whose record is to be deleted
@@ -491,6 +494,7 @@
     GPtrArray *contenders;
     GPtrArray *waves;
     struct share_order share_order;
+    uint64_t share_orders;
     GQueue dirty;
     GPtrArray *to_register;
     GPtrArray *to_release;
--- a/core/jobs/share_admission.c
+++ b/core/jobs/share_admission.c
@@ -8,6 +8,7 @@
  */
 #include "core/jobs/scheduler.h"
 
+#include "common/text.h"
 #include "core/jobs/admission.h"
 #include "scheduler_state.h"
 
@@ -208,5 +209,14 @@
     int64_t retry_after_ms = admission_retry_after_ms(&input);
     sched->stats.share_accepted += refused_before && retry_after_ms == 0;
     sched->stats.share_refused += !refused_before && retry_after_ms > 0;
+    if (refused_before != (retry_after_ms > 0)) {
+        sched_log_event(sched, "share_admission",
+                        "\"pool\":%s,\"queue\":%s,\"account\":%s,"
+                        "\"wait_ms\":%" G_GINT64_FORMAT
+                        ",\"retry_after_ms\":%" G_GINT64_FORMAT,
+                        text_quote(pool->pool), text_quote(queue->name),
+                        text_quote(job->team == NULL ? "" : job->team),
+                        admission_wait_ms(&input), retry_after_ms);
+    }
     return retry_after_ms;
 }
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -372,6 +372,9 @@
                "runs_failed_total %" G_GUINT64_FORMAT "\n"
                "runs_lost_total %" G_GUINT64_FORMAT "\n"
                "starts_stale_total %" G_GUINT64_FORMAT "\n"
+               "share_passes_total %" G_GUINT64_FORMAT "\n"
+               "share_accepted_total %" G_GUINT64_FORMAT "\n"
+               "share_refused_total %" G_GUINT64_FORMAT "\n"
                "shed_level %d\n"
                "start_window %u\nstarts_in_flight %u\n"
                "loop_lag_ms %" G_GINT64_FORMAT "\n",
@@ -381,7 +384,8 @@
                config_feed_fresh(frontend->node->feed), stats.jobs_active,
                stats.runs, stats.backends, stats.backends_unreconciled,
                stats.started, stats.done, stats.failed, stats.lost,
-               stats.stale_numbers, (int)stats.shed, stats.start_window,
+               stats.stale_numbers, stats.share_passes, stats.share_accepted,
+               stats.share_refused, (int)stats.shed, stats.start_window,
                stats.starts_in_flight, stats.loop_lag_ms);
     http_exchange_reply(exchange, 200, text);
 }
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -281,7 +281,8 @@
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
  * @share_pass: last pass that tried it where the share of its account has put
- *              it, and left tasks waiting
+ *              it
+ * @share_listed: last order that left it there, see scheduler_shares.c
  * @refs: what the scheduler looks up once for it
  * @active_index: its position among the active jobs of its scheduler
  * @unplaced: it may have tasks to place, and is among the unplaced jobs of its
@@ -323,6 +324,7 @@
     struct job_rank rank;
     struct job_remaining remaining;
     uint64_t share_pass;
+    uint64_t share_listed;
     struct job_refs refs;
     uint32_t active_index;
     bool unplaced;
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -73,6 +73,16 @@
 void
 fixture_limit_teams(int maximum_milli);
 
+/** fixture_set_scheduling() - the next fixture_set_up() gives the entry hosts
+ * this value, JSON, as the setting "scheduling"; borrowed, NULL: none. */
+void
+fixture_set_scheduling(const char *scheduling);
+
+/** fixture_set_config() - the next fixture_set_up() gives the emulator this
+ * file as its configuration; borrowed, NULL: the example. */
+void
+fixture_set_config(const char *file);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
