--- a/tests/jobs/account_share_test.c
+++ b/tests/jobs/account_share_test.c
@@ -114,6 +114,31 @@
     check_three_to_one(measure_ratio(&shares, 30, 10, first));
 }
 
+/* Jobs end one by one, and passes come more often than the list of jobs that
+ * are tried first is made: shares decide about each bit that becomes free. */
+static void
+test_spread_run_times(void)
+{
+    const struct world_load spread = {.count = 2,
+                                      .cpu_milli = 4000,
+                                      .mem_mb = 100,
+                                      .estimate_ms = 500,
+                                      .spread_ms = 300};
+    const struct world_load loads[] = {spread, spread};
+    struct world_account accounts[] = {
+        {.name = "a", .weight = 30},
+        {.name = "b", .weight = 10},
+    };
+    struct share_world world;
+    share_world_init(&world, &shares, accounts, 2);
+    world.step_ms = 5;
+    run_backlogged(&world, loads, WARM_UP_MS);
+    share_world_forget_use(&world);
+    run_backlogged(&world, loads, MEASURED_MS);
+    check_three_to_one(use_ratio(&world, MEASURED_MS));
+    share_world_clear(&world);
+}
+
 /* Failure: shares by declared run times favour an account that declares too
  * little. */
 static void
@@ -414,6 +439,7 @@
         {"weights 30 and 10", test_three_to_one},
         {"uneven tasks", test_uneven_tasks},
         {"jobs of several steps", test_jobs_of_steps},
+        {"run times that differ", test_spread_run_times},
         {"wrong estimates", test_wrong_estimates},
         {"the dominant resource", test_dominant_resource},
         {"across a takeover", test_takeover},
--- a/tests/jobs/share_world.c
+++ b/tests/jobs/share_world.c
@@ -6,7 +6,11 @@
 
 enum {
     TASK_CHARS = JOB_ID_CHARS + 48,
+    /* Prime, so that successive jobs differ. */
+    SPREAD_FACTOR = 7919,
     REPORT_WAIT_MS = 600,
+    /* Backend servers are known and a plan was made by then. */
+    SETTLE_MS = 200,
     LEASE_MS = 3000,
     /* Of the fixture's queue: 1.6 times the path and 600 ms; a job is of use
      * within three of them, and a quarter more is accepted. */
@@ -77,8 +81,10 @@
 share_world_init(struct share_world *world, const struct sched_policy *policy,
                  struct world_account *accounts, size_t n_accounts)
 {
-    *world = (struct share_world){
-        .policy = *policy, .accounts = accounts, .n_accounts = n_accounts};
+    *world = (struct share_world){.policy = *policy,
+                                  .accounts = accounts,
+                                  .n_accounts = n_accounts,
+                                  .step_ms = WORLD_STEP_MS};
     world->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     world->backends = g_ptr_array_new_with_free_func(backend_free);
     world->starts = g_ptr_array_new_with_free_func(g_free);
@@ -91,7 +97,7 @@
         backend->ends = g_array_new(FALSE, FALSE, sizeof(struct world_end));
         g_ptr_array_add(world->backends, backend);
     }
-    for (int i = 0; i < 10; i++) {
+    for (int i = 0; i < SETTLE_MS / WORLD_STEP_MS; i++) {
         share_world_step(world);
     }
 }
@@ -140,6 +146,11 @@
                ++world->next_job);
     known->account = account;
     known->load = *load;
+    if (load->spread_ms > 0) {
+        known->load.actual_ms =
+            load->estimate_ms + (int64_t)(world->next_job * SPREAD_FACTOR %
+                                          (uint64_t)load->spread_ms);
+    }
     known->accepted_ms = world->f.now_ms;
     return known;
 }
@@ -303,7 +314,7 @@
         int64_t run_ms =
             load->actual_ms > 0 ? load->actual_ms : load->estimate_ms;
         world->accounts[run.job->account].used_millicore_ms +=
-            (double)load->cpu_milli * WORLD_STEP_MS;
+            (double)load->cpu_milli * (double)world->step_ms;
         if (world->f.now_ms - run.started_ms < run_ms) {
             i++;
             continue;
@@ -358,7 +369,7 @@
 void
 share_world_step(struct share_world *world)
 {
-    world->f.now_ms += WORLD_STEP_MS;
+    world->f.now_ms += world->step_ms;
     for (guint i = 0; i < world->backends->len; i++) {
         struct world_backend *backend = g_ptr_array_index(world->backends, i);
         work(world, backend);
--- a/tests/jobs/share_world.h
+++ b/tests/jobs/share_world.h
@@ -42,6 +42,8 @@
  * @count: tasks of each step
  * @actual_ms: run time of its tasks; 0: as declared
  * @steps: number of steps; 0: one
+ * @spread_ms: run times of different jobs differ by as much, in place of
+ *             @actual_ms
  */
 struct world_load {
     uint32_t count;
@@ -50,12 +52,14 @@
     int64_t estimate_ms;
     int64_t actual_ms;
     uint32_t steps;
+    int64_t spread_ms;
 };
 
 /**
  * struct share_world - the load and the pool
  * @jobs: struct world_job by id
  * @backends: struct world_backend
+ * @step_ms: time between passes, WORLD_STEP_MS unless set
  * @starts: id of each task in the order of their first starts
  */
 struct share_world {
@@ -68,6 +72,7 @@
     GPtrArray *starts;
     uint64_t next_job;
     uint32_t term;
+    int64_t step_ms;
 };
 
 /** share_world_init() - a pool of WORLD_BACKENDS backend servers without jobs;
@@ -89,7 +94,7 @@
 share_world_add(struct share_world *world, size_t account,
                 const struct world_load *load);
 
-/** share_world_step() - advance by WORLD_STEP_MS. */
+/** share_world_step() - advance by @step_ms. */
 void
 share_world_step(struct share_world *world);
 
