--- a/core/jobs/place.c
+++ b/core/jobs/place.c
@@ -414,27 +414,62 @@
     job_order_sort(jobs);
 }
 
-/* Places the jobs of the pool that are services, or those that are not. */
+/**
+ * enum job_list - jobs to place
+ * @LIST_SERVICES: the services among the unplaced jobs of a pool
+ * @LIST_SHARE_FIRST: jobs that the shares of their accounts put first
+ * @LIST_OTHERS: unplaced jobs that are no services
+ */
+enum job_list {
+    LIST_SERVICES,
+    LIST_SHARE_FIRST,
+    LIST_OTHERS,
+};
+
+/* Whether a job that was to be tried first has left the unplaced jobs. */
+static bool
+is_gone(const struct placer *placer, const struct job *job)
+{
+    return !job->unplaced || job->state != JOB_ACTIVE ||
+           job->refs.pool != placer->pool;
+}
+
+/* Places the jobs of a list and leaves those in it that still wait. */
 static void
-place_pool(struct placer *placer, bool services)
+place_list(struct placer *placer, GPtrArray *jobs, enum job_list list)
 {
-    GPtrArray *jobs = placer->pool->unplaced;
     guint kept = 0;
     for (guint i = 0; i < jobs->len; i++) {
         struct job *job = g_ptr_array_index(jobs, i);
         bool is_service = job->rank.urgency == URGENCY_SERVICE;
-        if (is_service != services && job->state == JOB_ACTIVE) {
+        if (is_service != (list == LIST_SERVICES) &&
+            job->state == JOB_ACTIVE) {
             g_ptr_array_index(jobs, kept++) = job;
             continue;
         }
         bool may_start = overload_may_start(&placer->sched->overload);
         placer->sched->start_waits = placer->sched->start_waits || !may_start;
         placer->left = !may_start || pass_ended(placer->sched);
-        if (!placer->left) {
+        bool gone = list == LIST_SHARE_FIRST && is_gone(placer, job);
+        if (job->share_pass == placer->sched->pass) {
+            /* Tried before; placing it again may only tell that nothing fits,
+             * also of a job without waiting tasks. */
+            placer->left = sched_job_is_unplaced(job);
+        }
+        else if (!placer->left && !gone) {
             place_job(placer, job);
         }
-        if (job->state == JOB_ACTIVE &&
-            (placer->left || sched_job_is_unplaced(job))) {
+        if (list == LIST_SHARE_FIRST) {
+            job->share_pass = placer->sched->pass;
+            if (placer->left && !gone) {
+                g_ptr_array_index(jobs, kept++) = job;
+            }
+            else {
+                job_unref(job);
+            }
+        }
+        else if (job->state == JOB_ACTIVE &&
+                 (placer->left || sched_job_is_unplaced(job))) {
             g_ptr_array_index(jobs, kept++) = job;
         }
         else {
@@ -445,6 +480,26 @@
     g_ptr_array_set_size(jobs, (int)kept);
 }
 
+/* Places the jobs of the pool that are services, or those that are not. */
+static void
+place_pool(struct placer *placer, bool services)
+{
+    struct pool_load *pool = placer->pool;
+    const GPtrArray *first = pool->shares.first;
+    if (!services && first != NULL) {
+        place_list(placer, pool->shares.first, LIST_SHARE_FIRST);
+        /* What is left belongs to the next jobs by share. */
+        uint64_t started = 0;
+        while (pool->shares.applied && first->len == 0 &&
+               placer->sched->stats.started > started) {
+            started = placer->sched->stats.started;
+            sched_share_order(placer->sched, pool);
+            place_list(placer, pool->shares.first, LIST_SHARE_FIRST);
+        }
+    }
+    place_list(placer, pool->unplaced, services ? LIST_SERVICES : LIST_OTHERS);
+}
+
 /* Services of all pools come before the other jobs. */
 void
 sched_place_tasks(struct scheduler *sched)
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -64,6 +64,7 @@
     }
     g_ptr_array_unref(load->unplaced);
     sched_reservations_destroy(load);
+    sched_share_clear(load);
     pool_index_clear(&load->index);
     g_free(load->pool);
     g_free(load);
@@ -190,6 +191,7 @@
     if (sched->racks != NULL) {
         g_hash_table_unref(sched->racks);
     }
+    share_order_clear(&sched->share_order);
     g_ptr_array_unref(sched->to_register);
     g_ptr_array_unref(sched->to_release);
     g_hash_table_unref(sched->backend_records);
--- a/core/jobs/scheduler_state.h
+++ b/core/jobs/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef CORE_JOBS_SCHEDULER_STATE_H
 #define CORE_JOBS_SCHEDULER_STATE_H
 
+#include "core/jobs/account_share.h"
 #include "core/jobs/demand_cycle.h"
 #include "core/jobs/scheduler.h"
 
@@ -195,6 +196,49 @@
     uint64_t generation;
 };
 
+/**
+ * struct pool_account - what a client account uses of one pool
+ * @use: what its runs take, service tasks not counted
+ * @order: the last order that has jobs of it
+ * @index: number of the account in that order
+ * @ordered: fraction of the pool that its ordered jobs take
+ * @n_ordered: their number
+ */
+struct pool_account {
+    struct team_usage *team;
+    struct share_use use;
+    uint64_t order;
+    uint32_t index;
+    double ordered;
+    uint32_t n_ordered;
+};
+
+/**
+ * struct pool_shares - shares of client accounts in one pool; zeroed if they
+ *                      are off
+ * @accounts: struct pool_account by struct team_usage
+ * @capacity: of the hosts that take work, as of the last plan
+ * @free: what was free on them then
+ * @backlogs: struct share_backlog, the backlog of the pool by account and
+ *            priority
+ * @first: struct job, referenced; tried before the others, in this order
+ * @applied: @first was made since the pool is short of capacity
+ * @due_ms: when the order is to be made again
+ * @n_unplaced: number of unplaced jobs when it was made
+ * @logged_ms: when it was last logged that shares decided
+ */
+struct pool_shares {
+    GHashTable *accounts;
+    struct resources capacity;
+    struct resources free;
+    GArray *backlogs;
+    GPtrArray *first;
+    bool applied;
+    int64_t due_ms;
+    guint n_unplaced;
+    int64_t logged_ms;
+};
+
 enum {
     /* Slots by free processor capacity; a slot spans a quarter of a core of a
      * 16-core backend server. */
@@ -292,6 +336,7 @@
  * @unreconciled: some backend server of it is unreconciled, as of the last
  *                pass
  * @unseen: capacity on which runs of a previous leader may not be known
+ * @shares: shares of client accounts
  * @isolated_runs: runs beside which nothing else starts yet
  * @isolation_first: task that has waited longest for a backend server to
  *                   itself, as of the last pass; only compared
@@ -330,6 +375,7 @@
     struct demand_cycle cycle;
     int64_t hosts_ahead;
     int64_t next_peak_ms;
+    struct pool_shares shares;
     uint32_t isolated_runs;
     const struct job_task *isolation_first;
     const struct job_task *isolation_next;
@@ -438,6 +484,8 @@
  *              incarnation of their host
  * @waves: struct wave
  * @holds: struct hold
+ * @share_order: order of the jobs of one pool, kept for its memory
+ * @share_orders: counts such orders
  * @dirty: jobs with progress to store, referenced
  * @to_register: ids of backend servers to register
  * @to_release: ids of backend servers whose record is to be deleted
@@ -507,6 +555,8 @@
     GPtrArray *contenders;
     GPtrArray *waves;
     GPtrArray *holds;
+    struct share_order share_order;
+    uint64_t share_orders;
     GQueue dirty;
     GPtrArray *to_register;
     GPtrArray *to_release;
@@ -1008,7 +1058,7 @@
 
 /* pool_load.c */
 void
-sched_record_arrival(struct scheduler *sched, const struct job *job);
+sched_record_arrival(struct scheduler *sched, struct job *job);
 void
 sched_measure_pools(struct scheduler *sched);
 /* Thousandths of a core that can work on the pool's jobs. */
@@ -1019,9 +1069,42 @@
 pool_load_wanted_hosts(const struct pool_load *load, int64_t now_ms);
 
 /* scheduler_shares.c */
-/* Orders the ranked jobs of a pool by the shares of their client accounts. */
+/* Decides which of the ranked jobs of a pool are tried first, and in which
+ * order, by the shares of their client accounts. */
 void
 sched_share_order(struct scheduler *sched, struct pool_load *pool);
+/* Counts a run that starts or ends as use of its account. */
+void
+sched_share_count_run(struct scheduler *sched, struct run *run,
+                      int64_t factor);
+void
+sched_share_clear(struct pool_load *pool);
+
+/* share_admission.c */
+/* Weight of a client account; 0: none. */
+int64_t
+sched_team_weight(const struct scheduler *sched, struct team_usage *team);
+/* Priority of the jobs of @queue; 0: none, and the highest. */
+int64_t
+sched_share_priority(const struct scheduler *sched,
+                     const struct queue_config *queue);
+/* Counts a backend server that takes work, for the plan. */
+void
+sched_share_add_capacity(const struct scheduler *sched,
+                         const struct backend *backend);
+/* Sets the backlogs of all accounts and the capacity to zero, for the plan. */
+void
+sched_share_reset(struct scheduler *sched, struct pool_load *pool);
+/* Adds work of @job to the backlog of its account.
+ * @attainable: it can still meet its objective */
+void
+sched_share_add_backlog(struct scheduler *sched, struct job *job,
+                        double millicore_ms, bool attainable);
+/* scheduler_pool_behind() with shares or priorities: work that may come before
+ * a new job in addition to @backlog_millicore_ms. */
+double
+sched_share_late_millicore_ms(const struct scheduler *sched,
+                              const struct pool_load *pool);
 /* scheduler_refusal_ms() with shares or priorities. */
 int64_t
 sched_share_refusal_ms(struct scheduler *sched, const struct pool_load *pool,
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -379,6 +379,9 @@
                "starts_stale_total %" G_GUINT64_FORMAT "\n"
                "demand_forecasts_total %" G_GUINT64_FORMAT "\n"
                "demand_forecasts_missed_total %" G_GUINT64_FORMAT "\n"
+               "share_passes_total %" G_GUINT64_FORMAT "\n"
+               "share_accepted_total %" G_GUINT64_FORMAT "\n"
+               "share_refused_total %" G_GUINT64_FORMAT "\n"
                "shed_level %d\n"
                "start_window %u\nstarts_in_flight %u\n"
                "loop_lag_ms %" G_GINT64_FORMAT "\n"
@@ -397,6 +400,7 @@
                stats.runs, stats.backends, stats.backends_unreconciled,
                stats.started, stats.done, stats.failed, stats.lost,
                stats.stale_numbers, stats.forecasts, stats.forecasts_missed,
+               stats.share_passes, stats.share_accepted, stats.share_refused,
                (int)stats.shed, stats.start_window, stats.starts_in_flight,
                stats.loop_lag_ms, stats.preemptions, stats.preempted,
                stats.holds, stats.reservations, stats.reservations_made,
--- a/include/core/jobs/backend.h
+++ b/include/core/jobs/backend.h
@@ -106,6 +106,7 @@
  * @adopted: a previous leader has started it
  * @saved_seen_ms: @age_ms in the first report with its last checkpoint; -1:
  *                 none has shown a new one
+ * @account: counts it as use of a pool; NULL: nothing does
  */
 struct run {
     uint64_t handle;
@@ -145,6 +146,7 @@
     struct pool_load *isolated_in;
     bool adopted;
     int64_t saved_seen_ms;
+    struct pool_account *account;
 };
 
 /** run_step() - the step that @run belongs to. */
--- a/include/core/jobs/job.h
+++ b/include/core/jobs/job.h
@@ -229,6 +229,7 @@
 struct queue_config;
 struct pool_load;
 struct team_usage;
+struct pool_account;
 
 /**
  * struct job_refs - a job's queue, pool and client account, by reference
@@ -236,12 +237,17 @@
  * @queue: NULL if the queue was removed since the job was submitted
  * @pool: pool that runs its tasks, NULL if there is none
  * @team: use of its client account
+ * @account: use of @pool by that account, NULL: not looked up yet
+ * @backlog: entry of @pool that counts its work, plus one, see
+ *           scheduler_shares.c; 0: not looked up yet
  */
 struct job_refs {
     uint64_t generation;
     const struct queue_config *queue;
     struct pool_load *pool;
     struct team_usage *team;
+    struct pool_account *account;
+    uint32_t backlog;
 };
 
 /**
@@ -280,6 +286,9 @@
  * @left_pool_version: version of the progress that contains @left_pool
  * @rank: its position in the job order at the last pass
  * @remaining: what is left of it, for the job order
+ * @share_pass: last pass that tried it where the share of its account has put
+ *              it
+ * @share_listed: last order that left it there, see scheduler_shares.c
  * @refs: what the scheduler looks up once for it
  * @active_index: its position among the active jobs of its scheduler
  * @reservations: reservations of capacity for its waiting tasks
@@ -321,6 +330,8 @@
     uint64_t left_pool_version;
     struct job_rank rank;
     struct job_remaining remaining;
+    uint64_t share_pass;
+    uint64_t share_listed;
     struct job_refs refs;
     uint32_t active_index;
     uint32_t reservations;
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -505,6 +505,11 @@
  * @reservations_moved: moves of one to a better backend server
  * @reservations_used: tasks with a reservation that were started
  * @backfilled: tasks started on a backend server that is reserved for another
+ * @share_passes: passes over a pool in which shares of client accounts decided
+ *                which jobs come first
+ * @share_accepted: jobs accepted by the share of their account or by their
+ *                  priority that the backlog of the pool would have refused
+ * @share_refused: jobs refused likewise that it would have accepted
  * @shed: what is shed because of overload
  * @start_window: start commands that may be without an answer at once
  * @starts_in_flight: start commands without an answer
@@ -530,6 +535,9 @@
     uint64_t reservations_moved;
     uint64_t reservations_used;
     uint64_t backfilled;
+    uint64_t share_passes;
+    uint64_t share_accepted;
+    uint64_t share_refused;
     enum shed_level shed;
     uint32_t start_window;
     uint32_t starts_in_flight;
