--- a/tests/jobs/process_fixture.c
+++ b/tests/jobs/process_fixture.c
@@ -77,6 +77,17 @@
     return fixture.first_port + PORT_ROUTES + entry;
 }
 
+/* Further members of the settings, each with a comma before it. */
+static const char *limit_members = "";
+static const char *connection_members = "";
+
+void
+fixture_limit_connections(const char *limits, const char *connections)
+{
+    limit_members = limits;
+    connection_members = connections;
+}
+
 void
 start_entry_host(int entry)
 {
@@ -90,11 +101,12 @@
         "\"127.0.0.1:%d\",\"value_bytes\":%d},\"cloud\":{\"address\":\"127.0."
         "0.1:%d\"},"
         "\"advice\":\"127.0.0.1:%d\","
-        "\"limits\":{\"cpu_share\":0.5},\"bounds\":{\"stop_ms\":200,"
+        "\"limits\":{\"cpu_share\":0.5%s},\"bounds\":{\"stop_ms\":200,"
         "\"move_s\":1,\"maintenance_s\":1,\"grace_s\":2,\"max_hold_ms\":6000,"
-        "\"config_ms\":2000,\"lease_ms\":3000}}",
+        "\"config_ms\":2000,\"lease_ms\":3000}%s}",
         entry, port + 2, port + 5, port, port + 1, store_port,
-        STORE_VALUE_BYTES, fixture.first_port + 1, fixture.first_port + 1);
+        STORE_VALUE_BYTES, fixture.first_port + 1, fixture.first_port + 1,
+        limit_members, connection_members);
     char *file = g_strdup_printf("%s/entry-%d.json", fixture.directory, entry);
     char *log = g_strdup_printf("%s/entry-%d.log", fixture.directory, entry);
     char *program =
--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -73,6 +73,15 @@
 void
 fixture_limit_teams(int maximum_milli);
 
+/**
+ * fixture_limit_connections() - limits of the entry hosts of the next
+ *                               fixture_set_up()
+ * @limits: members to add to "limits", each with a comma before it
+ * @connections: members to add to the settings, each with a comma before it
+ */
+void
+fixture_limit_connections(const char *limits, const char *connections);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
