jobs: bound what clients can make an entry host hold

Clients that pipeline requests and read no responses made a process read without a bound: libevent keeps filling a connection's input while its response is unsent, the readiness, metrics and peer addresses had no limit of headers or bodies, and nothing bounded the number of connections.

Each listening address now has its own share of open connections and buffered bytes. net/http_connections.c accounts for input, output and the memory of the request being read or served, sets the read watermark (read_ahead_bytes while a request is served or its response is unsent, the longest request otherwise), and carries out what core/connection_limits.c decides: the connection without progress for the longest time is closed, a request being served never; a request that is complete while requests being served hold all memory gets 503 with Retry-After and is not passed on. After a failed accept() the listening socket rests for 100 ms. The settings have "connections"; defaults come from limits.memory_mb and limits.max_fds (3,000 connections and 40 MB at 4,100 and 160 MB).

The other process tests of the job daemon were not run on this code.

--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -18,7 +18,13 @@
 #include "platform/ingress.h"
 
 enum {
-    METRICS_BYTES = 2048,
+    METRICS_BYTES = 4096,
+    /* Until the configuration is read, and for the addresses that it doesn't
+     * limit. */
+    HEADER_BYTES_MAX = 16384,
+    BODY_BYTES_MAX = 262144,
+    /* Health checks and requests for metrics have no body. */
+    SMALL_BODY_BYTES_MAX = 16384,
 };
 
 struct frontend_counters {
@@ -347,6 +353,38 @@
     http_exchange_reply(exchange, ready ? 200 : 503, NULL);
 }
 
+/* Lines about the limits of one address; the name of each begins with that of
+ * the address. */
+static void
+add_server_metrics(GString *text, const char *name,
+                   const struct http_server_stats *stats)
+{
+    g_string_append_printf(
+        text,
+        "%s_connections_open %u\n%s_buffered_bytes %" G_GSIZE_FORMAT "\n"
+        "%s_connections_closed_total %" G_GUINT64_FORMAT "\n"
+        "%s_buffers_closed_total %" G_GUINT64_FORMAT "\n"
+        "%s_buffers_refused_total %" G_GUINT64_FORMAT "\n"
+        "%s_accept_failed_total %" G_GUINT64_FORMAT "\n",
+        name, stats->open, name, stats->buffered_bytes, name,
+        stats->closed_open, name, stats->closed_bytes, name, stats->refused,
+        name, stats->accept_failures);
+}
+
+static void
+add_connection_metrics(GString *text, const struct frontend *frontend)
+{
+    struct http_server_stats stats;
+    http_server_stats(frontend->callers, &stats);
+    add_server_metrics(text, "callers", &stats);
+    peers_server_stats(frontend->node->peers, &stats);
+    add_server_metrics(text, "peers", &stats);
+    http_server_stats(frontend->health, &stats);
+    add_server_metrics(text, "health", &stats);
+    http_server_stats(frontend->metrics, &stats);
+    add_server_metrics(text, "metrics", &stats);
+}
+
 static void
 on_metrics(void *ctx, struct http_exchange *exchange)
 {
@@ -354,36 +392,49 @@
     const struct frontend_counters *counters = &frontend->counters;
     struct sched_stats stats;
     leader_stats(frontend->node->leader, &stats);
-    char text[METRICS_BYTES];
-    g_snprintf(text, sizeof(text),
-               "requests_total %" G_GUINT64_FORMAT "\n"
-               "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
-               "requests_refused_total %" G_GUINT64_FORMAT "\n"
-               "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
-               "requests_not_found_total %" G_GUINT64_FORMAT "\n"
-               "requests_invalid_total %" G_GUINT64_FORMAT "\n"
-               "requests_unknown_total %" G_GUINT64_FORMAT "\n"
-               "scheduler_held %d\n"
-               "config_fresh %d\n"
-               "jobs_active %u\nruns %u\nbackends %u\n"
-               "backends_unsettled %u\n"
-               "runs_started_total %" G_GUINT64_FORMAT "\n"
-               "tasks_done_total %" G_GUINT64_FORMAT "\n"
-               "runs_failed_total %" G_GUINT64_FORMAT "\n"
-               "runs_lost_total %" G_GUINT64_FORMAT "\n"
-               "starts_stale_total %" G_GUINT64_FORMAT "\n"
-               "shed_level %d\n"
-               "start_window %u\nstarts_in_flight %u\n"
-               "loop_lag_ms %" G_GINT64_FORMAT "\n",
-               counters->requests, counters->accepted, counters->refused,
-               counters->unauthorized, counters->not_found, counters->invalid,
-               counters->unknown, leadership_held(frontend->node->leadership),
-               config_feed_fresh(frontend->node->feed), stats.jobs_active,
-               stats.runs, stats.backends, stats.backends_unreconciled,
-               stats.started, stats.done, stats.failed, stats.lost,
-               stats.stale_numbers, (int)stats.shed, stats.start_window,
-               stats.starts_in_flight, stats.loop_lag_ms);
-    http_exchange_reply(exchange, 200, text);
+    GString *text = g_string_sized_new(METRICS_BYTES);
+    g_string_printf(
+        text,
+        "requests_total %" G_GUINT64_FORMAT "\n"
+        "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
+        "requests_refused_total %" G_GUINT64_FORMAT "\n"
+        "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
+        "requests_not_found_total %" G_GUINT64_FORMAT "\n"
+        "requests_invalid_total %" G_GUINT64_FORMAT "\n"
+        "requests_unknown_total %" G_GUINT64_FORMAT "\n"
+        "scheduler_held %d\n"
+        "config_fresh %d\n"
+        "jobs_active %u\nruns %u\nbackends %u\n"
+        "backends_unsettled %u\n"
+        "runs_started_total %" G_GUINT64_FORMAT "\n"
+        "tasks_done_total %" G_GUINT64_FORMAT "\n"
+        "runs_failed_total %" G_GUINT64_FORMAT "\n"
+        "runs_lost_total %" G_GUINT64_FORMAT "\n"
+        "starts_stale_total %" G_GUINT64_FORMAT "\n"
+        "shed_level %d\n"
+        "start_window %u\nstarts_in_flight %u\n"
+        "loop_lag_ms %" G_GINT64_FORMAT "\n",
+        counters->requests, counters->accepted, counters->refused,
+        counters->unauthorized, counters->not_found, counters->invalid,
+        counters->unknown, leadership_held(frontend->node->leadership),
+        config_feed_fresh(frontend->node->feed), stats.jobs_active, stats.runs,
+        stats.backends, stats.backends_unreconciled, stats.started, stats.done,
+        stats.failed, stats.lost, stats.stale_numbers, (int)stats.shed,
+        stats.start_window, stats.starts_in_flight, stats.loop_lag_ms);
+    add_connection_metrics(text, frontend);
+    http_exchange_reply(exchange, 200, text->str);
+    g_string_free(text, TRUE);
+}
+
+static void
+server_bound(struct http_server *server,
+             const struct connection_settings *settings,
+             enum listen_address address, int64_t body_bytes)
+{
+    struct http_server_bounds bounds =
+        connection_settings_bounds(settings, address);
+    http_server_bound(server, &bounds);
+    http_server_limit(server, HEADER_BYTES_MAX, body_bytes, 0);
 }
 
 struct frontend *
@@ -402,6 +453,12 @@
         frontend_destroy(frontend);
         return NULL;
     }
+    const struct connection_settings *settings = &node->settings->connections;
+    server_bound(frontend->callers, settings, LISTEN_CALLERS, BODY_BYTES_MAX);
+    server_bound(frontend->health, settings, LISTEN_HEALTH,
+                 SMALL_BODY_BYTES_MAX);
+    server_bound(frontend->metrics, settings, LISTEN_METRICS,
+                 SMALL_BODY_BYTES_MAX);
     return frontend;
 }
 
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -19,6 +19,9 @@
     RELAY_TIMEOUT_MS = 2500,
     RELAY_STATUS_NO_ANSWER = 504,
     RELAY_STATUS_NOT_SENT = 503,
+    PEER_HEADER_BYTES_MAX = 65536,
+    /* A relayed write holds up to 15 jobs of 256 KB, which JSON may double. */
+    PEER_BODY_BYTES_MAX = 16 * 1024 * 1024,
 };
 
 #define PATH_SUBMIT "/submit"
@@ -182,6 +185,14 @@
         peers_destroy(peers);
         return NULL;
     }
+    struct http_server_bounds bounds =
+        connection_settings_bounds(&node->settings->connections, LISTEN_PEERS);
+    bounds.retry_header = HEADER_RETRY_AFTER_MS;
+    http_server_bound(peers->server, &bounds);
+    /* One body never takes all memory of this address. */
+    int64_t body_bytes = (int64_t)bounds.buffered_bytes_max / 4 * 3;
+    http_server_limit(peers->server, PEER_HEADER_BYTES_MAX,
+                      MIN(body_bytes, PEER_BODY_BYTES_MAX), 0);
     return peers;
 }
 
@@ -196,6 +207,12 @@
     g_free(peers);
 }
 
+void
+peers_server_stats(const struct peers *peers, struct http_server_stats *stats)
+{
+    http_server_stats(peers->server, stats);
+}
+
 static struct http_client *
 client_of(struct peers *peers, const char *address)
 {
--- a/include/egretjobd/peers.h
+++ b/include/egretjobd/peers.h
@@ -5,6 +5,7 @@
 #include "egretjobd/job_call.h"
 #include "egretjobd/node.h"
 #include "net/http_client.h"
+#include "net/http_server.h"
 
 /** peers_create() - listen for peers; NULL if the address can't be bound. */
 struct peers *
@@ -12,6 +13,10 @@
 void
 peers_destroy(struct peers *peers);
 
+/** peers_server_stats() - use of the address for peers. */
+void
+peers_server_stats(const struct peers *peers, struct http_server_stats *stats);
+
 /** peers_call() - forward a caller's request to the process at @address;
  * JOB_ANSWER_USE_STORE if it can't answer, JOB_ANSWER_UNANSWERED if it
  * doesn't. */
--- a/include/net/http_server.h
+++ b/include/net/http_server.h
@@ -8,16 +8,19 @@
 #include <stdint.h>
 
 struct http_server;
+struct http_connection;
 struct evhttp_request;
 
 /**
  * struct http_exchange - a request that waits for its reply
  * @request: the library's request
  * @server: server that received it
+ * @connection: connection that it came by
  */
 struct http_exchange {
     struct evhttp_request *request;
     struct http_server *server;
+    struct http_connection *connection;
 };
 
 /**
@@ -38,6 +41,53 @@
 http_server_limit(struct http_server *server, int64_t header_bytes,
                   int64_t body_bytes, int64_t idle_ms);
 
+/**
+ * struct http_server_bounds - what all connections of a server may use
+ * @name: names the server in the log; must outlive it
+ * @retry_header: header of a refusal that gives the delay in ms, beside
+ *                Retry-After in whole seconds; NULL: none
+ * @open_max: open connections
+ * @buffered_bytes_max: memory of requests, whole or not, and of responses that
+ *                      are not sent yet
+ * @read_ahead_bytes: what is read of a connection while its request is served
+ *                    or its response isn't sent yet; a request may be larger
+ */
+struct http_server_bounds {
+    const char *name;
+    const char *retry_header;
+    uint32_t open_max;
+    size_t buffered_bytes_max;
+    size_t read_ahead_bytes;
+};
+
+/** http_server_bound() - set what all connections together may use; it isn't
+ * bounded before. */
+void
+http_server_bound(struct http_server *server,
+                  const struct http_server_bounds *bounds);
+
+/**
+ * struct http_server_stats - use of a server and what its bounds have caused
+ * @open: open connections
+ * @buffered_bytes: see struct http_server_bounds
+ * @closed_open: connections closed as too many were open
+ * @closed_bytes: connections closed as buffers held too much
+ * @refused: requests refused as buffers held too much
+ * @accept_failures: connections that the system could not accept
+ */
+struct http_server_stats {
+    uint32_t open;
+    size_t buffered_bytes;
+    uint64_t closed_open;
+    uint64_t closed_bytes;
+    uint64_t refused;
+    uint64_t accept_failures;
+};
+
+void
+http_server_stats(const struct http_server *server,
+                  struct http_server_stats *stats);
+
 /** http_server_disable_keep_alive() - close each connection after its next
  * reply. */
 void
--- a/include/platform/job_settings.h
+++ b/include/platform/job_settings.h
@@ -7,6 +7,7 @@
 
 #include "common/findings.h"
 #include "core/jobs/scheduler.h"
+#include "platform/connection_settings.h"
 
 /**
  * struct job_settings - settings of one egretjobd process
@@ -25,6 +26,7 @@
  * @value_bytes_max: longest value that the store accepts
  * @min_ttl_ms: shortest time to live of a lease that the store grants
  * @timings: time limits of the scheduler
+ * @connections: limits of connections to the addresses
  * @policy: features of the scheduler that are switched on
  */
 struct job_settings {
@@ -43,6 +45,7 @@
     size_t value_bytes_max;
     int64_t min_ttl_ms;
     struct sched_timings timings;
+    struct connection_settings connections;
     struct sched_policy policy;
 };
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,19 +1,49 @@
 #include "net/http_server.h"
 
+#include "net/http_connections.h"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+    /* Defaults of a server that serves its own programs. Without a limit of
+     * headers a line that never ends is read for ever. */
+    HEADER_BYTES_DEFAULT = 65536,
+    BODY_BYTES_DEFAULT = 64 * 1024 * 1024,
+    /* A refusal holds until requests being served have their replies, which
+     * takes most of them less than a second. */
+    REFUSAL_RETRY_MS = 1000,
+};
+
 struct http_server {
     struct evhttp *http;
+    struct http_connections *connections;
+    const char *retry_header;
+    int64_t header_bytes;
+    int64_t body_bytes;
     void (*handle)(void *ctx, struct http_exchange *exchange);
     void *ctx;
     uint32_t open_exchanges;
     bool keep_alive_disabled;
 };
 
+static void
+refuse(struct http_server *server, struct http_exchange *exchange)
+{
+    char text[24];
+    g_snprintf(text, sizeof(text), "%d", (REFUSAL_RETRY_MS + 999) / 1000);
+    http_exchange_add_header(exchange, "Retry-After", text);
+    if (server->retry_header != NULL) {
+        g_snprintf(text, sizeof(text), "%d", REFUSAL_RETRY_MS);
+        http_exchange_add_header(exchange, server->retry_header, text);
+    }
+    http_exchange_add_header(exchange, "Connection", "close");
+    http_exchange_reply(exchange, 503, NULL);
+}
+
 static void
 on_request(struct evhttp_request *request, void *ctx)
 {
@@ -21,7 +51,12 @@
     struct http_exchange *exchange = g_new0(struct http_exchange, 1);
     exchange->request = request;
     exchange->server = server;
+    exchange->connection = http_connections_find(server->connections, request);
     server->open_exchanges++;
+    if (!http_connection_serve(exchange->connection, request)) {
+        refuse(server, exchange);
+        return;
+    }
     server->handle(server->ctx, exchange);
 }
 
@@ -43,13 +78,15 @@
                           EVHTTP_REQ_PUT | EVHTTP_REQ_HEAD);
     evhttp_set_gencb(server->http, on_request, server);
     char *host = g_strndup(address, (gsize)(colon - address));
-    int bound = evhttp_bind_socket(server->http, host,
-                                   (ev_uint16_t)strtoul(colon + 1, NULL, 10));
+    struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(
+        server->http, host, (ev_uint16_t)strtoul(colon + 1, NULL, 10));
     g_free(host);
-    if (bound != 0) {
+    if (bound == NULL) {
         http_server_destroy(server);
         return NULL;
     }
+    server->connections = http_connections_create(base, server->http, bound);
+    http_server_limit(server, HEADER_BYTES_DEFAULT, BODY_BYTES_DEFAULT, 0);
     return server;
 }
 
@@ -59,7 +96,13 @@
     if (server == NULL) {
         return;
     }
+    if (server->connections != NULL) {
+        http_connections_detach(server->connections);
+    }
     evhttp_free(server->http);
+    if (server->connections != NULL) {
+        http_connections_destroy(server->connections);
+    }
     g_free(server);
 }
 
@@ -68,11 +111,16 @@
                   int64_t body_bytes, int64_t idle_ms)
 {
     if (header_bytes > 0) {
+        server->header_bytes = header_bytes;
         evhttp_set_max_headers_size(server->http, header_bytes);
     }
     if (body_bytes > 0) {
+        server->body_bytes = body_bytes;
         evhttp_set_max_body_size(server->http, body_bytes);
     }
+    http_connections_set_request_max(server->connections,
+                                     (size_t)server->header_bytes,
+                                     (size_t)server->body_bytes);
     if (idle_ms > 0) {
         struct timeval idle = {
             .tv_sec = idle_ms / 1000,
@@ -82,6 +130,21 @@
     }
 }
 
+void
+http_server_bound(struct http_server *server,
+                  const struct http_server_bounds *bounds)
+{
+    server->retry_header = bounds->retry_header;
+    http_connections_bound(server->connections, bounds);
+}
+
+void
+http_server_stats(const struct http_server *server,
+                  struct http_server_stats *stats)
+{
+    http_connections_stats(server->connections, stats);
+}
+
 void
 http_server_disable_keep_alive(struct http_server *server)
 {
@@ -162,6 +225,7 @@
         http_exchange_add_header(exchange, "Connection", "close");
     }
     server->open_exchanges--;
+    http_connection_reply(exchange->connection);
     evhttp_send_reply(exchange->request, status, NULL, NULL);
     g_free(exchange);
 }
--- a/tests/jobs/settings_test.c
+++ b/tests/jobs/settings_test.c
@@ -141,6 +141,110 @@
     }
 }
 
+static struct job_settings *
+settings_with(const char *members)
+{
+    char *text = g_strdup_printf(
+        "{\"node_name\":\"n\",\"zone\":\"dc\",\"ip\":\"127.0.0.1\","
+        "\"internal_ports\":[7000],\"listen\":{\"front\":\"127.0.0.1:1\","
+        "\"ready\":\"127.0.0.1:2\"},\"platform\":{\"address\":"
+        "\"127.0.0.1:3\"},\"cloud\":{\"address\":\"127.0.0.1:4\"}%s}",
+        members);
+    char *path = NULL;
+    int file = g_file_open_tmp("settings-XXXXXX", &path, NULL);
+    CU_ASSERT_FATAL(file >= 0);
+    g_close(file, NULL);
+    CU_ASSERT_FATAL(g_file_set_contents(path, text, -1, NULL));
+    struct findings *findings = findings_create();
+    struct job_settings *settings = job_settings_read(path, findings);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    findings_destroy(findings);
+    g_remove(path);
+    g_free(path);
+    g_free(text);
+    return settings;
+}
+
+static bool
+connections_accepted(const char *connections, const char *place)
+{
+    char *text = g_strdup_printf(
+        "{\"node_name\":\"n\",\"zone\":\"dc\",\"ip\":\"127.0.0.1\","
+        "\"internal_ports\":[7000],\"listen\":{\"front\":\"127.0.0.1:1\","
+        "\"ready\":\"127.0.0.1:2\"},\"platform\":{\"address\":"
+        "\"127.0.0.1:3\"},\"cloud\":{\"address\":\"127.0.0.1:4\"},"
+        "\"connections\":%s}",
+        connections);
+    bool read = text_accepted(text, place);
+    g_free(text);
+    return read;
+}
+
+/* Guards against a limit that is misspelt or malformed and silently
+ * replaced by its default. */
+static void
+test_connections(void)
+{
+    CU_ASSERT(connections_accepted("{}", NULL));
+    CU_ASSERT(
+        connections_accepted("{\"open_max\":3000,\"read_ahead_bytes\":32768,"
+                             "\"buffered_bytes_max\":40000000}",
+                             NULL));
+    CU_ASSERT_FALSE(connections_accepted("[]", "$.connections"));
+    CU_ASSERT_FALSE(
+        connections_accepted("{\"open\":3000}", "$.connections.open"));
+    static const char *const names[] = {"open_max", "read_ahead_bytes",
+                                        "buffered_bytes_max"};
+    static const char *const values[] = {"0",        "-1",        "true",
+                                         "\"3000\"", "4000000.5", "1e300"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *place = g_strdup_printf("$.connections.%s", names[i]);
+        for (size_t j = 0; j < G_N_ELEMENTS(values); j++) {
+            char *text = g_strdup_printf("{\"%s\":%s}", names[i], values[j]);
+            CU_ASSERT_FALSE(connections_accepted(text, place));
+            g_free(text);
+        }
+        g_free(place);
+    }
+}
+
+/* Guards against defaults that exceed the memory or the descriptors of an
+ * entry host, and against shares that exceed the whole. */
+static void
+test_connection_defaults(void)
+{
+    static const struct {
+        const char *members;
+        int64_t open_max;
+        int64_t bytes_max;
+    } cases[] = {
+        {"", 3000, 40000000},
+        {",\"limits\":{\"memory_mb\":160,\"max_fds\":4100}", 3000, 40000000},
+        {",\"limits\":{\"memory_mb\":512,\"max_fds\":8192}", 6147, 128000000},
+        {",\"limits\":{\"memory_mb\":1,\"max_fds\":1}", 64, 4000000},
+        {",\"limits\":{\"memory_mb\":\"x\",\"max_fds\":-1}", 3000, 40000000},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct job_settings *settings = settings_with(cases[i].members);
+        CU_ASSERT_EQUAL(settings->connections.open_max, cases[i].open_max);
+        CU_ASSERT_EQUAL(settings->connections.buffered_bytes_max,
+                        cases[i].bytes_max);
+        uint32_t open = 0;
+        size_t bytes = 0;
+        for (int j = 0; j < LISTEN_COUNT; j++) {
+            struct http_server_bounds bounds = connection_settings_bounds(
+                &settings->connections, (enum listen_address)j);
+            CU_ASSERT(bounds.open_max > 0);
+            CU_ASSERT(bounds.buffered_bytes_max > 0);
+            open += bounds.open_max;
+            bytes += bounds.buffered_bytes_max;
+        }
+        CU_ASSERT(open <= cases[i].open_max);
+        CU_ASSERT(bytes <= (size_t)cases[i].bytes_max);
+        job_settings_destroy(settings);
+    }
+}
+
 int
 main(void)
 {
@@ -149,6 +253,8 @@
         {"an address that is none", test_address_that_is_none},
         {"a port out of range", test_port_out_of_range},
         {"switches of the scheduler", test_scheduling},
+        {"limits of connections", test_connections},
+        {"defaults of connection limits", test_connection_defaults},
     };
     return suite_main("jobs settings", tests,
                       sizeof(tests) / sizeof(tests[0]));
