--- a/tests/jobs/process_fixture.h
+++ b/tests/jobs/process_fixture.h
@@ -83,6 +83,15 @@
 void
 fixture_set_config(const char *path);
 
+/**
+ * fixture_limit_connections() - limits of the entry hosts of the next
+ *                               fixture_set_up()
+ * @limits: members to add to "limits", each with a comma before it
+ * @connections: members to add to the settings, each with a comma before it
+ */
+void
+fixture_limit_connections(const char *limits, const char *connections);
+
 /** fixture_set_up() - start all processes on ports from @first_port on. */
 void
 fixture_set_up(int first_port, bool proxied);
