egretjobd: the scheduler's metrics in a file of their own

The page of metrics had grown to a format of forty values in frontend.c, which each new part of the scheduler had to extend in two places. They are a table of names and values now; the names are unchanged.

--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -14,6 +14,7 @@
 #include "egretjobd/leadership.h"
 #include "egretjobd/peers.h"
 #include "egretjobd/records.h"
+#include "egretjobd/scheduler_metrics.h"
 #include "net/http_server.h"
 #include "platform/decode.h"
 #include "platform/ingress.h"
@@ -398,52 +399,22 @@
     struct sched_stats stats;
     leader_stats(frontend->node->leader, &stats);
     GString *text = g_string_sized_new(METRICS_BYTES);
-    g_string_printf(
-        text,
-        "requests_total %" G_GUINT64_FORMAT "\n"
-        "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
-        "requests_refused_total %" G_GUINT64_FORMAT "\n"
-        "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
-        "requests_not_found_total %" G_GUINT64_FORMAT "\n"
-        "requests_invalid_total %" G_GUINT64_FORMAT "\n"
-        "requests_unknown_total %" G_GUINT64_FORMAT "\n"
-        "scheduler_held %d\n"
-        "config_fresh %d\n"
-        "jobs_active %u\nruns %u\nbackends %u\n"
-        "backends_unsettled %u\n"
-        "runs_started_total %" G_GUINT64_FORMAT "\n"
-        "tasks_done_total %" G_GUINT64_FORMAT "\n"
-        "runs_failed_total %" G_GUINT64_FORMAT "\n"
-        "runs_lost_total %" G_GUINT64_FORMAT "\n"
-        "starts_stale_total %" G_GUINT64_FORMAT "\n"
-        "demand_forecasts_total %" G_GUINT64_FORMAT "\n"
-        "demand_forecasts_missed_total %" G_GUINT64_FORMAT "\n"
-        "share_passes_total %" G_GUINT64_FORMAT "\n"
-        "share_accepted_total %" G_GUINT64_FORMAT "\n"
-        "share_refused_total %" G_GUINT64_FORMAT "\n"
-        "shed_level %d\n"
-        "start_window %u\nstarts_in_flight %u\n"
-        "loop_lag_ms %" G_GINT64_FORMAT "\n"
-        "preemptions_total %" G_GUINT64_FORMAT "\n"
-        "runs_preempted_total %" G_GUINT64_FORMAT "\n"
-        "preemption_holds %u\n"
-        "reservations %u\n"
-        "reservations_made_total %" G_GUINT64_FORMAT "\n"
-        "reservations_moved_total %" G_GUINT64_FORMAT "\n"
-        "reservations_used_total %" G_GUINT64_FORMAT "\n"
-        "tasks_backfilled_total %" G_GUINT64_FORMAT "\n",
-        counters->requests, counters->accepted, counters->refused,
-        counters->unauthorized, counters->not_found, counters->invalid,
-        counters->unknown, leadership_held(frontend->node->leadership),
-        config_feed_fresh(frontend->node->feed), stats.jobs_active, stats.runs,
-        stats.backends, stats.backends_unreconciled, stats.started, stats.done,
-        stats.failed, stats.lost, stats.stale_numbers, stats.forecasts,
-        stats.forecasts_missed, stats.share_passes, stats.share_accepted,
-        stats.share_refused, (int)stats.shed, stats.start_window,
-        stats.starts_in_flight, stats.loop_lag_ms, stats.preemptions,
-        stats.preempted, stats.holds, stats.reservations,
-        stats.reservations_made, stats.reservations_moved,
-        stats.reservations_used, stats.backfilled);
+    g_string_printf(text,
+                    "requests_total %" G_GUINT64_FORMAT "\n"
+                    "jobs_accepted_total %" G_GUINT64_FORMAT "\n"
+                    "requests_refused_total %" G_GUINT64_FORMAT "\n"
+                    "requests_unauthorized_total %" G_GUINT64_FORMAT "\n"
+                    "requests_not_found_total %" G_GUINT64_FORMAT "\n"
+                    "requests_invalid_total %" G_GUINT64_FORMAT "\n"
+                    "requests_unknown_total %" G_GUINT64_FORMAT "\n"
+                    "scheduler_held %d\n"
+                    "config_fresh %d\n",
+                    counters->requests, counters->accepted, counters->refused,
+                    counters->unauthorized, counters->not_found,
+                    counters->invalid, counters->unknown,
+                    leadership_held(frontend->node->leadership),
+                    config_feed_fresh(frontend->node->feed));
+    scheduler_metrics_add(text, &stats);
     add_connection_metrics(text, frontend);
     http_exchange_reply(exchange, 200, text->str);
     g_string_free(text, TRUE);
