--- a/tests/jobs/load_world.h
+++ b/tests/jobs/load_world.h
@@ -20,7 +20,7 @@
  * @lost: it does not answer any more
  */
 struct world_backend {
-    char id[8];
+    char id[16];
     GPtrArray *runs;
     GArray *ends;
     int64_t next_completion;
