--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -40,6 +40,10 @@
 /* Jobs that callers give up. */
 static struct caller_queue abandoned;
 
+#define ALL_FEATURES                                                          \
+    "{\"account_shares\":true,\"queue_priorities\":true,"                     \
+    "\"reservations\":true,\"demand_forecast\":true}"
+
 static uint32_t seed;
 static int first_port;
 static const char *violated_invariant;
@@ -280,6 +284,8 @@
 run_seed(void)
 {
     bool limited = seed % 2 == 1;
+    /* Two of four seeds each with and without, of both kinds above. */
+    fixture_set_scheduling(seed / 2 % 2 == 0 ? ALL_FEATURES : NULL);
     fixture_limit_teams(limited ? MAXIMUM_MILLI : 0);
     fixture_set_up(first_port, true);
     abandoned = fixture.quick;
