jobs: a leader without a configuration stores jobs without a crash

A leader that takes over may store a new job before it has read the configuration. Shares ask for the weight of the job's account then, and the lookup went through a null pointer.

jobs-share-admission has the case: it crashes before and passes after.

--- a/core/jobs/scheduler_refs.c
+++ b/core/jobs/scheduler_refs.c
@@ -19,6 +19,10 @@
 const struct team_config *
 sched_team_config(const struct scheduler *sched, struct team_usage *usage)
 {
+    /* A leader may store jobs before it has read the configuration. */
+    if (sched->config == NULL) {
+        return NULL;
+    }
     if (usage->generation != sched->generation) {
         usage->generation = sched->generation;
         usage->config = fleet_config_team(sched->config, usage->team);
--- a/tests/jobs/share_admission_test.c
+++ b/tests/jobs/share_admission_test.c
@@ -216,6 +216,36 @@
     share_world_clear(&world);
 }
 
+/* A leader that takes over stores new jobs before it has read the
+ * configuration. Guards against a crash then, and against jobs that are not
+ * placed once the configuration is there. */
+static void
+test_without_configuration(void)
+{
+    static const char steps[] =
+        "[{\"count\":1,\"cpu\":1000,\"mem_mb\":100,\"estimate_ms\":500}]";
+    struct fleet_fixture f;
+    const struct sched_policy policy = {.account_shares = true,
+                                        .queue_priorities = true,
+                                        .reservations = true,
+                                        .demand_forecast = true};
+    fixture_init(&f, 1);
+    scheduler_set_policy(f.sched, &policy);
+    scheduler_configure(f.sched, NULL);
+    fixture_add_job(&f, "00000000000000aa", "p", steps);
+    CU_ASSERT_EQUAL(
+        scheduler_refusal_ms(f.sched, "p",
+                             scheduler_find_job(f.sched, "00000000000000aa")),
+        0);
+    fixture_tick(&f, f.now_ms + 100);
+    scheduler_configure(f.sched, f.config);
+    fixture_add_backend(&f, "b1", "p", "m1");
+    fixture_reconcile(&f);
+    fixture_tick(&f, f.now_ms + 100);
+    CU_ASSERT_EQUAL(fixture_count(&f, COMMAND_START, "b1"), 1);
+    fixture_clear(&f);
+}
+
 int
 main(void)
 {
@@ -225,6 +255,7 @@
         {"a smaller weight", test_smaller_weight},
         {"an account whose share is free", test_free_share},
         {"services and timed jobs", test_exempt},
+        {"no configuration yet", test_without_configuration},
     };
     return suite_main("jobs share admission", tests, G_N_ELEMENTS(tests));
 }
