--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -14,7 +14,9 @@
 import time
 import urllib.parse
 
-LOOPBACK = "127.0.0.1"
+# An address of its own: the ports of connections that others make are taken
+# from those of 127.0.0.1.
+LOOPBACK = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
 
 
 def now_ms():
@@ -319,6 +321,11 @@
         self.starts = []
         self.ends = []
         self.gangs = {}
+        # Jobs of queues with advice, checkpoints by task or gang, and starts
+        # with a checkpoint that isn't theirs.
+        self.advised = set()
+        self.saved = {}
+        self.foreign = []
 
     def add(self, job_id, body, behave=None):
         """behave(task, run) -> (duration_ms, how) or None for the estimate."""
@@ -452,7 +459,10 @@
         if run is None:
             return
         self.tombs[task] = max(self.tombs.get(task, 0), run["run"])
-        self.ended.append([self.next_end, task, run["run"], how, ""])
+        if how == "stopped":
+            self.save(task, run)
+        self.ended.append([self.next_end, task, run["run"], how,
+                           run["saved"]])
         self.next_end += 1
         self.platform.tasks.ends.append(
             {"task": task, "run": run["run"], "worker": self.id, "how": how,
@@ -504,6 +514,9 @@
                     self.end(task, run["how"])
                 continue
             run["percent"] = min(99, age * 100 // max(run["duration_ms"], 1))
+            if age - run.get("saved_age", 0) >= 200:
+                run["saved_age"] = age
+                self.save(task, run)
             if age >= run["duration_ms"]:
                 if step.get("gang") and run["how"] == "done":
                     for w, t in list(self.platform.tasks.gangs.get(
@@ -584,6 +597,16 @@
                    for k in used)
         if over and self.guards:
             return self.refuse("room")
+        if (job_id := task.split(".")[0]) in self.platform.tasks.advised and (
+                not self.platform.ticket_valid(task, self,
+                                               value.get("ticket"))):
+            return self.refuse("ticket")
+        saved = value.get("saved", "")
+        if saved and saved not in self.platform.tasks.saved.get(
+                self.saved_key(task), ()):
+            self.say("start_foreign_saved", task=task, run=number, saved=saved,
+                     job=job_id)
+            self.platform.tasks.foreign.append(task)
         duration_ms, how = self.platform.tasks.plan(task, number)
         run = {"run": number, "at_ms": now_ms(), "work_from": now_ms(),
                "percent": 0, "duration_ms": duration_ms, "how": how,
@@ -594,11 +617,24 @@
                 self.gang_key(task, run), []).append((self, task))
         self.platform.tasks.starts.append(
             {"task": task, "run": number, "worker": self.id,
-             "at_ms": now_ms(), "over": over})
+             "at_ms": now_ms(), "over": over, "w": self,
+             "born": self.born})
         self.say("started", task=task, run=number,
                  token=value["fencing_token"], spec=value.get("spec"))
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
+    def saved_key(self, task):
+        gang = self.platform.tasks.step_of(task).get("gang")
+        return task.rsplit(".", 1)[0] if gang else task
+
+    def save(self, task, run):
+        """A checkpoint, where the step has them."""
+        if not self.platform.tasks.step_of(task).get("checkpointing"):
+            return
+        run["saved"] = f"{task}-{run['run']}-{run['percent']}"
+        self.platform.tasks.saved.setdefault(
+            self.saved_key(task), set()).add(run["saved"])
+
     def stop_run(self, value):
         task, number = value["task"], value["run"]
         self.say("stop", task=task, run=number)
@@ -673,9 +709,27 @@
 
     async def on_advice(self, method, path, query, headers, body):
         value = json.loads(body)
+        if "workers" not in value:
+            return 400, None
         await asyncio.sleep(0.05 + 0.01 * len(value["workers"]))
-        return 200, {"good": [[w, f"t-{w}"] for w in value["workers"]],
-                     "valid_ms": 3000}
+        return 200, {"good": [
+            [w, self.ticket(value["step"], w)] for w in value["workers"]
+            if self.advised(value["step"], w)], "valid_ms": 3000}
+
+    def advised(self, step, worker_id):
+        """Whether the policy lets the worker run the step."""
+        return True
+
+    def ticket(self, step, worker_id):
+        worker = self.workers.get(worker_id)
+        born = 0 if worker is None else worker.born
+        return f"{step}/{worker_id}/{born}/{now_ms() + 3000}"
+
+    def ticket_valid(self, task, worker, ticket):
+        parts = (ticket or "").split("/")
+        return (len(parts) == 4 and parts[0] == task.rsplit(".", 1)[0] and
+                parts[1] == worker.id and parts[2] == str(worker.born) and
+                int(parts[3]) >= now_ms())
 
     async def on_cloud(self, method, path, query, headers, body):
         if self.cloud_fault is not None:
