jobs: log and count how late the leader is and what its answers rest on

Queue lengths under half of what was accepted, and starts after a cancel, have four explanations that the logs could not tell apart: slow passes over the messages of other entry hosts, answers before the first pass, passes that count as whole with reads open or left out, and late commands.

New events: inbox_pass (how long, messages, fetched, failed, left out, age of the oldest), queue_length (answers on messages read over a second ago), cancel_left, leader_late and start_sent_late. New metrics: inbox_age_ms, inbox_pass_ms, inbox_messages, inbox_left_out. No decision is changed.

--- a/core/jobs/scheduler_runs.c
+++ b/core/jobs/scheduler_runs.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common/text.h"
 #include "core/jobs/gang.h"
 #include "core/jobs/stall.h"
 #include "scheduler_state.h"
@@ -13,6 +14,8 @@
     /* Samples of one clock that were taken up to the time-out of an answer
      * apart, read backwards, differ by less. */
     CLOCK_MARGIN_MS = 300,
+    /* A start command that waits this long for a connection is logged. */
+    START_LATE_MS = 300,
 };
 
 void
@@ -493,8 +496,17 @@
 scheduler_start_sent(struct scheduler *sched, uint64_t handle, bool known)
 {
     struct run *run = g_hash_table_lookup(sched->runs, &handle);
-    if (run != NULL) {
-        run->known_connection = known;
+    if (run == NULL) {
+        return;
+    }
+    run->known_connection = known;
+    int64_t waited_ms = sched_now(sched) - run->started_ms;
+    if (waited_ms >= START_LATE_MS) {
+        sched_log_event(sched, "start_sent_late",
+                        "\"job\":\"%s\",\"backend\":%s,"
+                        "\"after_ms\":%" G_GINT64_FORMAT,
+                        run->job->id, text_quote(run->backend->entry.id),
+                        waited_ms);
     }
 }
 
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -389,6 +389,20 @@
     add_server_metrics(text, "metrics", &stats);
 }
 
+static void
+add_inbox_metrics(GString *text, const struct frontend *frontend)
+{
+    struct inbox_stats stats;
+    leader_inbox_stats(frontend->node->leader, &stats);
+    g_string_append_printf(text,
+                           "inbox_age_ms %" G_GINT64_FORMAT "\n"
+                           "inbox_pass_ms %" G_GINT64_FORMAT "\n"
+                           "inbox_messages %u\n"
+                           "inbox_left_out %u\n",
+                           stats.age_ms, stats.pass_ms, stats.messages,
+                           stats.left_out);
+}
+
 static void
 on_metrics(void *ctx, struct http_exchange *exchange)
 {
@@ -417,6 +431,7 @@
                     leadership_held(frontend->node->leadership),
                     config_feed_fresh(frontend->node->feed));
     scheduler_metrics_add(text, &stats);
+    add_inbox_metrics(text, frontend);
     add_connection_metrics(text, frontend);
     http_exchange_reply(exchange, 200, text->str);
     g_string_free(text, TRUE);
--- a/egretjobd/job_queries.c
+++ b/egretjobd/job_queries.c
@@ -1,5 +1,6 @@
 #include "egretjobd/job_queries.h"
 
+#include "common/event_log.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
 #include "platform/decode.h"
@@ -147,6 +148,7 @@
                 int status)
 {
     if (result->outcome == KV_OK) {
+        event_log("cancel_left", "\"job\":\"%s\"", query->id);
         query_finish(query, status, NULL);
     }
     else if (result->outcome == KV_CONFLICT &&
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -22,6 +22,12 @@
     TICK_DELAY_MAX_MS = 50,
     HOST_LIST_INTERVAL_MS = 1000,
     HOST_LIST_INTERVAL_SHED_MS = 3000,
+    /* A scheduling pass that begins this late is logged, at most once in
+     * LATE_LOG_INTERVAL_MS. */
+    LOOP_LATE_MS = 200,
+    LATE_LOG_INTERVAL_MS = 1000,
+    /* Answers that rest on older messages are logged. */
+    INBOX_AGE_LOGGED_MS = 1000,
 };
 
 void
@@ -51,6 +57,20 @@
     set_tick(leader, leader->tick_delay_ms);
 }
 
+static void
+log_late_pass(struct leader *leader, int64_t begin_ms, int64_t pass_ms)
+{
+    int64_t lag_ms = begin_ms - leader->tick_due_ms;
+    if (lag_ms < LOOP_LATE_MS ||
+        begin_ms - leader->late_logged_ms < LATE_LOG_INTERVAL_MS) {
+        return;
+    }
+    leader->late_logged_ms = begin_ms;
+    event_log("leader_late",
+              "\"lag_ms\":%" G_GINT64_FORMAT ",\"pass_ms\":%" G_GINT64_FORMAT,
+              lag_ms, pass_ms);
+}
+
 static void
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
@@ -67,6 +87,7 @@
     int64_t next_ms = scheduler_tick(leader->sched);
     /* Passes take a bounded fraction of a slow core. */
     int64_t pass_ms = node_now(leader->node) - begin_ms;
+    log_late_pass(leader, begin_ms, pass_ms);
     leader->tick_delay_ms =
         CLAMP(pass_ms * TICK_DELAY_PER_PASS, TICK_DELAY_MS, TICK_DELAY_MAX_MS);
     if (scheduler_fenced(leader->sched)) {
@@ -480,6 +501,23 @@
     leader_store_changes(leader);
 }
 
+static void
+handle_queue_length(struct leader *leader, const struct job_call *call,
+                    struct job_reply reply)
+{
+    int64_t waiting = scheduler_waiting(leader->sched, call->queue);
+    int64_t age_ms = leader_inbox_age_ms(leader);
+    if (age_ms < 0 || age_ms > INBOX_AGE_LOGGED_MS) {
+        event_log("queue_length",
+                  "\"queue\":%s,\"waiting\":%" G_GINT64_FORMAT
+                  ",\"inbox_age_ms\":%" G_GINT64_FORMAT,
+                  text_quote(call->queue), waiting, age_ms);
+    }
+    char *body = encode_queue_length(waiting);
+    reply_with(&reply, 200, body);
+    g_free(body);
+}
+
 void
 leader_handle_call(struct leader *leader, const struct job_call *call,
                    struct job_reply reply)
@@ -489,7 +527,6 @@
         return;
     }
     leader_update_validity(leader);
-    char *body;
     switch (call->kind) {
     case JOB_CALL_SUBMIT:
         handle_submit(leader, call, reply);
@@ -501,10 +538,7 @@
         handle_cancel(leader, call, reply);
         break;
     case JOB_CALL_QUEUE_LENGTH:
-        body =
-            encode_queue_length(scheduler_waiting(leader->sched, call->queue));
-        reply_with(&reply, 200, body);
-        g_free(body);
+        handle_queue_length(leader, call, reply);
         break;
     }
 }
@@ -530,6 +564,18 @@
     return record;
 }
 
+void
+leader_inbox_stats(const struct leader *leader, struct inbox_stats *stats)
+{
+    *stats = (struct inbox_stats){0};
+    if (leader_ready(leader)) {
+        stats->age_ms = leader_inbox_age_ms(leader);
+        stats->pass_ms = leader->inbox_pass.took_ms;
+        stats->messages = leader->inbox_pass.messages;
+        stats->left_out = leader->inbox_pass.left_out;
+    }
+}
+
 void
 leader_stats(const struct leader *leader, struct sched_stats *stats)
 {
--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+#include "common/event_log.h"
 #include "egretjobd/records.h"
 
 enum {
@@ -17,6 +18,9 @@
     /* Per transaction: a condition and a deletion for each message, and a
      * condition on the leader's record. */
     DELETES_MAX = 15,
+    /* Passes that take longer, or find jobs that have waited longer, are
+     * logged; others take some milliseconds. */
+    PASS_LATE_MS = 1000,
 };
 
 /**
@@ -29,16 +33,48 @@
     bool cancel;
 };
 
+/* Logs a pass that was late or left messages unread. */
+static void
+log_pass(struct leader *leader)
+{
+    struct inbox_pass *pass = &leader->inbox_pass;
+    pass->took_ms = node_now(leader->node) - leader->inbox_requested_ms;
+    if (pass->left_out == 0 && pass->took_ms < PASS_LATE_MS &&
+        pass->oldest_ms < PASS_LATE_MS) {
+        return;
+    }
+    event_log("inbox_pass",
+              "\"took_ms\":%" G_GINT64_FORMAT ",\"messages\":%u,"
+              "\"fetched\":%u,\"failed\":%u,\"left_out\":%u,"
+              "\"oldest_ms\":%" G_GINT64_FORMAT,
+              pass->took_ms, pass->messages, pass->fetched, pass->failed,
+              pass->left_out, pass->oldest_ms);
+}
+
 /* Sets when the next pass begins, once nothing of this one is open. */
 static void
 next_pass(struct leader *leader)
 {
     if (!leader->inbox_reading && leader->inbox_fetches == 0) {
+        log_pass(leader);
         timer_set(leader->inbox_timer,
                   leader->inbox_progress ? 0 : INBOX_INTERVAL_MS);
     }
 }
 
+/* Notes how long a job that was found has waited to be read. */
+static void
+note_age(struct leader *leader, const char *id)
+{
+    const struct job *job = scheduler_find_job(leader->sched, id);
+    if (job != NULL) {
+        int64_t age_ms =
+            ms_clock_now(&leader->node->unix_clock) - job->accepted_unix_ms;
+        leader->inbox_pass.oldest_ms =
+            MAX(leader->inbox_pass.oldest_ms, age_ms);
+    }
+}
+
 static void
 on_job(void *ctx, const struct kv_result *result)
 {
@@ -48,6 +84,7 @@
     if (result->outcome == KV_OK && result->items->len > 0) {
         leader_add_stored_job(leader, fetch->id,
                               g_ptr_array_index(result->items, 0));
+        note_age(leader, fetch->id);
         if (fetch->cancel) {
             scheduler_cancel(leader->sched, fetch->id);
         }
@@ -59,6 +96,9 @@
         g_hash_table_add(leader->inbox_obsolete, g_strdup(fetch->id));
         leader->inbox_progress = true;
     }
+    else {
+        leader->inbox_pass.failed++;
+    }
     g_free(fetch->id);
     g_free(fetch);
     next_pass(leader);
@@ -68,8 +108,10 @@
 fetch_job(struct leader *leader, const char *id, bool cancel)
 {
     if (leader->inbox_fetches >= FETCH_MAX) {
+        leader->inbox_pass.left_out++;
         return;
     }
+    leader->inbox_pass.fetched++;
     struct inbox_fetch *fetch = g_new0(struct inbox_fetch, 1);
     fetch->leader = leader;
     fetch->id = g_strdup(id);
@@ -164,6 +206,7 @@
     }
     leader_update_validity(leader);
     struct inbox_deletes deletes = {.leader = leader};
+    leader->inbox_pass.messages += result->items->len;
     for (guint i = 0; i < result->items->len; i++) {
         const struct kv_item *item = g_ptr_array_index(result->items, i);
         const char *id = item->key + strlen(RECORD_INBOX_PREFIX);
@@ -183,6 +226,7 @@
         return;
     }
     scheduler_cancels_read(leader->sched, leader->inbox_requested_ms);
+    leader->inbox_known_ms = leader->inbox_requested_ms;
     leader->inbox_reading = false;
     next_pass(leader);
 }
@@ -197,8 +241,17 @@
 void
 leader_read_inbox(struct leader *leader)
 {
+    leader->inbox_pass = (struct inbox_pass){0};
     leader->inbox_progress = false;
     leader->inbox_reading = true;
     leader->inbox_requested_ms = node_now(leader->node);
     read_page(leader, NULL);
 }
+
+int64_t
+leader_inbox_age_ms(const struct leader *leader)
+{
+    return leader->inbox_known_ms == 0
+               ? -1
+               : node_now(leader->node) - leader->inbox_known_ms;
+}
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -72,6 +72,24 @@
     int64_t sent_ms;
 };
 
+/**
+ * struct inbox_pass - one pass over the inbox
+ * @took_ms: from its first request to its last answer
+ * @messages: messages listed
+ * @fetched: unknown jobs that were requested
+ * @failed: those that got no answer
+ * @left_out: unknown jobs that were not requested in this pass
+ * @oldest_ms: how long ago the oldest job that it found was accepted
+ */
+struct inbox_pass {
+    int64_t took_ms;
+    uint32_t messages;
+    uint32_t fetched;
+    uint32_t failed;
+    uint32_t left_out;
+    int64_t oldest_ms;
+};
+
 /**
  * struct leader - the scheduler with its connections and unstored results
  * @token: fencing token of this leadership
@@ -89,6 +107,10 @@
  * @inbox_progress: one of them was found, or is certainly not stored
  * @inbox_reading: a pass over the inbox is open
  * @inbox_requested_ms: when the pass over the inbox that is open was begun
+ * @inbox_known_ms: when the last pass that listed all messages was begun; 0:
+ *                  none since the takeover
+ * @inbox_pass: the open pass, else the last one
+ * @late_logged_ms: when a late pass of the scheduler was last logged
  * @inbox_obsolete: ids of jobs that messages name and that are not stored
  * @cancels: struct cancel_waiter
  * @wave_status: number of a maintenance wave to the status stored last
@@ -136,6 +158,9 @@
     bool inbox_progress;
     bool inbox_reading;
     int64_t inbox_requested_ms;
+    int64_t inbox_known_ms;
+    struct inbox_pass inbox_pass;
+    int64_t late_logged_ms;
     GHashTable *inbox_obsolete;
     struct record_range ranges[STAGE_READY];
     GPtrArray *cancels;
@@ -177,6 +202,10 @@
 /* leader_inbox.c */
 void
 leader_read_inbox(struct leader *leader);
+/* How long ago the last pass that listed all messages was begun; -1: there was
+ * none since the takeover. */
+int64_t
+leader_inbox_age_ms(const struct leader *leader);
 
 /* leader_store.c */
 void
