tests: a queue's length that leaves out unread inbox messages (red)

Callers saw lengths of queues under half of the jobs that had been accepted over 5 s before. Other entry hosts store such jobs with a message for the leader, which reads 32 of them in a pass, however many there are, and answers with those that it knows.

From 5 s after the last one on, each length that any entry host answers with 200 has to count at least 150; 503 is allowed. Once the store is normal again, all entry hosts have to answer with 300 within 5 s.

--- /dev/null
+++ b/tests/jobs/slow_leader_process_test.c
@@ -0,0 +1,156 @@
+/* A leader that learns late of jobs that other entry hosts stored for it,
+ * since the store is slow. */
+#include <stdio.h>
+#include <string.h>
+
+#include "process_fixture.h"
+
+enum {
+    /* A queue's length counts jobs that were accepted this long before: the
+     * time after which callers can see a job, and the age of an answer. */
+    COUNTED_AFTER_MS = 3000 + 2000,
+    WAITING_JOBS = 300,
+    WAITING_STORE_DELAY_MS = 150,
+    WAITING_WATCH_MS = 4000,
+};
+
+/* A task that no backend server may run. */
+static const char waiting_body[] =
+    "{\\\"spec\\\":\\\"ms=200\\\",\\\"steps\\\":[{\\\"count\\\":1,"
+    "\\\"cpu\\\":900,\\\"estimate_ms\\\":200,\\\"requires\\\":\\\"none\\\"}]}";
+
+static void
+put_key(const char *prefix, const char *id, const char *value)
+{
+    char *path = g_strdup_printf("/put/%s%s", prefix, id);
+    http_call_sync(fixture.base, fixture.admin, "POST", path, NULL, value,
+                   NULL);
+    g_free(path);
+}
+
+/* Stores a job with a message, as an entry host does that can't reach the
+ * leader. @body: escaped as part of a JSON text */
+static void
+store_job(const char *id, const char *queue, const char *pool,
+          const char *body, const char *message)
+{
+    char *record =
+        g_strdup_printf("{\"queue\":\"%s\",\"pool\":\"%s\",\"team\":\"skela\","
+                        "\"attempts\":3,\"accepted_unix_ms\":%" G_GINT64_FORMAT
+                        ",\"body\":\"%s\"}",
+                        queue, pool, g_get_real_time() / 1000, body);
+    put_key("eg/job/", id, record);
+    put_key("eg/inbox/", id, message);
+    g_free(record);
+}
+
+static void
+store_waiting_jobs(int n_jobs)
+{
+    for (int i = 0; i < n_jobs; i++) {
+        char *id = g_strdup_printf("%016x", 0x1000 + i);
+        store_job(id, "plan-render", "plans", waiting_body, "job");
+        g_free(id);
+    }
+}
+
+static void
+delay_store(int delay_ms)
+{
+    char *faults =
+        delay_ms == 0
+            ? g_strdup("{\"routes\":\"store-*\",\"clear\":true}")
+            : g_strdup_printf("{\"routes\":\"store-*\",\"delay_ms\":%d}",
+                              delay_ms);
+    http_call_sync(fixture.base, fixture.proxy_admin, "POST",
+                   "/standin/faults", NULL, faults, NULL);
+    g_free(faults);
+}
+
+/* Length of the queue of the waiting jobs as an entry host answers it; -1: it
+ * answers that it doesn't know now. */
+static int
+queue_length(int entry)
+{
+    char *body = NULL;
+    int length = -1;
+    int status = http_call_sync(fixture.base, fixture.frontends[entry], "GET",
+                                "/plan/", "key-skela", NULL, &body);
+    if (status == 200) {
+        CU_ASSERT_FATAL(body != NULL &&
+                        sscanf(body, "{\"waiting\":%d}", &length) == 1);
+    }
+    else {
+        CU_ASSERT_EQUAL(status, 503);
+    }
+    g_free(body);
+    return length;
+}
+
+/* Asks all entry hosts for @duration_ms; returns how many answers leave out
+ * more than half of the waiting jobs. */
+static int
+watch_queue_length(int64_t duration_ms)
+{
+    int64_t end_ms = g_get_monotonic_time() / 1000 + duration_ms;
+    int least = WAITING_JOBS;
+    int answers = 0;
+    int low = 0;
+    while (g_get_monotonic_time() / 1000 < end_ms) {
+        for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+            int length = queue_length(i);
+            if (length >= 0) {
+                answers++;
+                low += length < WAITING_JOBS / 2;
+                least = MIN(least, length);
+            }
+        }
+        run_for(100, false);
+    }
+    printf("%d answers, %d too low, least %d ", answers, low, least);
+    return low;
+}
+
+/* The store is normal again: each entry host answers with the right length in
+ * time. */
+static void
+check_queue_length_returns(void)
+{
+    int64_t end_ms = g_get_monotonic_time() / 1000 + COUNTED_AFTER_MS;
+    int right = 0;
+    while (right < ENTRY_HOST_COUNT &&
+           g_get_monotonic_time() / 1000 < end_ms) {
+        right = 0;
+        for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+            right += queue_length(i) == WAITING_JOBS;
+        }
+        run_for(100, false);
+    }
+    CU_ASSERT_EQUAL(right, ENTRY_HOST_COUNT);
+}
+
+/* Entry hosts have left more jobs in the inbox than the leader reads from a
+ * slow store in time. It answered with the length that it knew. */
+static void
+test_queue_length_unread(void)
+{
+    run_for(1000, false);
+    CU_ASSERT_FATAL(find_leader() >= 0);
+    delay_store(WAITING_STORE_DELAY_MS);
+    store_waiting_jobs(WAITING_JOBS);
+    run_for(COUNTED_AFTER_MS, false);
+    CU_ASSERT_EQUAL(watch_queue_length(WAITING_WATCH_MS), 0);
+    delay_store(0);
+    check_queue_length_returns();
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
+static const struct scenario scenarios[] = {
+    {"queue-length-unread", test_queue_length_unread, .proxied = true},
+};
+
+int
+main(int argc, char **argv)
+{
+    return scenario_main(argc, argv, scenarios, G_N_ELEMENTS(scenarios));
+}
