tests: a cancel whose job had no room in the pass that listed it (red)

A task of a cancelled job started later than its cancel allows. The leader counts cancels as read once it has listed all messages. One whose job it doesn't know only takes effect when the job is read, and a pass reads 32 jobs in the order of ids.

No task may start, the bound of cancel_ms being 3 s, and the job has to be cancelled once the messages are read.

A cancel whose job could not be read, for a failed call, is not tested.

--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -1,5 +1,5 @@
-/* A leader that learns late of jobs that other entry hosts stored for it,
- * since the store is slow. */
+/* A leader that learns late of jobs and cancels that other entry hosts stored
+ * for it, since the store is slow. */
 #include <stdio.h>
 #include <string.h>
 
@@ -12,12 +12,22 @@
     WAITING_JOBS = 300,
     WAITING_STORE_DELAY_MS = 150,
     WAITING_WATCH_MS = 4000,
+    /* The bound of the entry hosts' default settings. */
+    CANCEL_MS = 3000,
+    /* More than the leader reads in all passes until the cancel binds. */
+    CANCEL_FILLER_JOBS = 300,
+    CANCEL_STORE_DELAY_MS = 100,
+    /* Passes over the messages go on meanwhile. */
+    CANCEL_WATCH_MS = 3000,
 };
 
 /* A task that no backend server may run. */
 static const char waiting_body[] =
     "{\\\"spec\\\":\\\"ms=200\\\",\\\"steps\\\":[{\\\"count\\\":1,"
     "\\\"cpu\\\":900,\\\"estimate_ms\\\":200,\\\"requires\\\":\\\"none\\\"}]}";
+static const char quick_body[] =
+    "{\\\"spec\\\":\\\"ms=200\\\",\\\"steps\\\":[{\\\"count\\\":2,"
+    "\\\"cpu\\\":900,\\\"estimate_ms\\\":200}]}";
 
 static void
 put_key(const char *prefix, const char *id, const char *value)
@@ -67,6 +77,45 @@
     g_free(faults);
 }
 
+/* Passes list the message of a cancel, but have no room to read its job. The
+ * leader learns of the job from a late repetition of its submission and must
+ * not start it. */
+static void
+test_cancel_left_out(void)
+{
+    static const char id[] = "ffffffffffffff01";
+    /* The backend servers get their records. */
+    run_for(2000, true);
+    run_until_finished();
+    int leader = find_leader();
+    CU_ASSERT_FATAL(leader >= 0);
+    delay_store(CANCEL_STORE_DELAY_MS);
+    store_waiting_jobs(CANCEL_FILLER_JOBS);
+    store_job(id, "draft-notice", "notices", quick_body, "cancel");
+    send_request(fixture.admin, "POST", "/cancelled/ffffffffffffff01");
+    run_for(CANCEL_MS + 100, false);
+    int64_t starts = emulator_stat("checks");
+    int status = http_call_sync(fixture.base, fixture.frontends[leader],
+                                "POST", "/draft/ffffffffffffff01", "key-skela",
+                                "{\"spec\":\"ms=200\",\"steps\":[{\"count\":2,"
+                                "\"cpu\":900,\"estimate_ms\":200}]}",
+                                NULL);
+    run_for(CANCEL_WATCH_MS, false);
+    printf("submitted again: %d, %ld starts ", status,
+           (long)(emulator_stat("checks") - starts));
+    /* Nothing else can start. */
+    CU_ASSERT_EQUAL(emulator_stat("checks"), starts);
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+    /* It is known as cancelled once the messages are read. */
+    delay_store(0);
+    run_for(CANCEL_WATCH_MS, false);
+    char *body = NULL;
+    http_call_sync(fixture.base, fixture.frontends[leader], "GET",
+                   "/draft/ffffffffffffff01", "key-skela", NULL, &body);
+    CU_ASSERT(body != NULL && strstr(body, "cancelled") != NULL);
+    g_free(body);
+}
+
 /* Length of the queue of the waiting jobs as an entry host answers it; -1: it
  * answers that it doesn't know now. */
 static int
@@ -147,6 +196,7 @@
 
 static const struct scenario scenarios[] = {
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
+    {"cancel-left-out", test_cancel_left_out, .proxied = true},
 };
 
 int
