tests: a queue's length from a leader that has just taken over (red)

Callers saw lengths of queues under half of the jobs that had been accepted over 5 s before. A leader that has read its records answers at once, without the jobs that other entry hosts stored after it had read those of jobs: the passes over their messages begin only then, and read 32 jobs each.

Once the store is normal again, all entry hosts have to answer with 300 within 5 s.

--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -1,5 +1,6 @@
 /* A leader that learns late of jobs and cancels that other entry hosts stored
  * for it, since the store is slow. */
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -12,6 +13,15 @@
     WAITING_JOBS = 300,
     WAITING_STORE_DELAY_MS = 150,
     WAITING_WATCH_MS = 4000,
+    /* Records of progress that a new leader reads for seconds, page after
+     * page. */
+    TAKEOVER_RECORDS = 4000,
+    TAKEOVER_STORE_DELAY_MS = 250,
+    /* Expiry of the lease, and the claim on a slow store. */
+    TAKEOVER_MS = 8000,
+    /* The claim is followed by the first reads. */
+    TAKEOVER_READS_BEGIN_MS = 1000,
+    TAKEOVER_WATCH_MS = 10000,
     /* The bound of the entry hosts' default settings. */
     CANCEL_MS = 3000,
     /* More than the leader reads in all passes until the cancel binds. */
@@ -194,9 +204,50 @@
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
 }
 
+/* Waits until an entry host leads. */
+static int
+wait_leader(int64_t timeout_ms)
+{
+    int64_t end_ms = g_get_monotonic_time() / 1000 + timeout_ms;
+    int leader = find_leader();
+    while (leader < 0 && g_get_monotonic_time() / 1000 < end_ms) {
+        run_for(50, false);
+        leader = find_leader();
+    }
+    return leader;
+}
+
+/* Entry hosts store jobs while a new leader still reads its records. Its first
+ * answers left them out. */
+static void
+test_queue_length_takeover(void)
+{
+    run_for(1000, false);
+    int killed = find_leader();
+    CU_ASSERT_FATAL(killed >= 0);
+    for (int i = 0; i < TAKEOVER_RECORDS; i++) {
+        char *id = g_strdup_printf("%016x", 0x100000 + i);
+        put_key("eg/progress/", id, "{\"state\":\"completed\"}");
+        g_free(id);
+    }
+    delay_store(TAKEOVER_STORE_DELAY_MS);
+    end_process(&fixture.entry_pids[killed], SIGKILL);
+    CU_ASSERT_FATAL(wait_leader(TAKEOVER_MS) >= 0);
+    run_for(TAKEOVER_READS_BEGIN_MS, false);
+    store_waiting_jobs(WAITING_JOBS);
+    start_entry_host(killed);
+    wait_ready(killed);
+    run_for(COUNTED_AFTER_MS, false);
+    CU_ASSERT_EQUAL(watch_queue_length(TAKEOVER_WATCH_MS), 0);
+    delay_store(0);
+    check_queue_length_returns();
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
 static const struct scenario scenarios[] = {
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
+    {"queue-length-takeover", test_queue_length_takeover, .proxied = true},
 };
 
 int
