jobs: answer a queue's length only from messages that have been read

Callers got lengths under half of the jobs that had been accepted over 5 s before. Entry hosts whose calls the leader doesn't answer in 700 ms store a job themselves and leave a message. It answered from what it knew, and right after a takeover from records that it had requested before.

core/jobs/inbox_view.c keeps up to when all accepted jobs are known: up to the begin of a listing that was whole and all of whose reads have found their job, or the request for the job records after a takeover. A length that would rest on more than 2 s ago is refused with 503 and Retry-After. Reads are queued by the age of their messages, none is left out, and listings, with the cancels in them, no longer wait for reads. An obsolete message is told by its revision, so that a later message for the same job is read. A record that can't be read no longer makes the leader list without a pause.

--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -390,17 +390,15 @@
 }
 
 static void
-add_inbox_metrics(GString *text, const struct frontend *frontend)
+add_inbox_metrics(GString *text, const struct inbox_stats *stats)
 {
-    struct inbox_stats stats;
-    leader_inbox_stats(frontend->node->leader, &stats);
     g_string_append_printf(text,
                            "inbox_age_ms %" G_GINT64_FORMAT "\n"
                            "inbox_pass_ms %" G_GINT64_FORMAT "\n"
                            "inbox_messages %u\n"
-                           "inbox_left_out %u\n",
-                           stats.age_ms, stats.pass_ms, stats.messages,
-                           stats.left_out);
+                           "inbox_reads %u\n",
+                           stats->age_ms, stats->listing_ms, stats->messages,
+                           stats->reads);
 }
 
 static void
@@ -413,7 +411,8 @@
     }
     const struct frontend_counters *counters = &frontend->counters;
     struct sched_stats stats;
-    leader_stats(frontend->node->leader, &stats);
+    struct inbox_stats inbox;
+    leader_stats(frontend->node->leader, &stats, &inbox);
     GString *text = g_string_sized_new(METRICS_BYTES);
     g_string_printf(text,
                     "requests_total %" G_GUINT64_FORMAT "\n"
@@ -431,7 +430,7 @@
                     leadership_held(frontend->node->leadership),
                     config_feed_fresh(frontend->node->feed));
     scheduler_metrics_add(text, &stats);
-    add_inbox_metrics(text, frontend);
+    add_inbox_metrics(text, &inbox);
     add_connection_metrics(text, frontend);
     http_exchange_reply(exchange, 200, text->str);
     g_string_free(text, TRUE);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -26,8 +26,10 @@
      * LATE_LOG_INTERVAL_MS. */
     LOOP_LATE_MS = 200,
     LATE_LOG_INTERVAL_MS = 1000,
-    /* Answers that rest on older messages are logged. */
-    INBOX_AGE_LOGGED_MS = 1000,
+    /* A queue's length may be this old. */
+    QUEUE_LENGTH_AGE_MAX_MS = 2000,
+    /* A listing of the inbox is due each half second. */
+    QUEUE_LENGTH_RETRY_AFTER_MS = 500,
 };
 
 void
@@ -113,14 +115,6 @@
     leader_watch_backends(ctx);
 }
 
-static void
-on_inbox_timer(evutil_socket_t fd, short events, void *ctx)
-{
-    (void)fd;
-    (void)events;
-    leader_read_inbox(ctx);
-}
-
 static void
 on_store_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -208,12 +202,7 @@
     leader->backend_watch =
         kv_create(node->base, store, BACKEND_WATCH_TIMEOUT_MS,
                   store_route_any(node->store_route));
-    leader->inbox = kv_create(node->base, store, READ_TIMEOUT_MS,
-                              store_route_any(node->store_route));
-    for (size_t i = 0; i < INBOX_READ_COUNT; i++) {
-        leader->inbox_reads[i] = kv_create(node->base, store, READ_TIMEOUT_MS,
-                                           store_route_any(node->store_route));
-    }
+    leader->inbox = leader_inbox_create(leader);
     struct hosts_callbacks events = {
         .on_list = on_hosts,
         .may_command = host_commands_allowed,
@@ -230,7 +219,6 @@
     }
     leader->tick_timer = evtimer_new(node->base, on_tick, leader);
     leader->watch_timer = evtimer_new(node->base, on_watch_timer, leader);
-    leader->inbox_timer = evtimer_new(node->base, on_inbox_timer, leader);
     leader->hosts_timer = evtimer_new(node->base, on_hosts_timer, leader);
     leader->store_timer = evtimer_new(node->base, on_store_timer, leader);
     leader->backend_clients =
@@ -242,8 +230,6 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->unusable_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    leader->inbox_obsolete =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     leader->cancels = g_ptr_array_new();
     leader->wave_status =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -279,8 +265,10 @@
         return;
     }
     struct event *timers[] = {
-        leader->tick_timer,  leader->watch_timer, leader->inbox_timer,
-        leader->hosts_timer, leader->store_timer,
+        leader->tick_timer,
+        leader->watch_timer,
+        leader->hosts_timer,
+        leader->store_timer,
     };
     for (size_t i = 0; i < G_N_ELEMENTS(timers); i++) {
         event_free(timers[i]);
@@ -289,10 +277,7 @@
     kv_destroy(leader->reads);
     kv_destroy(leader->writes);
     kv_destroy(leader->backend_watch);
-    kv_destroy(leader->inbox);
-    for (size_t i = 0; i < INBOX_READ_COUNT; i++) {
-        kv_destroy(leader->inbox_reads[i]);
-    }
+    leader_inbox_destroy(leader->inbox);
     leader_load_destroy(leader);
     hosts_api_destroy(leader->hosts);
     advice_api_destroy(leader->advice);
@@ -302,7 +287,6 @@
     g_ptr_array_unref(leader->early_jobs);
     g_hash_table_unref(leader->listed_ids);
     g_hash_table_unref(leader->unusable_ids);
-    g_hash_table_unref(leader->inbox_obsolete);
     g_hash_table_unref(leader->wave_status);
     g_hash_table_unref(leader->wave_revisions);
     g_free(leader->wave_status_sent);
@@ -363,14 +347,11 @@
     if (scheduler_find_job(leader->sched, id) != NULL) {
         return;
     }
-    struct job *job = record_job_decode(id, value, bytes);
+    struct job *job = leader_decode_job(leader, id, value, bytes);
     if (job == NULL) {
-        event_log("record_unreadable", "\"job\":%s", text_quote(id));
         return;
     }
-    job->open_max =
-        record_open_max(job, leader->node->settings->value_bytes_max);
-    scheduler_add_job(leader->sched, job);
+    leader_add_job(leader, job);
     char *steps = job_describe(job);
     event_log("job_accepted",
               "\"job\":\"%s\",\"queue\":%s,\"pool\":%s,\"team\":%s,"
@@ -501,19 +482,24 @@
     leader_store_changes(leader);
 }
 
+/* Answers only with a number that counts the jobs that other entry hosts have
+ * accepted; the caller returns once their messages are read. */
 static void
 handle_queue_length(struct leader *leader, const struct job_call *call,
                     struct job_reply reply)
 {
-    int64_t waiting = scheduler_waiting(leader->sched, call->queue);
-    int64_t age_ms = leader_inbox_age_ms(leader);
-    if (age_ms < 0 || age_ms > INBOX_AGE_LOGGED_MS) {
-        event_log("queue_length",
-                  "\"queue\":%s,\"waiting\":%" G_GINT64_FORMAT
-                  ",\"inbox_age_ms\":%" G_GINT64_FORMAT,
-                  text_quote(call->queue), waiting, age_ms);
-    }
-    char *body = encode_queue_length(waiting);
+    int64_t age_ms = leader_inbox_age_ms(leader->inbox);
+    if (age_ms < 0 || age_ms > QUEUE_LENGTH_AGE_MAX_MS) {
+        struct job_answer refusal = {
+            .status = 503, .retry_after_ms = QUEUE_LENGTH_RETRY_AFTER_MS};
+        event_log("queue_length_unknown",
+                  "\"queue\":%s,\"inbox_age_ms\":%" G_GINT64_FORMAT,
+                  text_quote(call->queue), age_ms);
+        reply.call(reply.ctx, &refusal);
+        return;
+    }
+    char *body =
+        encode_queue_length(scheduler_waiting(leader->sched, call->queue));
     reply_with(&reply, 200, body);
     g_free(body);
 }
@@ -565,22 +551,13 @@
 }
 
 void
-leader_inbox_stats(const struct leader *leader, struct inbox_stats *stats)
-{
-    *stats = (struct inbox_stats){0};
-    if (leader_ready(leader)) {
-        stats->age_ms = leader_inbox_age_ms(leader);
-        stats->pass_ms = leader->inbox_pass.took_ms;
-        stats->messages = leader->inbox_pass.messages;
-        stats->left_out = leader->inbox_pass.left_out;
-    }
-}
-
-void
-leader_stats(const struct leader *leader, struct sched_stats *stats)
+leader_stats(const struct leader *leader, struct sched_stats *stats,
+             struct inbox_stats *inbox)
 {
     *stats = (struct sched_stats){0};
+    *inbox = (struct inbox_stats){0};
     if (leader != NULL) {
         scheduler_stats(leader->sched, stats);
+        leader_inbox_stats(leader->inbox, inbox);
     }
 }
--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -3,148 +3,241 @@
  * stored while it could not reach the leader. The inbox is polled, since a
  * watch may miss a change. A message is deleted once its effect is stored.
  */
-#include "leader_state.h"
+#include "egretjobd/leader_inbox.h"
 
 #include <string.h>
 
 #include "common/event_log.h"
+#include "core/jobs/inbox_view.h"
 #include "egretjobd/records.h"
+#include "leader_state.h"
 
 enum {
-    INBOX_INTERVAL_MS = 500,
-    /* Jobs read at once. Dozens of entry hosts that can't reach the leader
-     * may store jobs faster than one read after the other finds them. */
-    FETCH_MAX = 32,
+    CALL_TIMEOUT_MS = 1500,
+    LIST_INTERVAL_MS = 500,
+    /* After a listing with messages that weren't known yet. */
+    LIST_INTERVAL_BUSY_MS = 100,
+    /* Connections that read jobs and delete messages. */
+    CONNECTION_COUNT = 8,
+    /* Reads open at once; the calls of one connection wait for one another. */
+    READS_OPEN_MAX = 32,
     /* Per transaction: a condition and a deletion for each message, and a
      * condition on the leader's record. */
     DELETES_MAX = 15,
-    /* Passes that take longer, or find jobs that have waited longer, are
+    /* Listings that take longer, or find jobs that have waited longer, are
      * logged; others take some milliseconds. */
-    PASS_LATE_MS = 1000,
+    LISTING_LATE_MS = 1000,
 };
 
 /**
- * struct inbox_fetch - a read of the job that a message names
+ * struct inbox_read - a job that a message names and that has to be read
+ * @serial: of the listing that found the message
+ * @revision: of the message
  * @cancel: the message cancels it
  */
-struct inbox_fetch {
-    struct leader *leader;
+struct inbox_read {
+    struct leader_inbox *inbox;
     char *id;
+    uint32_t serial;
+    int64_t revision;
     bool cancel;
 };
 
-/* Logs a pass that was late or left messages unread. */
-static void
-log_pass(struct leader *leader)
-{
-    struct inbox_pass *pass = &leader->inbox_pass;
-    pass->took_ms = node_now(leader->node) - leader->inbox_requested_ms;
-    if (pass->left_out == 0 && pass->took_ms < PASS_LATE_MS &&
-        pass->oldest_ms < PASS_LATE_MS) {
-        return;
-    }
-    event_log("inbox_pass",
-              "\"took_ms\":%" G_GINT64_FORMAT ",\"messages\":%u,"
-              "\"fetched\":%u,\"failed\":%u,\"left_out\":%u,"
-              "\"oldest_ms\":%" G_GINT64_FORMAT,
-              pass->took_ms, pass->messages, pass->fetched, pass->failed,
-              pass->left_out, pass->oldest_ms);
-}
+/**
+ * struct leader_inbox - the messages and what is known of them
+ * @list: connection that lists them
+ * @calls: connections for reads and deletions
+ * @n_calls: calls sent on them
+ * @timer: begins the next listing
+ * @view: how recent the known jobs are
+ * @unknown: the open listing, else the last one, found messages about jobs
+ *           that weren't known
+ * @reads: id of a job to its struct inbox_read, waiting or open
+ * @waiting: struct inbox_read that aren't sent yet, oldest message first
+ * @n_open: reads that are sent
+ * @obsolete: id of a job that isn't stored to the revision of its message
+ * @listing: figures of the last listing
+ */
+struct leader_inbox {
+    struct leader *leader;
+    struct kv *list;
+    struct kv *calls[CONNECTION_COUNT];
+    uint32_t n_calls;
+    struct event *timer;
+    struct inbox_view view;
+    bool unknown;
+    GHashTable *reads;
+    GQueue waiting;
+    uint32_t n_open;
+    GHashTable *obsolete;
+    struct inbox_stats listing;
+};
 
-/* Sets when the next pass begins, once nothing of this one is open. */
-static void
-next_pass(struct leader *leader)
+/** struct inbox_deletes - messages to delete in one transaction */
+struct inbox_deletes {
+    struct leader_inbox *inbox;
+    struct kv_condition conditions[DELETES_MAX + 1];
+    const char *keys[DELETES_MAX];
+    size_t n_keys;
+};
+
+static struct kv *
+next_call(struct leader_inbox *inbox)
 {
-    if (!leader->inbox_reading && leader->inbox_fetches == 0) {
-        log_pass(leader);
-        timer_set(leader->inbox_timer,
-                  leader->inbox_progress ? 0 : INBOX_INTERVAL_MS);
-    }
+    return inbox->calls[inbox->n_calls++ % CONNECTION_COUNT];
 }
 
 /* Notes how long a job that was found has waited to be read. */
 static void
-note_age(struct leader *leader, const char *id)
+note_age(struct leader_inbox *inbox, const char *id)
 {
+    struct leader *leader = inbox->leader;
     const struct job *job = scheduler_find_job(leader->sched, id);
     if (job != NULL) {
         int64_t age_ms =
             ms_clock_now(&leader->node->unix_clock) - job->accepted_unix_ms;
-        leader->inbox_pass.oldest_ms =
-            MAX(leader->inbox_pass.oldest_ms, age_ms);
+        inbox->listing.oldest_ms = MAX(inbox->listing.oldest_ms, age_ms);
     }
 }
 
 static void
-on_job(void *ctx, const struct kv_result *result)
+read_free(void *data)
 {
-    struct inbox_fetch *fetch = ctx;
-    struct leader *leader = fetch->leader;
-    leader->inbox_fetches--;
-    if (result->outcome == KV_OK && result->items->len > 0) {
-        leader_add_stored_job(leader, fetch->id,
+    struct inbox_read *read = data;
+    g_free(read->id);
+    g_free(read);
+}
+
+static void
+send_reads(struct leader_inbox *inbox);
+
+/* @known: the job is known, or certainly not stored. */
+static void
+read_finish(struct inbox_read *read, bool known)
+{
+    struct leader_inbox *inbox = read->inbox;
+    inbox_view_read_done(&inbox->view, read->serial, known);
+    g_hash_table_remove(inbox->reads, read->id);
+}
+
+static void
+mark_obsolete(struct leader_inbox *inbox, const struct inbox_read *read)
+{
+    g_hash_table_replace(inbox->obsolete, g_strdup(read->id),
+                         g_memdup2(&read->revision, sizeof(read->revision)));
+}
+
+static void
+on_read(void *ctx, const struct kv_result *result)
+{
+    struct inbox_read *read = ctx;
+    struct leader_inbox *inbox = read->inbox;
+    struct leader *leader = inbox->leader;
+    bool found = result->outcome == KV_OK && result->items->len > 0;
+    if (found) {
+        leader_add_stored_job(leader, read->id,
                               g_ptr_array_index(result->items, 0));
-        note_age(leader, fetch->id);
-        if (fetch->cancel) {
-            scheduler_cancel(leader->sched, fetch->id);
+        note_age(inbox, read->id);
+        if (read->cancel) {
+            scheduler_cancel(leader->sched, read->id);
         }
-        leader->inbox_progress = true;
         leader_schedule_tick(leader);
     }
-    else if (result->outcome == KV_NOT_FOUND) {
-        /* The message has outlived its job. */
-        g_hash_table_add(leader->inbox_obsolete, g_strdup(fetch->id));
-        leader->inbox_progress = true;
+    bool known = scheduler_find_job(leader->sched, read->id) != NULL;
+    if (!known && (found || result->outcome == KV_NOT_FOUND)) {
+        /* The message has outlived its job, or nobody can read the job. */
+        mark_obsolete(inbox, read);
+        known = true;
     }
-    else {
-        leader->inbox_pass.failed++;
+    inbox->n_open--;
+    read_finish(read, known);
+    send_reads(inbox);
+}
+
+static void
+send_reads(struct leader_inbox *inbox)
+{
+    struct leader *leader = inbox->leader;
+    while (inbox->n_open < READS_OPEN_MAX &&
+           !g_queue_is_empty(&inbox->waiting)) {
+        struct inbox_read *read = g_queue_pop_head(&inbox->waiting);
+        if (scheduler_find_job(leader->sched, read->id) != NULL) {
+            read_finish(read, true);
+            continue;
+        }
+        inbox->n_open++;
+        char *key = g_strconcat(RECORD_JOB_PREFIX, read->id, NULL);
+        kv_get(next_call(inbox), key,
+               (struct kv_done){.call = on_read, .ctx = read});
+        g_free(key);
     }
-    g_free(fetch->id);
-    g_free(fetch);
-    next_pass(leader);
+}
+
+static int
+compare_age(const void *a, const void *b, void *ctx)
+{
+    (void)ctx;
+    const struct inbox_read *first = a;
+    const struct inbox_read *second = b;
+    return first->revision < second->revision
+               ? -1
+               : first->revision > second->revision;
 }
 
 static void
-fetch_job(struct leader *leader, const char *id, bool cancel)
+add_read(struct leader_inbox *inbox, const char *id,
+         const struct kv_item *item, bool cancel)
 {
-    if (leader->inbox_fetches >= FETCH_MAX) {
-        leader->inbox_pass.left_out++;
+    struct inbox_read *read = g_hash_table_lookup(inbox->reads, id);
+    if (read != NULL) {
+        read->cancel = read->cancel || cancel;
         return;
     }
-    leader->inbox_pass.fetched++;
-    struct inbox_fetch *fetch = g_new0(struct inbox_fetch, 1);
-    fetch->leader = leader;
-    fetch->id = g_strdup(id);
-    fetch->cancel = cancel;
-    leader->inbox_fetches++;
-    char *key = g_strconcat(RECORD_JOB_PREFIX, id, NULL);
-    /* The calls of one connection wait for one another. */
-    kv_get(leader->inbox_reads[leader->inbox_fetches % INBOX_READ_COUNT], key,
-           (struct kv_done){.call = on_job, .ctx = fetch});
-    g_free(key);
+    read = g_new0(struct inbox_read, 1);
+    *read = (struct inbox_read){
+        .inbox = inbox,
+        .id = g_strdup(id),
+        .serial = inbox_view_read(&inbox->view),
+        .revision = item->revision,
+        .cancel = cancel,
+    };
+    g_hash_table_insert(inbox->reads, read->id, read);
+    g_queue_insert_sorted(&inbox->waiting, read, compare_age, NULL);
+}
+
+static bool
+is_obsolete(const struct leader_inbox *inbox, const char *id,
+            const struct kv_item *item)
+{
+    const int64_t *revision = g_hash_table_lookup(inbox->obsolete, id);
+    return revision != NULL && *revision == item->revision;
 }
 
 /* Handles one message; true once its effect is stored. */
 static bool
-message_handled(struct leader *leader, const char *id,
+message_handled(struct leader_inbox *inbox, const char *id,
                 const struct kv_item *item)
 {
-    const struct job *job = scheduler_find_job(leader->sched, id);
+    struct scheduler *sched = inbox->leader->sched;
     bool cancel = strcmp(item->value, INBOX_CANCEL) == 0;
-    if (job == NULL && g_hash_table_contains(leader->inbox_obsolete, id)) {
-        return true;
+    if (scheduler_find_job(sched, id) == NULL) {
+        if (is_obsolete(inbox, id, item)) {
+            return true;
+        }
+        inbox->unknown = true;
     }
+    const struct job *job = scheduler_find_job(sched, id);
     if (job == NULL) {
-        fetch_job(leader, id, cancel);
+        add_read(inbox, id, item, cancel);
         return false;
     }
     if (cancel) {
-        scheduler_cancel(leader->sched, id);
+        scheduler_cancel(sched, id);
     }
     return job->stored_version == job->version;
 }
 
-/* Messages that were not deleted are read and handled again. */
+/* Messages that were not deleted are listed and handled again. */
 static void
 on_deleted(void *ctx, const struct kv_result *result)
 {
@@ -152,32 +245,23 @@
     (void)result;
 }
 
-/** struct inbox_deletes - messages to delete in one transaction */
-struct inbox_deletes {
-    struct leader *leader;
-    struct kv_condition conditions[DELETES_MAX + 1];
-    const char *keys[DELETES_MAX];
-    size_t n_keys;
-    uint32_t n_sent;
-};
-
 static void
 deletes_send(struct inbox_deletes *deletes)
 {
-    struct leader *leader = deletes->leader;
+    struct leader_inbox *inbox = deletes->inbox;
     if (deletes->n_keys == 0) {
         return;
     }
-    deletes->conditions[0] = (struct kv_condition){.key = RECORD_LEADER_KEY,
-                                                   .revision = leader->token};
+    deletes->conditions[0] = (struct kv_condition){
+        .key = RECORD_LEADER_KEY, .revision = inbox->leader->token};
     struct kv_txn txn = {
         .conditions = deletes->conditions,
         .n_conditions = deletes->n_keys + 1,
         .deletes = deletes->keys,
         .n_deletes = deletes->n_keys,
     };
-    kv_commit(leader->inbox_reads[deletes->n_sent++ % INBOX_READ_COUNT], &txn,
-              (struct kv_done){.call = on_deleted, .ctx = leader});
+    kv_commit(next_call(inbox), &txn,
+              (struct kv_done){.call = on_deleted, .ctx = inbox});
     deletes->n_keys = 0;
 }
 
@@ -193,65 +277,154 @@
 }
 
 static void
-read_page(struct leader *leader, const char *after);
-
-static void
-on_inbox(void *ctx, const struct kv_result *result)
+handle_messages(struct leader_inbox *inbox, const GPtrArray *items)
 {
-    struct leader *leader = ctx;
-    if (result->outcome != KV_OK) {
-        leader->inbox_reading = false;
-        next_pass(leader);
-        return;
-    }
-    leader_update_validity(leader);
-    struct inbox_deletes deletes = {.leader = leader};
-    leader->inbox_pass.messages += result->items->len;
-    for (guint i = 0; i < result->items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(result->items, i);
+    struct inbox_deletes deletes = {.inbox = inbox};
+    inbox->listing.messages += items->len;
+    for (guint i = 0; i < items->len; i++) {
+        const struct kv_item *item = g_ptr_array_index(items, i);
         const char *id = item->key + strlen(RECORD_INBOX_PREFIX);
-        if (item->value != NULL && message_handled(leader, id, item)) {
+        if (item->value != NULL && message_handled(inbox, id, item)) {
             deletes_add(&deletes, item);
         }
     }
     deletes_send(&deletes);
-    if (result->items->len > 0) {
-        leader_schedule_tick(leader);
+    send_reads(inbox);
+    if (items->len > 0) {
+        leader_schedule_tick(inbox->leader);
     }
+}
+
+static void
+begin_listing(struct leader_inbox *inbox, int64_t requested_ms)
+{
+    inbox->unknown = false;
+    inbox->listing.messages = 0;
+    inbox_view_begin(&inbox->view, requested_ms);
+}
+
+/* Logs a listing that was late or found jobs late. */
+static void
+end_listing(struct leader_inbox *inbox)
+{
+    struct inbox_stats *listing = &inbox->listing;
+    struct leader *leader = inbox->leader;
+    listing->listing_ms = node_now(leader->node) - inbox->view.begun_ms;
+    listing->reads = g_hash_table_size(inbox->reads);
+    if (listing->listing_ms >= LISTING_LATE_MS ||
+        listing->oldest_ms >= LISTING_LATE_MS) {
+        event_log("inbox_pass",
+                  "\"took_ms\":%" G_GINT64_FORMAT ",\"messages\":%u,"
+                  "\"reads\":%u,\"oldest_ms\":%" G_GINT64_FORMAT
+                  ",\"age_ms\":%" G_GINT64_FORMAT,
+                  listing->listing_ms, listing->messages, listing->reads,
+                  listing->oldest_ms, leader_inbox_age_ms(inbox));
+    }
+    listing->oldest_ms = 0;
+    inbox_view_end(&inbox->view, true);
+    scheduler_cancels_read(leader->sched, inbox->view.begun_ms);
+}
+
+static void
+list_page(struct leader_inbox *inbox, const char *after);
+
+static void
+on_page(void *ctx, const struct kv_result *result)
+{
+    struct leader_inbox *inbox = ctx;
+    if (result->outcome != KV_OK) {
+        inbox_view_end(&inbox->view, false);
+        timer_set(inbox->timer, LIST_INTERVAL_MS);
+        return;
+    }
+    leader_update_validity(inbox->leader);
+    handle_messages(inbox, result->items);
     /* A cancel may stand on any page. */
     if (result->has_more && result->items->len > 0) {
         const struct kv_item *last =
             g_ptr_array_index(result->items, result->items->len - 1);
-        read_page(leader, last->key);
+        list_page(inbox, last->key);
         return;
     }
-    scheduler_cancels_read(leader->sched, leader->inbox_requested_ms);
-    leader->inbox_known_ms = leader->inbox_requested_ms;
-    leader->inbox_reading = false;
-    next_pass(leader);
+    end_listing(inbox);
+    timer_set(inbox->timer,
+              inbox->unknown ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_MS);
 }
 
 static void
-read_page(struct leader *leader, const char *after)
+list_page(struct leader_inbox *inbox, const char *after)
 {
-    kv_range(leader->inbox, RECORD_INBOX_PREFIX, after,
-             (struct kv_done){.call = on_inbox, .ctx = leader});
+    kv_range(inbox->list, RECORD_INBOX_PREFIX, after,
+             (struct kv_done){.call = on_page, .ctx = inbox});
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    struct leader_inbox *inbox = ctx;
+    begin_listing(inbox, node_now(inbox->leader->node));
+    list_page(inbox, NULL);
+}
+
+struct leader_inbox *
+leader_inbox_create(struct leader *leader)
+{
+    struct leader_inbox *inbox = g_new0(struct leader_inbox, 1);
+    struct node *node = leader->node;
+    const char *store = node->settings->store_address;
+    inbox->leader = leader;
+    inbox->list = kv_create(node->base, store, CALL_TIMEOUT_MS,
+                            store_route_any(node->store_route));
+    for (size_t i = 0; i < CONNECTION_COUNT; i++) {
+        inbox->calls[i] = kv_create(node->base, store, CALL_TIMEOUT_MS,
+                                    store_route_any(node->store_route));
+    }
+    inbox->timer = evtimer_new(node->base, on_timer, inbox);
+    inbox->reads =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, read_free);
+    g_queue_init(&inbox->waiting);
+    inbox->obsolete =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return inbox;
+}
+
+void
+leader_inbox_destroy(struct leader_inbox *inbox)
+{
+    event_free(inbox->timer);
+    kv_destroy(inbox->list);
+    for (size_t i = 0; i < CONNECTION_COUNT; i++) {
+        kv_destroy(inbox->calls[i]);
+    }
+    g_queue_clear(&inbox->waiting);
+    g_hash_table_unref(inbox->reads);
+    g_hash_table_unref(inbox->obsolete);
+    g_free(inbox);
 }
 
 void
-leader_read_inbox(struct leader *leader)
+leader_inbox_start(struct leader_inbox *inbox, const GPtrArray *items,
+                   int64_t jobs_requested_ms, int64_t requested_ms)
 {
-    leader->inbox_pass = (struct inbox_pass){0};
-    leader->inbox_progress = false;
-    leader->inbox_reading = true;
-    leader->inbox_requested_ms = node_now(leader->node);
-    read_page(leader, NULL);
+    inbox_view_loaded(&inbox->view, jobs_requested_ms);
+    begin_listing(inbox, requested_ms);
+    handle_messages(inbox, items);
+    end_listing(inbox);
+    timer_set(inbox->timer, 0);
 }
 
 int64_t
-leader_inbox_age_ms(const struct leader *leader)
+leader_inbox_age_ms(const struct leader_inbox *inbox)
 {
-    return leader->inbox_known_ms == 0
-               ? -1
-               : node_now(leader->node) - leader->inbox_known_ms;
+    return inbox_view_age_ms(&inbox->view, node_now(inbox->leader->node));
+}
+
+void
+leader_inbox_stats(const struct leader_inbox *inbox, struct inbox_stats *stats)
+{
+    *stats = inbox->listing;
+    stats->reads = g_hash_table_size(inbox->reads);
+    stats->age_ms = leader_inbox_age_ms(inbox);
 }
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -30,6 +30,26 @@
     [STAGE_INBOX] = RECORD_INBOX_PREFIX,
 };
 
+struct job *
+leader_decode_job(const struct leader *leader, const char *id,
+                  const char *value, size_t bytes)
+{
+    struct job *job = record_job_decode(id, value, bytes);
+    if (job == NULL) {
+        event_log("record_unreadable", "\"job\":%s", text_quote(id));
+        return NULL;
+    }
+    job->open_max =
+        record_open_max(job, leader->node->settings->value_bytes_max);
+    return job;
+}
+
+void
+leader_add_job(struct leader *leader, struct job *job)
+{
+    scheduler_add_job(leader->sched, job);
+}
+
 void
 leader_add_stored_job(struct leader *leader, const char *id,
                       const struct kv_item *item)
@@ -37,20 +57,18 @@
     if (item->value == NULL || scheduler_find_job(leader->sched, id) != NULL) {
         return;
     }
-    struct job *job = record_job_decode(id, item->value, item->value_bytes);
+    struct job *job =
+        leader_decode_job(leader, id, item->value, item->value_bytes);
     if (job == NULL) {
-        event_log("record_unreadable", "\"key\":%s", text_quote(item->key));
         return;
     }
-    job->open_max =
-        record_open_max(job, leader->node->settings->value_bytes_max);
     job->inherited = leader->stage < STAGE_READY;
     const struct kv_item *progress = g_hash_table_lookup(leader->progress, id);
     if (progress != NULL) {
         record_progress_apply(job, progress->value, progress->value_bytes);
         job->revision = progress->revision;
     }
-    scheduler_add_job(leader->sched, job);
+    leader_add_job(leader, job);
     job_unref(job);
 }
 
@@ -166,21 +184,14 @@
     }
 }
 
-/* Messages of jobs that aren't known yet are left to the next pass over the
- * inbox. */
 static void
-apply_cancels(struct leader *leader)
+start_inbox(struct leader *leader)
 {
     struct record_range *range = &leader->ranges[STAGE_INBOX];
-    for (guint i = 0; i < range->items->len; i++) {
-        const struct kv_item *item = g_ptr_array_index(range->items, i);
-        if (g_strcmp0(item->value, INBOX_CANCEL) == 0) {
-            scheduler_cancel(leader->sched,
-                             item->key + strlen(RECORD_INBOX_PREFIX));
-        }
-    }
+    leader_inbox_start(leader->inbox, range->items,
+                       leader->ranges[STAGE_JOBS].requested_ms,
+                       range->requested_ms);
     g_ptr_array_set_size(range->items, 0);
-    scheduler_cancels_read(leader->sched, range->requested_ms);
 }
 
 static void
@@ -209,9 +220,8 @@
     leader_config_changed(leader);
     leader_operator_records_changed(leader);
     leader_add_early_jobs(leader);
-    apply_cancels(leader);
+    start_inbox(leader);
     leader_watch_backends(leader);
-    leader_read_inbox(leader);
     leader_schedule_tick(leader);
 }
 
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -4,6 +4,7 @@
 
 #include "egretjobd/committer.h"
 #include "egretjobd/leader.h"
+#include "egretjobd/leader_inbox.h"
 #include "egretjobd/store_route.h"
 #include "platform/advice_api.h"
 #include "platform/backend_client.h"
@@ -53,8 +54,6 @@
 };
 
 enum {
-    /* Connections that read the jobs of inbox messages. */
-    INBOX_READ_COUNT = 8,
     /* Transactions open at once; a slow store takes 50 to 100 times as long as
      * usual. */
     PROGRESS_TXN_COUNT = 8,
@@ -72,24 +71,6 @@
     int64_t sent_ms;
 };
 
-/**
- * struct inbox_pass - one pass over the inbox
- * @took_ms: from its first request to its last answer
- * @messages: messages listed
- * @fetched: unknown jobs that were requested
- * @failed: those that got no answer
- * @left_out: unknown jobs that were not requested in this pass
- * @oldest_ms: how long ago the oldest job that it found was accepted
- */
-struct inbox_pass {
-    int64_t took_ms;
-    uint32_t messages;
-    uint32_t fetched;
-    uint32_t failed;
-    uint32_t left_out;
-    int64_t oldest_ms;
-};
-
 /**
  * struct leader - the scheduler with its connections and unstored results
  * @token: fencing token of this leadership
@@ -103,15 +84,8 @@
  * @listed_ids: ids of backend servers in the platform's list, as read so far
  * @unusable_ids: ids of entries there that describe no usable backend server
  * @backends_as_of: revision after which to watch backend servers; 0: read all
- * @inbox_fetches: jobs that messages name and that are being read
- * @inbox_progress: one of them was found, or is certainly not stored
- * @inbox_reading: a pass over the inbox is open
- * @inbox_requested_ms: when the pass over the inbox that is open was begun
- * @inbox_known_ms: when the last pass that listed all messages was begun; 0:
- *                  none since the takeover
- * @inbox_pass: the open pass, else the last one
+ * @inbox: messages of other entry hosts
  * @late_logged_ms: when a late pass of the scheduler was last logged
- * @inbox_obsolete: ids of jobs that messages name and that are not stored
  * @cancels: struct cancel_waiter
  * @wave_status: number of a maintenance wave to the status stored last
  * @wave_revisions: number of a wave to the revision of its record, if any
@@ -134,14 +108,12 @@
     struct kv *writes;
     struct progress_txn progress_txns[PROGRESS_TXN_COUNT];
     struct kv *backend_watch;
-    struct kv *inbox;
-    struct kv *inbox_reads[INBOX_READ_COUNT];
+    struct leader_inbox *inbox;
     struct hosts_api *hosts;
     struct advice_api *advice;
     struct host_commands *host_commands;
     struct event *tick_timer;
     struct event *watch_timer;
-    struct event *inbox_timer;
     struct event *hosts_timer;
     int64_t hosts_requested_ms;
     struct event *store_timer;
@@ -154,14 +126,7 @@
     GHashTable *listed_ids;
     GHashTable *unusable_ids;
     int64_t backends_as_of;
-    uint32_t inbox_fetches;
-    bool inbox_progress;
-    bool inbox_reading;
-    int64_t inbox_requested_ms;
-    int64_t inbox_known_ms;
-    struct inbox_pass inbox_pass;
     int64_t late_logged_ms;
-    GHashTable *inbox_obsolete;
     struct record_range ranges[STAGE_READY];
     GPtrArray *cancels;
     GHashTable *wave_status;
@@ -198,14 +163,13 @@
 void
 leader_add_stored_job(struct leader *leader, const char *id,
                       const struct kv_item *item);
-
-/* leader_inbox.c */
+/* Job of a stored record, or NULL after logging that it can't be read. */
+struct job *
+leader_decode_job(const struct leader *leader, const char *id,
+                  const char *value, size_t bytes);
+/* Adds a stored job that isn't known yet. */
 void
-leader_read_inbox(struct leader *leader);
-/* How long ago the last pass that listed all messages was begun; -1: there was
- * none since the takeover. */
-int64_t
-leader_inbox_age_ms(const struct leader *leader);
+leader_add_job(struct leader *leader, struct job *job);
 
 /* leader_store.c */
 void
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -10,6 +10,7 @@
 #include "core/jobs/explain.h"
 #include "core/jobs/scheduler.h"
 #include "egretjobd/job_call.h"
+#include "egretjobd/leader_inbox.h"
 #include "egretjobd/node.h"
 
 /** leader_create() - read the stored state, then start scheduling;
@@ -62,27 +63,10 @@
 char *
 leader_open_leases(struct leader *leader);
 
-/**
- * struct inbox_stats - how well the leader keeps up with its messages
- * @age_ms: how long ago the last pass that listed them all was begun; -1:
- *          there was none since the takeover
- * @pass_ms: how long the last finished pass took
- * @messages: messages in the last pass
- * @left_out: unknown jobs that it left to the next one
- */
-struct inbox_stats {
-    int64_t age_ms;
-    int64_t pass_ms;
-    uint32_t messages;
-    uint32_t left_out;
-};
-
-/** leader_inbox_stats() - all 0 on a process that doesn't lead. */
-void
-leader_inbox_stats(const struct leader *leader, struct inbox_stats *stats);
-
-/** leader_stats() - statistics of its scheduler. */
+/** leader_stats() - statistics of its scheduler and of its inbox; all 0 on a
+ * process that doesn't lead. */
 void
-leader_stats(const struct leader *leader, struct sched_stats *stats);
+leader_stats(const struct leader *leader, struct sched_stats *stats,
+             struct inbox_stats *inbox);
 
 #endif
