jobs: a cancel in the inbox binds before its job is known

A task started later than 5 s after its job's cancel was acknowledged. The leader counts the cancels of a pass as read, so that starts go on, once all messages are listed. A cancel whose job it didn't know took effect only when that job was read through the message. If the job came in another way first, it started.

The leader wasn't slow, and leadership did not change.

Cancels of unknown jobs are kept, and a job that becomes known in any way is cancelled in the same step. An obsolete message drops its cancel.

--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -33,14 +33,12 @@
  * struct inbox_read - a job that a message names and that has to be read
  * @serial: of the listing that found the message
  * @revision: of the message
- * @cancel: the message cancels it
  */
 struct inbox_read {
     struct leader_inbox *inbox;
     char *id;
     uint32_t serial;
     int64_t revision;
-    bool cancel;
 };
 
 /**
@@ -55,6 +53,7 @@
  * @reads: id of a job to its struct inbox_read, waiting or open
  * @waiting: struct inbox_read that aren't sent yet, oldest message first
  * @n_open: reads that are sent
+ * @cancels: ids of unknown jobs that messages cancel
  * @obsolete: id of a job that isn't stored to the revision of its message
  * @listing: figures of the last listing
  */
@@ -69,6 +68,7 @@
     GHashTable *reads;
     GQueue waiting;
     uint32_t n_open;
+    GHashTable *cancels;
     GHashTable *obsolete;
     struct inbox_stats listing;
 };
@@ -123,6 +123,7 @@
 static void
 mark_obsolete(struct leader_inbox *inbox, const struct inbox_read *read)
 {
+    g_hash_table_remove(inbox->cancels, read->id);
     g_hash_table_replace(inbox->obsolete, g_strdup(read->id),
                          g_memdup2(&read->revision, sizeof(read->revision)));
 }
@@ -138,9 +139,6 @@
         leader_add_stored_job(leader, read->id,
                               g_ptr_array_index(result->items, 0));
         note_age(inbox, read->id);
-        if (read->cancel) {
-            scheduler_cancel(leader->sched, read->id);
-        }
         leader_schedule_tick(leader);
     }
     bool known = scheduler_find_job(leader->sched, read->id) != NULL;
@@ -186,11 +184,10 @@
 
 static void
 add_read(struct leader_inbox *inbox, const char *id,
-         const struct kv_item *item, bool cancel)
+         const struct kv_item *item)
 {
     struct inbox_read *read = g_hash_table_lookup(inbox->reads, id);
     if (read != NULL) {
-        read->cancel = read->cancel || cancel;
         return;
     }
     read = g_new0(struct inbox_read, 1);
@@ -199,7 +196,6 @@
         .id = g_strdup(id),
         .serial = inbox_view_read(&inbox->view),
         .revision = item->revision,
-        .cancel = cancel,
     };
     g_hash_table_insert(inbox->reads, read->id, read);
     g_queue_insert_sorted(&inbox->waiting, read, compare_age, NULL);
@@ -225,10 +221,13 @@
             return true;
         }
         inbox->unknown = true;
+        if (cancel) {
+            g_hash_table_add(inbox->cancels, g_strdup(id));
+        }
     }
     const struct job *job = scheduler_find_job(sched, id);
     if (job == NULL) {
-        add_read(inbox, id, item, cancel);
+        add_read(inbox, id, item);
         return false;
     }
     if (cancel) {
@@ -385,6 +384,8 @@
     inbox->reads =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, read_free);
     g_queue_init(&inbox->waiting);
+    inbox->cancels =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     inbox->obsolete =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return inbox;
@@ -400,6 +401,7 @@
     }
     g_queue_clear(&inbox->waiting);
     g_hash_table_unref(inbox->reads);
+    g_hash_table_unref(inbox->cancels);
     g_hash_table_unref(inbox->obsolete);
     g_free(inbox);
 }
@@ -415,6 +417,14 @@
     timer_set(inbox->timer, 0);
 }
 
+void
+leader_inbox_job_added(struct leader_inbox *inbox, const char *id)
+{
+    if (g_hash_table_remove(inbox->cancels, id)) {
+        scheduler_cancel(inbox->leader->sched, id);
+    }
+}
+
 int64_t
 leader_inbox_age_ms(const struct leader_inbox *inbox)
 {
--- a/egretjobd/leader_load.c
+++ b/egretjobd/leader_load.c
@@ -48,6 +48,7 @@
 leader_add_job(struct leader *leader, struct job *job)
 {
     scheduler_add_job(leader->sched, job);
+    leader_inbox_job_added(leader->inbox, job->id);
 }
 
 void
--- a/egretjobd/leader_state.h
+++ b/egretjobd/leader_state.h
@@ -167,7 +167,8 @@
 struct job *
 leader_decode_job(const struct leader *leader, const char *id,
                   const char *value, size_t bytes);
-/* Adds a stored job that isn't known yet. */
+/* Adds a stored job that isn't known yet; one that a message has cancelled is
+ * cancelled at once. */
 void
 leader_add_job(struct leader *leader, struct job *job);
 
--- a/include/egretjobd/leader_inbox.h
+++ b/include/egretjobd/leader_inbox.h
@@ -41,6 +41,11 @@
 leader_inbox_start(struct leader_inbox *inbox, const GPtrArray *items,
                    int64_t jobs_requested_ms, int64_t requested_ms);
 
+/** leader_inbox_job_added() - the scheduler knows job @id now; cancels it if a
+ * message has said so before. */
+void
+leader_inbox_job_added(struct leader_inbox *inbox, const char *id);
+
 /** leader_inbox_age_ms() - jobs that were accepted longer ago than this are
  * known; -1: the inbox hasn't been read since the takeover. */
 int64_t
