jobs: put a new job's record into its message for the leader

The message now holds the job's record, up to 16 KB, so that a listing is all that the leader reads. A message of an earlier version (job) is still read, and an earlier version reads the job of any message but cancel. A record accepted longer ago than half of the retention time may be of a job that has ended and was deleted; it is looked up as before, so that it can't start again. A listing after one without an answer waits for 6 s, as hundreds of records take longer on a slow core or a full link.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -38,6 +38,9 @@
     /* The store may carry out a write some seconds late. Until the outcome is
      * known the scheduler may not know of the job, so the write is retried. */
     GIVE_UP_MS = 12000,
+    /* Longer records aren't repeated in the message for the leader, which
+     * lists hundreds of them. */
+    INBOX_RECORD_BYTES_MAX = 16384,
 };
 
 #define CANCELLED_BODY                                                        \
@@ -297,6 +300,14 @@
     acceptor->retry_ms = MIN(acceptor->retry_ms * 2, (int64_t)RETRY_MAX_MS);
 }
 
+/* With the record in it the leader needs no read for each job. */
+static const char *
+inbox_message(const struct pending_job *pending)
+{
+    return strlen(pending->value) <= INBOX_RECORD_BYTES_MAX ? pending->value
+                                                            : INBOX_JOB;
+}
+
 static void
 send_batch(struct txn_slot *slot)
 {
@@ -337,8 +348,8 @@
                 (struct kv_put){.key = pending->key, .value = pending->value};
         }
         if (!slot->as_leader) {
-            puts[txn.n_puts++] =
-                (struct kv_put){.key = pending->inbox_key, .value = INBOX_JOB};
+            puts[txn.n_puts++] = (struct kv_put){
+                .key = pending->inbox_key, .value = inbox_message(pending)};
         }
         if (pending->alone) {
             break;
--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -14,6 +14,9 @@
 
 enum {
     CALL_TIMEOUT_MS = 1500,
+    /* For a listing after one without an answer: many messages, a full link or
+     * a slow core may have held it up, rather than its connection. */
+    PATIENT_TIMEOUT_MS = 6000,
     LIST_INTERVAL_MS = 500,
     /* After a listing with messages that weren't known yet. */
     LIST_INTERVAL_BUSY_MS = 100,
@@ -44,6 +47,8 @@
 /**
  * struct leader_inbox - the messages and what is known of them
  * @list: connection that lists them
+ * @patient_list: the same, which waits longer
+ * @patient: the last listing got no answer
  * @calls: connections for reads and deletions
  * @n_calls: calls sent on them
  * @timer: begins the next listing
@@ -60,6 +65,8 @@
 struct leader_inbox {
     struct leader *leader;
     struct kv *list;
+    struct kv *patient_list;
+    bool patient;
     struct kv *calls[CONNECTION_COUNT];
     uint32_t n_calls;
     struct event *timer;
@@ -201,6 +208,31 @@
     g_queue_insert_sorted(&inbox->waiting, read, compare_age, NULL);
 }
 
+/* Adds the job whose record the message holds. */
+static void
+add_named_job(struct leader_inbox *inbox, const char *id,
+              const struct kv_item *item)
+{
+    struct leader *leader = inbox->leader;
+    if (strcmp(item->value, INBOX_JOB) == 0) {
+        return;
+    }
+    struct job *job =
+        leader_decode_job(leader, id, item->value, item->value_bytes);
+    if (job == NULL) {
+        return;
+    }
+    /* Records of finished jobs are deleted after the retention time; a message
+     * that is still there then must not start its job again. */
+    int64_t age_ms =
+        ms_clock_now(&leader->node->unix_clock) - job->accepted_unix_ms;
+    if (age_ms < leader->node->settings->timings.retention_ms / 2) {
+        leader_add_job(leader, job);
+        note_age(inbox, id);
+    }
+    job_unref(job);
+}
+
 static bool
 is_obsolete(const struct leader_inbox *inbox, const char *id,
             const struct kv_item *item)
@@ -224,6 +256,9 @@
         if (cancel) {
             g_hash_table_add(inbox->cancels, g_strdup(id));
         }
+        else {
+            add_named_job(inbox, id, item);
+        }
     }
     const struct job *job = scheduler_find_job(sched, id);
     if (job == NULL) {
@@ -333,6 +368,7 @@
     struct leader_inbox *inbox = ctx;
     if (result->outcome != KV_OK) {
         inbox_view_end(&inbox->view, false);
+        inbox->patient = !inbox->patient && result->outcome == KV_UNKNOWN;
         timer_set(inbox->timer, LIST_INTERVAL_MS);
         return;
     }
@@ -346,6 +382,7 @@
         return;
     }
     end_listing(inbox);
+    inbox->patient = false;
     timer_set(inbox->timer,
               inbox->unknown ? LIST_INTERVAL_BUSY_MS : LIST_INTERVAL_MS);
 }
@@ -353,7 +390,8 @@
 static void
 list_page(struct leader_inbox *inbox, const char *after)
 {
-    kv_range(inbox->list, RECORD_INBOX_PREFIX, after,
+    kv_range(inbox->patient ? inbox->patient_list : inbox->list,
+             RECORD_INBOX_PREFIX, after,
              (struct kv_done){.call = on_page, .ctx = inbox});
 }
 
@@ -376,6 +414,8 @@
     inbox->leader = leader;
     inbox->list = kv_create(node->base, store, CALL_TIMEOUT_MS,
                             store_route_any(node->store_route));
+    inbox->patient_list = kv_create(node->base, store, PATIENT_TIMEOUT_MS,
+                                    store_route_any(node->store_route));
     for (size_t i = 0; i < CONNECTION_COUNT; i++) {
         inbox->calls[i] = kv_create(node->base, store, CALL_TIMEOUT_MS,
                                     store_route_any(node->store_route));
@@ -396,6 +436,7 @@
 {
     event_free(inbox->timer);
     kv_destroy(inbox->list);
+    kv_destroy(inbox->patient_list);
     for (size_t i = 0; i < CONNECTION_COUNT; i++) {
         kv_destroy(inbox->calls[i]);
     }
--- a/include/egretjobd/records.h
+++ b/include/egretjobd/records.h
@@ -26,7 +26,8 @@
 /* Last term whose run numbers a leader has reserved beyond its own. */
 #define RECORD_RUN_NUMBERS_KEY "eg/duty/run-numbers"
 
-/* Values under RECORD_INBOX_PREFIX: messages for the scheduler. */
+/* Values under RECORD_INBOX_PREFIX: messages for the scheduler. A new job is
+ * told by its record, or by INBOX_JOB if that is long. */
 #define INBOX_JOB "job"
 #define INBOX_CANCEL "cancel"
 
--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -22,6 +22,8 @@
     /* The claim is followed by the first reads. */
     TAKEOVER_READS_BEGIN_MS = 1000,
     TAKEOVER_WATCH_MS = 10000,
+    /* Longer than the record of a job that has ended is kept. */
+    OUTLIVED_MS = 200000,
     /* The bound of the entry hosts' default settings. */
     CANCEL_MS = 3000,
     /* More than the leader reads in all passes until the cancel binds. */
@@ -48,28 +50,36 @@
     g_free(path);
 }
 
+/* Record of a job; g_free(). @body: escaped as part of a JSON text */
+static char *
+job_record(const char *queue, const char *pool, const char *body,
+           int64_t accepted_unix_ms)
+{
+    return g_strdup_printf(
+        "{\"queue\":\"%s\",\"pool\":\"%s\",\"team\":\"skela\","
+        "\"attempts\":3,\"accepted_unix_ms\":%" G_GINT64_FORMAT
+        ",\"body\":\"%s\"}",
+        queue, pool, accepted_unix_ms, body);
+}
+
 /* Stores a job with a message, as an entry host does that can't reach the
- * leader. @body: escaped as part of a JSON text */
+ * leader. @message: NULL: the record */
 static void
 store_job(const char *id, const char *queue, const char *pool,
           const char *body, const char *message)
 {
-    char *record =
-        g_strdup_printf("{\"queue\":\"%s\",\"pool\":\"%s\",\"team\":\"skela\","
-                        "\"attempts\":3,\"accepted_unix_ms\":%" G_GINT64_FORMAT
-                        ",\"body\":\"%s\"}",
-                        queue, pool, g_get_real_time() / 1000, body);
+    char *record = job_record(queue, pool, body, g_get_real_time() / 1000);
     put_key("eg/job/", id, record);
-    put_key("eg/inbox/", id, message);
+    put_key("eg/inbox/", id, message == NULL ? record : message);
     g_free(record);
 }
 
 static void
-store_waiting_jobs(int n_jobs)
+store_waiting_jobs(int n_jobs, const char *message)
 {
     for (int i = 0; i < n_jobs; i++) {
         char *id = g_strdup_printf("%016x", 0x1000 + i);
-        store_job(id, "plan-render", "plans", waiting_body, "job");
+        store_job(id, "plan-render", "plans", waiting_body, message);
         g_free(id);
     }
 }
@@ -100,7 +110,7 @@
     int leader = find_leader();
     CU_ASSERT_FATAL(leader >= 0);
     delay_store(CANCEL_STORE_DELAY_MS);
-    store_waiting_jobs(CANCEL_FILLER_JOBS);
+    store_waiting_jobs(CANCEL_FILLER_JOBS, "job");
     store_job(id, "draft-notice", "notices", quick_body, "cancel");
     send_request(fixture.admin, "POST", "/cancelled/ffffffffffffff01");
     run_for(CANCEL_MS + 100, false);
@@ -196,7 +206,7 @@
     run_for(1000, false);
     CU_ASSERT_FATAL(find_leader() >= 0);
     delay_store(WAITING_STORE_DELAY_MS);
-    store_waiting_jobs(WAITING_JOBS);
+    store_waiting_jobs(WAITING_JOBS, "job");
     run_for(COUNTED_AFTER_MS, false);
     CU_ASSERT_EQUAL(watch_queue_length(WAITING_WATCH_MS), 0);
     delay_store(0);
@@ -234,7 +244,7 @@
     end_process(&fixture.entry_pids[killed], SIGKILL);
     CU_ASSERT_FATAL(wait_leader(TAKEOVER_MS) >= 0);
     run_for(TAKEOVER_READS_BEGIN_MS, false);
-    store_waiting_jobs(WAITING_JOBS);
+    store_waiting_jobs(WAITING_JOBS, "job");
     start_entry_host(killed);
     wait_ready(killed);
     run_for(COUNTED_AFTER_MS, false);
@@ -244,9 +254,56 @@
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
 }
 
+/* Entry hosts have left jobs with their records. A leader that read each job
+ * from a slow store couldn't tell the queue's length in time. */
+static void
+test_queue_length_recorded(void)
+{
+    run_for(1000, false);
+    CU_ASSERT_FATAL(find_leader() >= 0);
+    delay_store(WAITING_STORE_DELAY_MS);
+    store_waiting_jobs(WAITING_JOBS, NULL);
+    run_for(COUNTED_AFTER_MS, false);
+    for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+        CU_ASSERT_EQUAL(queue_length(i), WAITING_JOBS);
+    }
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
+/* A message with a record is still there when the job has ended and its own
+ * record is deleted. The job must not start again. */
+static void
+test_message_outlives_job(void)
+{
+    static const char id[] = "00000000000000e1";
+    run_for(2000, true);
+    run_until_finished();
+    int64_t starts = emulator_stat("checks");
+    char *record = job_record("draft-notice", "notices", quick_body,
+                              g_get_real_time() / 1000 - OUTLIVED_MS);
+    put_key("eg/inbox/", id, record);
+    g_free(record);
+    run_for(CANCEL_WATCH_MS, false);
+    CU_ASSERT_EQUAL(emulator_stat("checks"), starts);
+    for (int i = 0; i < ENTRY_HOST_COUNT; i++) {
+        char *path = g_strdup_printf("/draft/%s", id);
+        CU_ASSERT_EQUAL(http_call_sync(fixture.base, fixture.frontends[i],
+                                       "GET", path, "key-skela", NULL, NULL),
+                        410);
+        g_free(path);
+    }
+    /* Its id can be used again. */
+    store_job(id, "draft-notice", "notices", quick_body, "job");
+    run_for(CANCEL_WATCH_MS, false);
+    CU_ASSERT(emulator_stat("checks") > starts);
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
 static const struct scenario scenarios[] = {
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
+    {"queue-length-recorded", test_queue_length_recorded, .proxied = true},
+    {"message-outlives-job", test_message_outlives_job},
     {"queue-length-takeover", test_queue_length_takeover, .proxied = true},
 };
 
