jobs: hand a forwarded job back that has waited too long

An entry host gives its call to the leader up after 700 ms and stores the job itself. The call stayed in the leader's queue for the store.

A forwarded job that has not been sent to the store after half of the peer's time is answered with: use the store. Jobs of the leader's own callers, and those that may be stored, wait as before.

jobs-acceptor: of 200 jobs on a store that withholds its answers none was handed back before (fails); now they are, and the leader's own callers' jobs are all stored.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -30,6 +30,10 @@
     /* A caller whose job is not stored by then gets 504 or 503, with time left
      * to try another entry host. */
     UNKNOWN_AFTER_MS = 1000,
+    /* A peer stores its job itself after 700 ms without an answer. One that
+     * hasn't been sent after half of that would be stored twice, so the peer
+     * is told to do it. */
+    FORWARDED_WAIT_MAX_MS = 350,
     /* After this many failed commits in a row, new jobs are refused at once; a
      * single one may be a lost answer. */
     STALLED_COMMIT_COUNT = 2,
@@ -51,6 +55,7 @@
 /**
  * struct pending_job - a job that is being written to the store
  * @uncertain: a write got no answer and may still be carried out
+ * @forwarded: only peers wait for it
  * @alone: the store rejected a transaction that it shared with others
  * @in_store: its record is stored, but perhaps no inbox message for the
  *            scheduler
@@ -63,6 +68,7 @@
     char *value;
     int64_t submitted_ms;
     bool uncertain;
+    bool forwarded;
     bool alone;
     bool in_store;
     GArray *replies;
@@ -300,6 +306,23 @@
     acceptor->retry_ms = MIN(acceptor->retry_ms * 2, (int64_t)RETRY_MAX_MS);
 }
 
+/* Hands a job back to the peer that forwarded it, if it has waited too long to
+ * be answered in time and can't be stored yet. */
+static bool
+hand_back(struct acceptor *acceptor, struct pending_job *pending,
+          int64_t now_ms)
+{
+    if (!pending->forwarded || pending->uncertain || pending->in_store ||
+        now_ms - pending->submitted_ms <= FORWARDED_WAIT_MAX_MS) {
+        return false;
+    }
+    event_log("job_handed_back",
+              "\"job\":\"%s\",\"after_ms\":%" G_GINT64_FORMAT, pending->id,
+              now_ms - pending->submitted_ms);
+    pending_finish(acceptor, pending, JOB_ANSWER_USE_STORE);
+    return true;
+}
+
 /* With the record in it the leader needs no read for each job. */
 static const char *
 inbox_message(const struct pending_job *pending)
@@ -333,6 +356,9 @@
             break;
         }
         g_queue_pop_head(&acceptor->waiting);
+        if (hand_back(acceptor, pending, slot->sent_ms)) {
+            continue;
+        }
         /* The process may have been suspended. */
         if (slot->sent_ms - pending->submitted_ms > GIVE_UP_MS) {
             give_up(acceptor, pending);
@@ -506,6 +532,7 @@
         g_hash_table_lookup(acceptor->by_id, call->id);
     if (pending != NULL) {
         pending->uncertain = pending->uncertain || call->uncertain;
+        pending->forwarded = pending->forwarded && call->forwarded;
         g_array_append_val(pending->replies, reply);
         return;
     }
@@ -538,6 +565,7 @@
     pending->value = value;
     pending->submitted_ms = node_now(acceptor->node);
     pending->uncertain = call->uncertain;
+    pending->forwarded = call->forwarded;
     pending->replies = g_array_new(FALSE, FALSE, sizeof(struct job_reply));
     g_array_append_val(pending->replies, reply);
     g_hash_table_insert(acceptor->by_id, pending->id, pending);
--- a/egretjobd/peers.c
+++ b/egretjobd/peers.c
@@ -136,7 +136,7 @@
 serve_call(struct peers *peers, struct http_exchange *exchange,
            enum job_call_kind kind)
 {
-    struct job_call call = {.kind = kind};
+    struct job_call call = {.kind = kind, .forwarded = true};
     struct job_call_headers headers;
     if (!job_call_headers_read(&headers, exchange, &call)) {
         http_exchange_reply(exchange, 400, NULL);
--- a/include/egretjobd/job_call.h
+++ b/include/egretjobd/job_call.h
@@ -27,6 +27,7 @@
  * @attempts: attempts per task, set by the queue
  * @body: job as the caller sent it
  * @uncertain: another process may have stored it or be storing it
+ * @forwarded: from a peer, which uses the store if it gets no answer in time
  */
 struct job_call {
     enum job_call_kind kind;
@@ -38,6 +39,7 @@
     const char *body;
     size_t body_bytes;
     bool uncertain;
+    bool forwarded;
 };
 
 enum {
