--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -445,6 +445,10 @@
              struct job_reply reply)
 {
     const struct job *job = scheduler_find_job(leader->sched, call->id);
+    if (job == NULL && call->forwarded) {
+        reply_with(&reply, JOB_ANSWER_USE_STORE, NULL);
+        return;
+    }
     if (job == NULL || job->tombstone ||
         strcmp(job->queue, call->queue) != 0) {
         job_queries_state(leader->node->job_queries, call->id, reply);
@@ -462,6 +466,10 @@
               struct job_reply reply)
 {
     struct job *job = scheduler_find_job(leader->sched, call->id);
+    if (job == NULL && call->forwarded) {
+        reply_with(&reply, JOB_ANSWER_USE_STORE, NULL);
+        return;
+    }
     if (job == NULL) {
         job_queries_cancel(leader->node->job_queries, call, reply);
         return;
--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -254,6 +254,35 @@
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
 }
 
+/* The leader alone reaches the store late. Another entry host reads from the
+ * store what the leader doesn't know; it waited for the leader to read it. */
+static void
+test_unknown_job_elsewhere(void)
+{
+    run_for(1000, false);
+    int leader = find_leader();
+    CU_ASSERT_FATAL(leader >= 0);
+    char *faults = g_strdup_printf("{\"routes\":\"store-%d\",\"delay_ms\":%d}",
+                                   leader, WAITING_STORE_DELAY_MS);
+    http_call_sync(fixture.base, fixture.proxy_admin, "POST",
+                   "/standin/faults", NULL, faults, NULL);
+    g_free(faults);
+    int other = (leader + 1) % ENTRY_HOST_COUNT;
+    static const char *const methods[] = {"GET", "DELETE"};
+    for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+        int64_t sent_ms = g_get_monotonic_time() / 1000;
+        int status =
+            http_call_sync(fixture.base, fixture.frontends[other], methods[i],
+                           "/draft/00000000000000e2", "key-skela", NULL, NULL);
+        int64_t took_ms = g_get_monotonic_time() / 1000 - sent_ms;
+        printf("%s %d after %ld ms, ", methods[i], status, (long)took_ms);
+        CU_ASSERT_EQUAL(status, 410);
+        /* One answer of the store to the leader takes longer. */
+        CU_ASSERT(took_ms < 2 * WAITING_STORE_DELAY_MS);
+    }
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
 /* Entry hosts have left jobs with their records. A leader that read each job
  * from a slow store couldn't tell the queue's length in time. */
 static void
@@ -303,6 +332,7 @@
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
     {"queue-length-recorded", test_queue_length_recorded, .proxied = true},
+    {"unknown-job-elsewhere", test_unknown_job_elsewhere, .proxied = true},
     {"message-outlives-job", test_message_outlives_job},
     {"queue-length-takeover", test_queue_length_takeover, .proxied = true},
 };
