tests: a leader that is too slow to schedule keeps leading (red)

Callers got 503 for many seconds, as the leader shed new jobs or gave no answer within 700 ms. Renewing the lease is its cheapest call, so a leader without time to schedule keeps the leadership.

jobs-slow-leader-keeps-leading submits 10 jobs a second at the two other entry hosts: for 5 s, in which the leader must not change, and for 20 s in which its process is stopped for 95 ms of each 100 ms. Another host has to lead within 6 s, with at most 3 claims in these 20 s, and all accepted jobs have to end.

--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -1,9 +1,13 @@
 /* A leader that learns late of jobs and cancels that other entry hosts stored
- * for it, since the store is slow. */
+ * for it, since the store or its own process is slow. */
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
+#include <unistd.h>
 
+#include "platform/json_text.h"
 #include "process_fixture.h"
 
 enum {
@@ -24,6 +28,16 @@
     TAKEOVER_WATCH_MS = 10000,
     /* Longer than the record of a job that has ended is kept. */
     OUTLIVED_MS = 200000,
+    /* A slowed process runs for a twentieth of the time. */
+    SLICE_RUN_MS = 5,
+    SLICE_STOP_MS = 95,
+    HEALTHY_MS = 5000,
+    SLOW_MS = 20000,
+    /* Two expiries of the lease. */
+    SLOW_LEADS_MAX_MS = 6000,
+    LEADER_CHANGES_MAX = 3,
+    SLOW_END_MS = 10000,
+    SLOW_SUBMIT_INTERVAL_MS = 100,
     /* The bound of the entry hosts' default settings. */
     CANCEL_MS = 3000,
     /* More than the leader reads in all passes until the cancel binds. */
@@ -328,6 +342,130 @@
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
 }
 
+/**
+ * struct leader_record - the leader as the store has it
+ * @revision: changes with each claim; -1: the leadership is vacant
+ * @node: name of the leader's host, to be freed with g_free()
+ */
+struct leader_record {
+    int64_t revision;
+    char *node;
+};
+
+static struct leader_record
+read_leader_record(void)
+{
+    struct leader_record record = {.revision = -1};
+    char *store = g_strdup_printf("127.0.0.1:%d", fixture.first_port);
+    char *body = NULL;
+    if (http_call_sync(fixture.base, store, "GET",
+                       "/v1/kv-key?key=eg/duty/scheduler", NULL, NULL,
+                       &body) == 200) {
+        cJSON *row = json_document_read(body, strlen(body), NULL);
+        gsize bytes = 0;
+        char *text =
+            (char *)g_base64_decode(json_text_get(row, "value"), &bytes);
+        cJSON *value = json_document_read(text, bytes, NULL);
+        record.revision = json_int_get(row, "revision", -1);
+        record.node = g_strdup(json_text_get(value, "node"));
+        cJSON_Delete(value);
+        g_free(text);
+        cJSON_Delete(row);
+    }
+    g_free(body);
+    g_free(store);
+    return record;
+}
+
+/* Stops and continues a process in turns until it is killed itself. */
+static pid_t
+slow_down(pid_t slowed)
+{
+    pid_t pid = fork();
+    if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        while (kill(slowed, SIGSTOP) == 0) {
+            g_usleep(SLICE_STOP_MS * 1000);
+            kill(slowed, SIGCONT);
+            g_usleep(SLICE_RUN_MS * 1000);
+        }
+        _exit(EXIT_SUCCESS);
+    }
+    return pid;
+}
+
+/**
+ * struct leader_watch - claims of the leadership while jobs were submitted
+ * @changes: how many there were
+ * @replaced_ms: from the begin until another host led; -1: none did
+ */
+struct leader_watch {
+    int changes;
+    int64_t replaced_ms;
+};
+
+/* Submits jobs with @caller for @duration_ms. */
+static struct leader_watch
+watch_leader(struct job_caller *caller, int64_t duration_ms)
+{
+    struct leader_watch watch = {.replaced_ms = -1};
+    int64_t begin_ms = g_get_monotonic_time() / 1000;
+    struct leader_record first = read_leader_record();
+    int64_t last_revision = first.revision;
+    int64_t now_ms = begin_ms;
+    while (now_ms < begin_ms + duration_ms) {
+        job_caller_submit(caller, &fixture.quick, job_body);
+        run_for(SLOW_SUBMIT_INTERVAL_MS, false);
+        now_ms = g_get_monotonic_time() / 1000;
+        struct leader_record record = read_leader_record();
+        if (record.revision >= 0 && record.revision != last_revision) {
+            last_revision = record.revision;
+            watch.changes++;
+            if (watch.replaced_ms < 0 &&
+                g_strcmp0(record.node, first.node) != 0) {
+                watch.replaced_ms = now_ms - begin_ms;
+            }
+        }
+        g_free(record.node);
+    }
+    g_free(first.node);
+    printf("%d changes, replaced after %ld ms, ", watch.changes,
+           (long)watch.replaced_ms);
+    return watch;
+}
+
+/* The leader's process gets too little time to schedule, but enough to renew
+ * its lease. It kept the leadership. */
+static void
+test_slow_leader(void)
+{
+    run_for(1000, false);
+    int slow = find_leader();
+    CU_ASSERT_FATAL(slow >= 0);
+    const char *others[] = {fixture.frontends[(slow + 1) % ENTRY_HOST_COUNT],
+                            fixture.frontends[(slow + 2) % ENTRY_HOST_COUNT],
+                            NULL};
+    struct job_caller *caller = job_caller_create(fixture.base, others);
+    struct leader_watch watch = watch_leader(caller, HEALTHY_MS);
+    CU_ASSERT_EQUAL(watch.changes, 0);
+    pid_t slicer = slow_down(fixture.entry_pids[slow]);
+    watch = watch_leader(caller, SLOW_MS);
+    end_process(&slicer, SIGKILL);
+    kill(fixture.entry_pids[slow], SIGCONT);
+    CU_ASSERT(watch.replaced_ms >= 0 &&
+              watch.replaced_ms <= SLOW_LEADS_MAX_MS);
+    CU_ASSERT(watch.changes <= LEADER_CHANGES_MAX);
+    for (int passed_ms = 0;
+         passed_ms < SLOW_END_MS && job_caller_pending(caller) > 0;
+         passed_ms += 100) {
+        run_for(100, false);
+    }
+    CU_ASSERT_EQUAL(job_caller_pending(caller), 0);
+    job_caller_destroy(caller);
+    CU_ASSERT_EQUAL(fixture.quick.completed, fixture.quick.accepted);
+    CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
+}
+
 static const struct scenario scenarios[] = {
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
@@ -335,6 +473,7 @@
     {"unknown-job-elsewhere", test_unknown_job_elsewhere, .proxied = true},
     {"message-outlives-job", test_message_outlives_job},
     {"queue-length-takeover", test_queue_length_takeover, .proxied = true},
+    {"slow-leader-keeps-leading", test_slow_leader},
 };
 
 int
