jobs: a leader with nothing left to shed hands its leadership over

Callers got 503, no answer within 700 ms, or lengths that left out most jobs, for as long as the leader's host was slow. Its timers and renewals were on time; what shows is that it sheds new jobs within 1.3 s and may have 8 to 31 start commands open, against hundreds or thousands on a leader that is merely busy.

core/jobs/leader_fitness.c judges each period between two renewals: late if the loop or the renewal was 0.5 s late, or if nothing was left to shed with few commands open (core/jobs/overload.c). After three late periods in a row over 2 s the leader releases its leadership as at SIGTERM, and leaves the claim to others for 3 s.

--- a/core/jobs/election_backoff.c
+++ b/core/jobs/election_backoff.c
@@ -11,6 +11,15 @@
     WEAK_HOST_DELAY_MAX_MS = 1500,
     /* The same where no other host is known. */
     WEAK_HOST_DELAY_ALONE_MS = 500,
+    /* What makes a host slow for seconds is often not over when it has handed
+     * its leadership over. */
+    SLOW_HOST_MS = 15000,
+    /* Covers a lease that runs out by itself and the claim of a weak host;
+     * after that nobody else can lead. */
+    SLOW_HOST_YIELD_MS = 3000,
+    /* The same for a host that didn't lead: a claim of another one takes less,
+     * and where all are slow callers wait for this long. */
+    SLOW_HOST_YIELD_SHORT_MS = 1000,
 };
 
 /* Enough to run the scheduler of a fleet of full size. */
@@ -46,3 +55,36 @@
                 (int64_t)(random_fraction * ELECTION_SPREAD_MS);
     return ELECTION_WAIT;
 }
+
+void
+election_backoff_slow(struct election_backoff *backoff, int64_t now_ms,
+                      bool handed_over)
+{
+    backoff->handed_over =
+        handed_over ||
+        (backoff->handed_over && election_backoff_is_slow(backoff, now_ms));
+    backoff->slow_until_ms = now_ms + SLOW_HOST_MS;
+}
+
+bool
+election_backoff_is_slow(const struct election_backoff *backoff,
+                         int64_t now_ms)
+{
+    return now_ms < backoff->slow_until_ms;
+}
+
+bool
+election_backoff_yields(struct election_backoff *backoff, bool vacant,
+                        int64_t now_ms)
+{
+    if (!vacant || !election_backoff_is_slow(backoff, now_ms)) {
+        backoff->yield_until_ms = 0;
+        return false;
+    }
+    if (backoff->yield_until_ms == 0) {
+        backoff->yield_until_ms =
+            now_ms + (backoff->handed_over ? SLOW_HOST_YIELD_MS
+                                           : SLOW_HOST_YIELD_SHORT_MS);
+    }
+    return now_ms < backoff->yield_until_ms;
+}
--- a/core/jobs/overload.c
+++ b/core/jobs/overload.c
@@ -111,6 +111,19 @@
     }
 }
 
+/* A leader that is merely at its limit has a large window. */
+static void
+update_exhausted(struct overload *overload)
+{
+    if (overload->level < SHED_REPORTS) {
+        overload->exhausted = false;
+    }
+    else if (overload->level == SHED_JOBS &&
+             overload->window <= WINDOW_FIRST) {
+        overload->exhausted = true;
+    }
+}
+
 bool
 overload_update(struct overload *overload, int64_t now_ms)
 {
@@ -132,6 +145,7 @@
         overload->calm_since_ms = now_ms;
         overload->level--;
     }
+    update_exhausted(overload);
     overload->begin_ms = now_ms;
     overload->most_in_flight = overload->in_flight;
     overload->answered = 0;
@@ -142,6 +156,12 @@
     return overload->level != before;
 }
 
+bool
+overload_exhausted(const struct overload *overload)
+{
+    return overload->exhausted;
+}
+
 bool
 overload_may_start(const struct overload *overload)
 {
--- a/core/jobs/scheduler.c
+++ b/core/jobs/scheduler.c
@@ -312,6 +312,12 @@
     overload_renewal_delay(&sched->overload, delay_ms);
 }
 
+bool
+scheduler_exhausted(const struct scheduler *sched)
+{
+    return overload_exhausted(&sched->overload);
+}
+
 int64_t
 scheduler_patience_ms(const struct scheduler *sched)
 {
--- a/egretctl/cmd_job.c
+++ b/egretctl/cmd_job.c
@@ -10,8 +10,8 @@
 
 /* Events of the leader or the store, which concern every unfinished job. */
 static const char *const fleet_events[] = {
-    "duty_won",      "duty_lost",    "leader_ready", "orders_suspended",
-    "store_relayed", "store_failed", "shedding",
+    "duty_won",         "duty_lost",     "leadership_handover", "leader_ready",
+    "orders_suspended", "store_relayed", "store_failed",        "shedding",
 };
 
 /**
--- a/egretjobd/frontend.c
+++ b/egretjobd/frontend.c
@@ -423,11 +423,13 @@
                     "requests_invalid_total %" G_GUINT64_FORMAT "\n"
                     "requests_unknown_total %" G_GUINT64_FORMAT "\n"
                     "scheduler_held %d\n"
+                    "leadership_handovers_total %" G_GUINT64_FORMAT "\n"
                     "config_fresh %d\n",
                     counters->requests, counters->accepted, counters->refused,
                     counters->unauthorized, counters->not_found,
                     counters->invalid, counters->unknown,
                     leadership_held(frontend->node->leadership),
+                    leadership_handovers(frontend->node->leadership),
                     config_feed_fresh(frontend->node->feed));
     scheduler_metrics_add(text, &stats);
     add_inbox_metrics(text, &inbox);
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -545,6 +545,12 @@
     }
 }
 
+bool
+leader_exhausted(const struct leader *leader)
+{
+    return leader != NULL && scheduler_exhausted(leader->sched);
+}
+
 char *
 leader_open_leases(struct leader *leader)
 {
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -7,8 +7,10 @@
 #include "common/event_log.h"
 #include "common/text.h"
 #include "core/jobs/election_backoff.h"
+#include "core/jobs/leader_fitness.h"
 #include "egretjobd/config_feed.h"
 #include "egretjobd/leader.h"
+#include "egretjobd/loop_lag.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
 #include "platform/json_text.h"
@@ -31,6 +33,8 @@
     WATCH_WAIT_MS = 1500,
     WATCH_TIMEOUT_MS = 2300,
     READ_RETRY_MS = 150,
+    /* How often a host that yields looks whether there is a leader. */
+    YIELD_READ_MS = 300,
     /* Drift of this host's clock against the store's: 2 % of the TTL. */
     CLOCK_DRIFT_MARGIN_MS = 60,
 };
@@ -82,6 +86,10 @@
  * @numbers_revision: revision of the record of reserved run numbers; 0: there
  *                    is none
  * @numbers_term: last term whose run numbers are reserved
+ * @fitness: whether this host is fast enough to lead
+ * @lag: runs while this process is the leader
+ * @read_sent_ms: when the records were last requested
+ * @handovers: how often leadership was handed over because the host was slow
  */
 struct leadership {
     struct node *node;
@@ -115,6 +123,10 @@
     bool watching;
     struct election_backoff backoff;
     bool call_in_flight;
+    struct leader_fitness fitness;
+    struct loop_lag *lag;
+    int64_t read_sent_ms;
+    uint64_t handovers;
 };
 
 static void
@@ -164,6 +176,8 @@
      * its revision is the fencing token of the previous leader. */
     leadership->previous_token = item->revision;
     leadership->term_revision = item->revision;
+    leader_fitness_term_seen(&leadership->fitness, node_now(leadership->node),
+                             item->revision);
     char *rest = NULL;
     leadership->term = (uint32_t)g_ascii_strtoull(item->value, &rest, 10) + 1;
     int64_t lease_max_ms = g_ascii_strtoll(rest, NULL, 10);
@@ -249,6 +263,18 @@
              (struct kv_done){.call = on_watch, .ctx = leadership});
 }
 
+/* A host that is slow isn't the first to claim. */
+static void
+note_follower_delay(struct leadership *leadership)
+{
+    int64_t now_ms = node_now(leadership->node);
+    leader_fitness_sample(&leadership->fitness, now_ms,
+                          now_ms - leadership->read_sent_ms);
+    if (leader_fitness_slow(&leadership->fitness)) {
+        election_backoff_slow(&leadership->backoff, now_ms, false);
+    }
+}
+
 static void
 on_record(void *ctx, const struct kv_result *result)
 {
@@ -261,6 +287,7 @@
         read_record_later(leadership, READ_RETRY_MS);
         return;
     }
+    note_follower_delay(leadership);
     set_leader(leadership, NULL);
     apply_records(leadership, result);
     claim_or_watch(leadership);
@@ -269,11 +296,15 @@
 static void
 claim_or_watch(struct leadership *leadership)
 {
+    bool vacant = claimable(leadership) && !leadership->node->stopping;
+    if (election_backoff_yields(&leadership->backoff, vacant,
+                                node_now(leadership->node))) {
+        read_record_later(leadership, YIELD_READ_MS);
+        return;
+    }
     int64_t delay_ms = 0;
     switch (election_backoff_next(
-        &leadership->backoff,
-        claimable(leadership) && !leadership->node->stopping,
-        leadership->node->settings->cores,
+        &leadership->backoff, vacant, leadership->node->settings->cores,
         config_feed_strongest_cores(leadership->node->feed), g_random_double(),
         &delay_ms)) {
     case ELECTION_NONE:
@@ -298,6 +329,7 @@
         return;
     }
     leadership->call_in_flight = true;
+    leadership->read_sent_ms = node_now(leadership->node);
     kv_range(leadership->kv, RECORD_LEADERSHIP_PREFIX, NULL,
              (struct kv_done){.call = on_record, .ctx = leadership});
 }
@@ -312,6 +344,10 @@
     leadership->held_since_ms = node_now(leadership->node);
     leadership->valid_until_ms = leadership->lease_requested_ms +
                                  LEADER_LEASE_TTL_MS - CLOCK_DRIFT_MARGIN_MS;
+    leader_fitness_term_seen(&leadership->fitness, leadership->held_since_ms,
+                             revision);
+    leader_fitness_restart(&leadership->fitness);
+    loop_lag_start(leadership->lag);
     event_log("duty_won", "\"token\":%" G_GINT64_FORMAT ",\"term\":%u",
               leadership->token, leadership->term);
     timer_set(leadership->timer, RENEW_INTERVAL_MS);
@@ -428,6 +464,8 @@
     }
     event_log("duty_lost", "\"token\":%" G_GINT64_FORMAT ",\"why\":\"%s\"",
               leadership->token, why);
+    leader_fitness_restart(&leadership->fitness);
+    loop_lag_stop(leadership->lag);
     struct leader *leader = leadership->node->leader;
     leadership->node->leader = NULL;
     leader_destroy(leader);
@@ -435,6 +473,84 @@
     read_record_later(leadership, READ_RETRY_MS);
 }
 
+static void
+on_released(void *ctx, const struct kv_result *result)
+{
+    (void)ctx;
+    (void)result;
+}
+
+/* Stores for the next leader how long leases that this one granted may still
+ * run. */
+static void
+store_handover(struct leadership *leadership, const char *value)
+{
+    struct kv_condition condition = {.key = RECORD_LEADER_KEY,
+                                     .revision = leadership->token};
+    struct kv_put put = {.key = RECORD_HANDOVER_KEY, .value = value};
+    struct kv_txn txn = {
+        .conditions = &condition,
+        .n_conditions = 1,
+        .puts = &put,
+        .n_puts = 1,
+    };
+    kv_commit(leadership->kv, &txn,
+              (struct kv_done){.call = on_released, .ctx = leadership});
+}
+
+static void
+release(struct leadership *leadership, const char *why)
+{
+    int64_t lease = leadership->lease;
+    char *leases = leader_open_leases(leadership->node->leader);
+    leadership_lose(leadership, why);
+    if (leases != NULL) {
+        store_handover(leadership, leases);
+    }
+    g_free(leases);
+    kv_lease_revoke(leadership->kv, lease,
+                    (struct kv_done){.call = on_released, .ctx = leadership});
+}
+
+void
+leadership_release(struct leadership *leadership)
+{
+    if (leadership->state == LEADERSHIP_HELD) {
+        release(leadership, "released");
+    }
+}
+
+/* Called with an answer of the store, so that a leader that can't reach the
+ * store doesn't hand over. */
+static void
+judge_fitness(struct leadership *leadership, int64_t renewal_delay_ms)
+{
+    struct leader_fitness *fitness = &leadership->fitness;
+    int64_t now_ms = node_now(leadership->node);
+    /* Timers may be on time while renewals wait unread, and the reverse. */
+    int64_t loop_lag_ms = loop_lag_take(leadership->lag);
+    int64_t lag_ms = MAX(renewal_delay_ms, loop_lag_ms);
+    if (leader_exhausted(leadership->node->leader)) {
+        leader_fitness_exhausted(fitness);
+    }
+    leader_fitness_lag(fitness, now_ms, lag_ms);
+    if (leadership->node->stopping ||
+        !leader_fitness_hand_over(fitness, now_ms)) {
+        return;
+    }
+    event_log("leadership_handover",
+              "\"why\":\"slow\",\"token\":%" G_GINT64_FORMAT
+              ",\"samples\":%u,\"late_ms\":%" G_GINT64_FORMAT
+              ",\"worst_lag_ms\":%" G_GINT64_FORMAT
+              ",\"sustained_ms\":%" G_GINT64_FORMAT,
+              leadership->token, fitness->late_samples,
+              now_ms - fitness->late_since_ms, fitness->worst_lag_ms,
+              leader_fitness_sustained_ms(fitness, now_ms));
+    leadership->handovers++;
+    election_backoff_slow(&leadership->backoff, now_ms, true);
+    release(leadership, "slow");
+}
+
 static void
 on_renewed(void *ctx, const struct kv_result *result)
 {
@@ -460,6 +576,7 @@
     leadership->renewed_ms = MAX(leadership->renewed_ms, sent_ms);
     leadership->valid_until_ms =
         leadership->renewed_ms + LEADER_LEASE_TTL_MS - CLOCK_DRIFT_MARGIN_MS;
+    judge_fitness(leadership, node_now(leadership->node) - sent_ms);
 }
 
 static void
@@ -512,6 +629,7 @@
         };
     }
     leadership->timer = evtimer_new(node->base, on_timer, leadership);
+    leadership->lag = loop_lag_create(node);
     leadership->handover_left_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     read_record_later(leadership, 0);
@@ -525,6 +643,7 @@
         return;
     }
     event_free(leadership->timer);
+    loop_lag_destroy(leadership->lag);
     kv_destroy(leadership->kv);
     for (size_t i = 0; i < RENEWAL_COUNT; i++) {
         kv_destroy(leadership->renewals[i].kv);
@@ -563,52 +682,16 @@
     return leadership->token;
 }
 
-const char *
-leadership_leader_address(const struct leadership *leadership)
+uint64_t
+leadership_handovers(const struct leadership *leadership)
 {
-    return leadership->leader_peer;
-}
-
-static void
-on_released(void *ctx, const struct kv_result *result)
-{
-    (void)ctx;
-    (void)result;
-}
-
-/* Stores for the next leader how long leases that this one granted may still
- * run. */
-static void
-store_handover(struct leadership *leadership, const char *value)
-{
-    struct kv_condition condition = {.key = RECORD_LEADER_KEY,
-                                     .revision = leadership->token};
-    struct kv_put put = {.key = RECORD_HANDOVER_KEY, .value = value};
-    struct kv_txn txn = {
-        .conditions = &condition,
-        .n_conditions = 1,
-        .puts = &put,
-        .n_puts = 1,
-    };
-    kv_commit(leadership->kv, &txn,
-              (struct kv_done){.call = on_released, .ctx = leadership});
+    return leadership->handovers;
 }
 
-void
-leadership_release(struct leadership *leadership)
+const char *
+leadership_leader_address(const struct leadership *leadership)
 {
-    if (leadership->state != LEADERSHIP_HELD) {
-        return;
-    }
-    int64_t lease = leadership->lease;
-    char *leases = leader_open_leases(leadership->node->leader);
-    leadership_lose(leadership, "released");
-    if (leases != NULL) {
-        store_handover(leadership, leases);
-    }
-    g_free(leases);
-    kv_lease_revoke(leadership->kv, lease,
-                    (struct kv_done){.call = on_released, .ctx = leadership});
+    return leadership->leader_peer;
 }
 
 static bool
--- a/include/core/jobs/overload.h
+++ b/include/core/jobs/overload.h
@@ -33,6 +33,8 @@
  * @renewal_late: a renewal of the leadership came late in the interval
  * @begin_ms: begin of the interval; 0: none yet
  * @calm_since_ms: end of the last interval in which something was late
+ * @exhausted: nothing was left to shed while few start commands could be open,
+ *             and it hasn't become much better since
  */
 struct overload {
     enum shed_level level;
@@ -46,6 +48,7 @@
     bool renewal_late;
     int64_t begin_ms;
     int64_t calm_since_ms;
+    bool exhausted;
 };
 
 void
@@ -79,6 +82,12 @@
 bool
 overload_update(struct overload *overload, int64_t now_ms);
 
+/** overload_exhausted() - whether this process is late although it sheds all
+ * it can; another host would serve better unless the load is too much for any.
+ */
+bool
+overload_exhausted(const struct overload *overload);
+
 /** overload_may_start() - whether another start command may be sent. */
 bool
 overload_may_start(const struct overload *overload);
--- a/include/core/jobs/scheduler.h
+++ b/include/core/jobs/scheduler.h
@@ -475,6 +475,10 @@
 void
 scheduler_renewal_delay(struct scheduler *sched, int64_t delay_ms);
 
+/** scheduler_exhausted() - whether it is late although it sheds all it can. */
+bool
+scheduler_exhausted(const struct scheduler *sched);
+
 /** scheduler_patience_ms() - how much longer than usual to wait for answers.
  */
 int64_t
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -58,6 +58,11 @@
 void
 leader_renewal_delay(struct leader *leader, int64_t delay_ms);
 
+/** leader_exhausted() - whether the leader is late although it sheds all it
+ * can; false for NULL. */
+bool
+leader_exhausted(const struct leader *leader);
+
 /** leader_open_leases() - record of the leases that may run when the next
  * leader takes over; g_free(). NULL: not known. */
 char *
--- a/include/egretjobd/leadership.h
+++ b/include/egretjobd/leadership.h
@@ -46,6 +46,11 @@
 leadership_lease_left(const struct leadership *leadership, const char *id,
                       int64_t *left_ms);
 
+/** leadership_handovers() - how often this process has handed over leadership
+ * because its host was slow. */
+uint64_t
+leadership_handovers(const struct leadership *leadership);
+
 /** leadership_leader_address() - peer address of the leader, or NULL. */
 const char *
 leadership_leader_address(const struct leadership *leadership);
--- a/tests/jobs/overload_test.c
+++ b/tests/jobs/overload_test.c
@@ -180,6 +180,57 @@
     fixture_clear(&f);
 }
 
+/* Ends an interval of 0.2 s in which all answers took @delay_ms. */
+static void
+end_interval(struct overload *overload, int64_t *now_ms, int64_t delay_ms)
+{
+    for (int i = 0; i < 20; i++) {
+        overload_sent(overload);
+        overload_answered(overload, delay_ms);
+    }
+    *now_ms += 200;
+    overload_update(overload, *now_ms);
+}
+
+/* A leader at its peak, then its host gets slow: within 2 s nothing is left to
+ * shed. It gets fast again. */
+static void
+test_slow_host(void)
+{
+    struct overload overload;
+    overload_init(&overload);
+    replay(&overload, REPLAY_MS, 100 * LINK_COMMANDS_PER_S);
+    overload.window = MIN(overload.window, 64);
+    int64_t now_ms = 1000 + REPLAY_MS;
+    CU_ASSERT_FALSE(overload_exhausted(&overload));
+    for (int i = 0; i < 10; i++) {
+        end_interval(&overload, &now_ms, 400);
+    }
+    CU_ASSERT(overload_exhausted(&overload));
+    /* One calm moment changes nothing. */
+    end_interval(&overload, &now_ms, 20);
+    CU_ASSERT(overload_exhausted(&overload));
+    for (int i = 0; i < 20; i++) {
+        end_interval(&overload, &now_ms, 20);
+    }
+    CU_ASSERT_FALSE(overload_exhausted(&overload));
+}
+
+/* A leader that carries hundreds of commands at once is busy, not slow. */
+static void
+test_busy_host(void)
+{
+    struct overload overload;
+    overload_init(&overload);
+    overload.window = 2000;
+    int64_t now_ms = 1000;
+    for (int i = 0; i < 5; i++) {
+        end_interval(&overload, &now_ms, 400);
+        CU_ASSERT_FALSE(overload_exhausted(&overload));
+    }
+    CU_ASSERT_EQUAL(overload.level, SHED_JOBS);
+}
+
 int
 main(void)
 {
@@ -190,6 +241,8 @@
         {"few unanswered commands", test_few_unanswered},
         {"a dark rack", test_dark_rack},
         {"a start is checked when it is sent", test_start_checked_when_sent},
+        {"a slow host", test_slow_host},
+        {"a busy host", test_busy_host},
     };
     return suite_main("jobs overload", tests,
                       sizeof(tests) / sizeof(tests[0]));
