tests: a cancel whose job could not be read

The other way to a task that started after its cancel: the leader listed the cancel's message, and the read of its job failed. The pass counted as read all the same, and nothing of the cancel was kept.

The emulator refuses reads of one key with POST /unreadable/KEY. jobs-cancel-unfetched has the job of a cancel unreadable and repeats the submission at the leader 3.1 s after the cancel; no task may start. It shares its steps with jobs-cancel-left-out, whose checks are the same as before.

--- a/standins/jobs/emulator.h
+++ b/standins/jobs/emulator.h
@@ -48,6 +48,7 @@
  * struct emulator - the platform
  * @store_down: the store answers every call with 503
  * @store_unresponsive: the store does not answer
+ * @unreadable_key: reads of this key alone get 503; NULL: none
  * @withheld: calls that get no answer while the store or a backend server is
  *            unresponsive
  * @violated_invariant: invariant that the emulator violates on purpose, to
@@ -76,6 +77,7 @@
     int n_hosts;
     bool store_down;
     bool store_unresponsive;
+    char *unreadable_key;
     GPtrArray *withheld;
     char *violated_invariant;
     GHashTable *done_acked;
--- a/standins/jobs/emulator_kv.c
+++ b/standins/jobs/emulator_kv.c
@@ -67,6 +67,11 @@
 serve_key(struct emulator *emulator, struct http_exchange *exchange)
 {
     char *key = query_value(http_exchange_path(exchange), "key");
+    if (key != NULL && g_strcmp0(key, emulator->unreadable_key) == 0) {
+        http_exchange_reply(exchange, REFUSED_STATUS, "{}");
+        g_free(key);
+        return;
+    }
     const struct kv_row *row =
         key == NULL ? NULL : kv_model_get(&emulator->kv, key);
     g_free(key);
--- a/standins/jobs/emulator_main.c
+++ b/standins/jobs/emulator_main.c
@@ -114,8 +114,9 @@
     cJSON_Delete(config);
 }
 
-/* POST /put/KEY writes a key; POST /store/up|down|silent; POST /crash/N;
- * POST /dark/N toggles whether backend server N is reachable;
+/* POST /put/KEY writes a key; POST /unreadable/KEY refuses reads of it alone;
+ * POST /store/up|down|silent; POST /crash/N; POST /dark/N toggles whether
+ * backend server N is reachable;
  * POST /restart-unseen/N restarts it under the same id, see emulator.h;
  * POST /config writes the configuration again; POST /cancelled/ID tells that a
  * cancel was acknowledged; POST /break/INVARIANT; GET /figures. */
@@ -134,6 +135,10 @@
     if (g_str_has_prefix(path, "/put/")) {
         put_text(emulator, path + strlen("/put/"), body, bytes);
     }
+    else if (g_str_has_prefix(path, "/unreadable/")) {
+        g_free(emulator->unreadable_key);
+        emulator->unreadable_key = g_strdup(path + strlen("/unreadable/"));
+    }
     else if (g_str_has_prefix(path, "/store/")) {
         emulator->store_down = strcmp(path, "/store/down") == 0;
         emulator->store_unresponsive = strcmp(path, "/store/silent") == 0;
--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -47,6 +47,8 @@
     CANCEL_WATCH_MS = 3000,
 };
 
+#define CANCELLED_ID "ffffffffffffff01"
+
 /* A task that no backend server may run. */
 static const char waiting_body[] =
     "{\\\"spec\\\":\\\"ms=200\\\",\\\"steps\\\":[{\\\"count\\\":1,"
@@ -111,26 +113,22 @@
     g_free(faults);
 }
 
-/* Passes list the message of a cancel, but have no room to read its job. The
- * leader learns of the job from a late repetition of its submission and must
- * not start it. */
+/* A job whose cancel the emulator counts as acknowledged now. */
 static void
-test_cancel_left_out(void)
+store_cancelled_job(void)
+{
+    store_job(CANCELLED_ID, "draft-notice", "notices", quick_body, "cancel");
+    send_request(fixture.admin, "POST", "/cancelled/" CANCELLED_ID);
+}
+
+/* The leader learns of the cancelled job from a late repetition of its
+ * submission and must not start it. */
+static void
+repeat_cancelled_job(int leader)
 {
-    static const char id[] = "ffffffffffffff01";
-    /* The backend servers get their records. */
-    run_for(2000, true);
-    run_until_finished();
-    int leader = find_leader();
-    CU_ASSERT_FATAL(leader >= 0);
-    delay_store(CANCEL_STORE_DELAY_MS);
-    store_waiting_jobs(CANCEL_FILLER_JOBS, "job");
-    store_job(id, "draft-notice", "notices", quick_body, "cancel");
-    send_request(fixture.admin, "POST", "/cancelled/ffffffffffffff01");
-    run_for(CANCEL_MS + 100, false);
     int64_t starts = emulator_stat("checks");
     int status = http_call_sync(fixture.base, fixture.frontends[leader],
-                                "POST", "/draft/ffffffffffffff01", "key-skela",
+                                "POST", "/draft/" CANCELLED_ID, "key-skela",
                                 "{\"spec\":\"ms=200\",\"steps\":[{\"count\":2,"
                                 "\"cpu\":900,\"estimate_ms\":200}]}",
                                 NULL);
@@ -140,16 +138,59 @@
     /* Nothing else can start. */
     CU_ASSERT_EQUAL(emulator_stat("checks"), starts);
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
-    /* It is known as cancelled once the messages are read. */
-    delay_store(0);
-    run_for(CANCEL_WATCH_MS, false);
+}
+
+/* The cancel takes effect once its message and its job can be read. */
+static void
+check_cancelled(int leader)
+{
     char *body = NULL;
+    run_for(CANCEL_WATCH_MS, false);
     http_call_sync(fixture.base, fixture.frontends[leader], "GET",
-                   "/draft/ffffffffffffff01", "key-skela", NULL, &body);
+                   "/draft/" CANCELLED_ID, "key-skela", NULL, &body);
     CU_ASSERT(body != NULL && strstr(body, "cancelled") != NULL);
     g_free(body);
 }
 
+/* Jobs have run, so that the backend servers have their records; returns the
+ * leader. */
+static int
+prepare_cancel(void)
+{
+    run_for(2000, true);
+    run_until_finished();
+    int leader = find_leader();
+    CU_ASSERT_FATAL(leader >= 0);
+    return leader;
+}
+
+/* Passes list the message of a cancel, but have no room to read its job. */
+static void
+test_cancel_left_out(void)
+{
+    int leader = prepare_cancel();
+    delay_store(CANCEL_STORE_DELAY_MS);
+    store_waiting_jobs(CANCEL_FILLER_JOBS, "job");
+    store_cancelled_job();
+    run_for(CANCEL_MS + 100, false);
+    repeat_cancelled_job(leader);
+    delay_store(0);
+    check_cancelled(leader);
+}
+
+/* Passes list the message of a cancel, but the reads of its job fail. */
+static void
+test_cancel_unfetched(void)
+{
+    int leader = prepare_cancel();
+    send_request(fixture.admin, "POST", "/unreadable/eg/job/" CANCELLED_ID);
+    store_cancelled_job();
+    run_for(CANCEL_MS + 100, false);
+    repeat_cancelled_job(leader);
+    send_request(fixture.admin, "POST", "/unreadable/none");
+    check_cancelled(leader);
+}
+
 /* Length of the queue of the waiting jobs as an entry host answers it; -1: it
  * answers that it doesn't know now. */
 static int
@@ -473,6 +514,7 @@
     {"unknown-job-elsewhere", test_unknown_job_elsewhere, .proxied = true},
     {"message-outlives-job", test_message_outlives_job},
     {"queue-length-takeover", test_queue_length_takeover, .proxied = true},
+    {"cancel-unfetched", test_cancel_unfetched},
     {"slow-leader-keeps-leading", test_slow_leader},
 };
 
