net: read the leader's listing of its inbox before other replies

Starts pause while cancels were read over 4.3 s ago, and lengths of queues are refused after 2 s. The store answers within milliseconds, but libevent reads 4 KB of a connection in each turn of the loop, and a turn served dozens of other connections: 115 turns for that listing.

A client can be marked as urgent; what comes in on its connection is handled before the rest. The two connections that list the inbox are.

--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -416,6 +416,9 @@
                             store_route_any(node->store_route));
     inbox->patient_list = kv_create(node->base, store, PATIENT_TIMEOUT_MS,
                                     store_route_any(node->store_route));
+    /* Starts wait for the cancels in it. */
+    kv_set_urgent(inbox->list);
+    kv_set_urgent(inbox->patient_list);
     for (size_t i = 0; i < CONNECTION_COUNT; i++) {
         inbox->calls[i] = kv_create(node->base, store, CALL_TIMEOUT_MS,
                                     store_route_any(node->store_route));
--- a/include/platform/kv.h
+++ b/include/platform/kv.h
@@ -132,6 +132,10 @@
 void
 kv_destroy(struct kv *kv);
 
+/** kv_set_urgent() - read answers before those of other connections. */
+void
+kv_set_urgent(struct kv *kv);
+
 /** kv_pending() - calls without an answer yet. */
 uint32_t
 kv_pending(const struct kv *kv);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -30,6 +30,7 @@
  * @connection: NULL if the address is none
  * @reset_fd: socket that is reset when it is closed; -1: none
  * @answered: the open connection has answered a call
+ * @urgent: see http_client_set_urgent()
  * @sending: a call is being passed to libevent, and its caller still uses what
  *           belongs to it
  */
@@ -41,6 +42,7 @@
     GPtrArray *pending;
     evutil_socket_t reset_fd;
     bool answered;
+    bool urgent;
     bool sending;
     bool destroyed;
 };
@@ -139,6 +141,12 @@
     evhttp_connection_set_timeout_tv(client->connection, &timeout);
 }
 
+void
+http_client_set_urgent(struct http_client *client)
+{
+    client->urgent = true;
+}
+
 static void
 client_free(evutil_socket_t fd, short events, void *ctx)
 {
@@ -285,6 +293,11 @@
         evhttp_make_request(client->connection, request,
                             method_type(call->method), call->path) == 0;
     client->sending = false;
+    if (client->urgent) {
+        /* A new connection begins with the usual priority. */
+        bufferevent_priority_set(
+            evhttp_connection_get_bufferevent(client->connection), 0);
+    }
     reset_on_close(client);
     if (!accepted && !pending->failed) {
         pending_call_fail_soon(pending, true);
