jobs: a slow store or slow backend servers are no reason to hand over

A leader on a fast host handed over while the store was slow, as the delay of its renewals counted as its own, and the followers, which judged themselves alike, all left the leadership to others: with answers of 0.6 s two changes and no leader in 64 of 200 looks in 20 s, with 1.2 s none in 149 of 200. Slow answers of backend servers had the same effect, and the next leader would have seen the same.

What counts now is the process's own loop. A timer of the lowest priority runs when nothing else is left to do; late by 60 ms on average it shows that the loop has work, or no processor, for three quarters of the time. Only then does a leader with nothing left to shed count as slow. Followers no longer judge themselves.

--- a/core/jobs/election_backoff.c
+++ b/core/jobs/election_backoff.c
@@ -17,9 +17,6 @@
     /* Covers a lease that runs out by itself and the claim of a weak host;
      * after that nobody else can lead. */
     SLOW_HOST_YIELD_MS = 3000,
-    /* The same for a host that didn't lead: a claim of another one takes less,
-     * and where all are slow callers wait for this long. */
-    SLOW_HOST_YIELD_SHORT_MS = 1000,
 };
 
 /* Enough to run the scheduler of a fleet of full size. */
@@ -57,12 +54,8 @@
 }
 
 void
-election_backoff_slow(struct election_backoff *backoff, int64_t now_ms,
-                      bool handed_over)
+election_backoff_slow(struct election_backoff *backoff, int64_t now_ms)
 {
-    backoff->handed_over =
-        handed_over ||
-        (backoff->handed_over && election_backoff_is_slow(backoff, now_ms));
     backoff->slow_until_ms = now_ms + SLOW_HOST_MS;
 }
 
@@ -82,9 +75,7 @@
         return false;
     }
     if (backoff->yield_until_ms == 0) {
-        backoff->yield_until_ms =
-            now_ms + (backoff->handed_over ? SLOW_HOST_YIELD_MS
-                                           : SLOW_HOST_YIELD_SHORT_MS);
+        backoff->yield_until_ms = now_ms + SLOW_HOST_YIELD_MS;
     }
     return now_ms < backoff->yield_until_ms;
 }
--- a/core/jobs/leader_fitness.c
+++ b/core/jobs/leader_fitness.c
@@ -12,6 +12,10 @@
     /* Entry hosts give up a call to the leader after 700 ms; what is this late
      * is rarely of use. */
     LATE_MS = 500,
+    /* Three times the 20 ms at which the loop is looked at: it has work, or no
+     * processor, for three quarters of the time. A process that waits for the
+     * store or for backend servers has nothing to do meanwhile. */
+    IDLE_LATE_MS = 60,
     /* A takeover costs callers about a second, so a shorter lateness costs
      * less than handing over. */
     SUSTAINED_MS = 2000,
@@ -27,9 +31,9 @@
 };
 
 void
-leader_fitness_exhausted(struct leader_fitness *fitness)
+leader_fitness_exhausted(struct leader_fitness *fitness, int64_t idle_lag_ms)
 {
-    fitness->exhausted = true;
+    fitness->exhausted = fitness->exhausted || idle_lag_ms >= IDLE_LATE_MS;
 }
 
 void
--- a/egretjobd/leadership.c
+++ b/egretjobd/leadership.c
@@ -87,8 +87,8 @@
  *                    is none
  * @numbers_term: last term whose run numbers are reserved
  * @fitness: whether this host is fast enough to lead
- * @lag: runs while this process is the leader
- * @read_sent_ms: when the records were last requested
+ * @lag: how late the loop is, while this process is the leader
+ * @idle_lag: how long the loop takes to have nothing left to do
  * @handovers: how often leadership was handed over because the host was slow
  */
 struct leadership {
@@ -125,7 +125,7 @@
     bool call_in_flight;
     struct leader_fitness fitness;
     struct loop_lag *lag;
-    int64_t read_sent_ms;
+    struct loop_lag *idle_lag;
     uint64_t handovers;
 };
 
@@ -263,18 +263,6 @@
              (struct kv_done){.call = on_watch, .ctx = leadership});
 }
 
-/* A host that is slow isn't the first to claim. */
-static void
-note_follower_delay(struct leadership *leadership)
-{
-    int64_t now_ms = node_now(leadership->node);
-    leader_fitness_sample(&leadership->fitness, now_ms,
-                          now_ms - leadership->read_sent_ms);
-    if (leader_fitness_slow(&leadership->fitness)) {
-        election_backoff_slow(&leadership->backoff, now_ms, false);
-    }
-}
-
 static void
 on_record(void *ctx, const struct kv_result *result)
 {
@@ -287,7 +275,6 @@
         read_record_later(leadership, READ_RETRY_MS);
         return;
     }
-    note_follower_delay(leadership);
     set_leader(leadership, NULL);
     apply_records(leadership, result);
     claim_or_watch(leadership);
@@ -329,7 +316,6 @@
         return;
     }
     leadership->call_in_flight = true;
-    leadership->read_sent_ms = node_now(leadership->node);
     kv_range(leadership->kv, RECORD_LEADERSHIP_PREFIX, NULL,
              (struct kv_done){.call = on_record, .ctx = leadership});
 }
@@ -348,6 +334,7 @@
                              revision);
     leader_fitness_restart(&leadership->fitness);
     loop_lag_start(leadership->lag);
+    loop_lag_start(leadership->idle_lag);
     event_log("duty_won", "\"token\":%" G_GINT64_FORMAT ",\"term\":%u",
               leadership->token, leadership->term);
     timer_set(leadership->timer, RENEW_INTERVAL_MS);
@@ -466,6 +453,7 @@
               leadership->token, why);
     leader_fitness_restart(&leadership->fitness);
     loop_lag_stop(leadership->lag);
+    loop_lag_stop(leadership->idle_lag);
     struct leader *leader = leadership->node->leader;
     leadership->node->leader = NULL;
     leader_destroy(leader);
@@ -523,17 +511,16 @@
 /* Called with an answer of the store, so that a leader that can't reach the
  * store doesn't hand over. */
 static void
-judge_fitness(struct leadership *leadership, int64_t renewal_delay_ms)
+judge_fitness(struct leadership *leadership)
 {
     struct leader_fitness *fitness = &leadership->fitness;
     int64_t now_ms = node_now(leadership->node);
-    /* Timers may be on time while renewals wait unread, and the reverse. */
-    int64_t loop_lag_ms = loop_lag_take(leadership->lag);
-    int64_t lag_ms = MAX(renewal_delay_ms, loop_lag_ms);
+    struct lag_sample idle = loop_lag_take(leadership->idle_lag);
     if (leader_exhausted(leadership->node->leader)) {
-        leader_fitness_exhausted(fitness);
+        leader_fitness_exhausted(fitness, idle.mean_ms);
     }
-    leader_fitness_lag(fitness, now_ms, lag_ms);
+    leader_fitness_lag(fitness, now_ms,
+                       loop_lag_take(leadership->lag).worst_ms);
     if (leadership->node->stopping ||
         !leader_fitness_hand_over(fitness, now_ms)) {
         return;
@@ -547,7 +534,7 @@
               now_ms - fitness->late_since_ms, fitness->worst_lag_ms,
               leader_fitness_sustained_ms(fitness, now_ms));
     leadership->handovers++;
-    election_backoff_slow(&leadership->backoff, now_ms, true);
+    election_backoff_slow(&leadership->backoff, now_ms);
     release(leadership, "slow");
 }
 
@@ -576,7 +563,7 @@
     leadership->renewed_ms = MAX(leadership->renewed_ms, sent_ms);
     leadership->valid_until_ms =
         leadership->renewed_ms + LEADER_LEASE_TTL_MS - CLOCK_DRIFT_MARGIN_MS;
-    judge_fitness(leadership, node_now(leadership->node) - sent_ms);
+    judge_fitness(leadership);
 }
 
 static void
@@ -629,7 +616,8 @@
         };
     }
     leadership->timer = evtimer_new(node->base, on_timer, leadership);
-    leadership->lag = loop_lag_create(node);
+    leadership->lag = loop_lag_create(node, LOOP_USUAL);
+    leadership->idle_lag = loop_lag_create(node, LOOP_IDLE);
     leadership->handover_left_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     read_record_later(leadership, 0);
@@ -644,6 +632,7 @@
     }
     event_free(leadership->timer);
     loop_lag_destroy(leadership->lag);
+    loop_lag_destroy(leadership->idle_lag);
     kv_destroy(leadership->kv);
     for (size_t i = 0; i < RENEWAL_COUNT; i++) {
         kv_destroy(leadership->renewals[i].kv);
--- a/egretjobd/node.c
+++ b/egretjobd/node.c
@@ -16,7 +16,7 @@
 #include "egretjobd/peers.h"
 #include "egretjobd/records.h"
 #include "egretjobd/store_route.h"
-#include "net/http_client.h"
+#include "net/loop_priority.h"
 #include "platform/kv.h"
 
 enum {
@@ -217,7 +217,7 @@
             },
     };
     struct node *node = &state.node;
-    event_base_priority_init(node->base, HTTP_LOOP_PRIORITIES);
+    event_base_priority_init(node->base, LOOP_PRIORITIES);
     event_log("start", "\"data_centre\":\"%s\",\"version\":\"%s\"",
               settings->data_centre, EGRET_VERSION);
     state.shutdown_timer = evtimer_new(node->base, on_shutdown_timer, &state);
--- a/include/core/jobs/election_backoff.h
+++ b/include/core/jobs/election_backoff.h
@@ -21,14 +21,12 @@
  * struct election_backoff - state of the back-off
  * @waited: ELECTION_WAIT was returned for the current vacancy
  * @slow_until_ms: until when this host counts as slow
- * @handed_over: it was found to be slow while it led
  * @yield_until_ms: until when a slow host leaves the current vacancy to
  * others; 0: it isn't doing so
  */
 struct election_backoff {
     bool waited;
     int64_t slow_until_ms;
-    bool handed_over;
     int64_t yield_until_ms;
 };
 
@@ -45,13 +43,10 @@
                       double cores, double strongest_cores,
                       double random_fraction, int64_t *delay_ms);
 
-/**
- * election_backoff_slow() - this host is too slow to lead
- * @handed_over: it led, and has handed over for that
- */
+/** election_backoff_slow() - this host led and has handed over, as it is too
+ * slow. */
 void
-election_backoff_slow(struct election_backoff *backoff, int64_t now_ms,
-                      bool handed_over);
+election_backoff_slow(struct election_backoff *backoff, int64_t now_ms);
 
 /** election_backoff_is_slow() - whether it was found to be so lately. */
 bool
--- a/include/core/jobs/leader_fitness.h
+++ b/include/core/jobs/leader_fitness.h
@@ -1,6 +1,8 @@
 /*
  * Whether this host is fast enough to lead, judged by how late the process's
- * own loop and its renewals are, and by whether anything is left to shed. A
+ * own loop is, and by whether anything is left to shed while it has work all
+ * the time. A slow store or slow backend servers are no reason: another leader
+ * would be no better off. A
  * slow leader still renews its lease, which is its cheapest call, so nobody
  * else takes over from it.
  */
@@ -39,10 +41,14 @@
     int64_t term_revision;
 };
 
-/** leader_fitness_exhausted() - the leader is late although it sheds all it
- * can; makes the current period late. */
+/**
+ * leader_fitness_exhausted() - the leader is late although it sheds all it can
+ * @idle_lag_ms: how long its loop took on average in the period to have
+ *               nothing left to do; a short time means that it waits for
+ *               others
+ */
 void
-leader_fitness_exhausted(struct leader_fitness *fitness);
+leader_fitness_exhausted(struct leader_fitness *fitness, int64_t idle_lag_ms);
 
 /** leader_fitness_lag() - the process was @lag_ms late; a sample is taken when
  * a period is over. */
--- a/include/net/http_client.h
+++ b/include/net/http_client.h
@@ -59,11 +59,6 @@
     void *ctx;
 };
 
-enum {
-    /* For event_base_priority_init(): urgent clients, and all else. */
-    HTTP_LOOP_PRIORITIES = 2,
-};
-
 struct http_client;
 
 /** http_address_valid() - whether @address is "ip:port", IPv4, with a port
@@ -89,8 +84,8 @@
  * http_client_set_urgent() - read replies before those of other connections
  *
  * libevent reads 4 KB of a connection in each turn of the loop, so that a long
- * reply takes hundreds of turns. Needs a base with priorities, see
- * HTTP_LOOP_PRIORITIES.
+ * reply takes hundreds of turns. Needs a base with
+ * LOOP_PRIORITIES.
  */
 void
 http_client_set_urgent(struct http_client *client);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "net/loop_priority.h"
+
 /**
  * struct pending_call - a call without an answer
  * @failed: it has failed, and its caller is told soon
@@ -296,7 +298,8 @@
     if (client->urgent) {
         /* A new connection begins with the usual priority. */
         bufferevent_priority_set(
-            evhttp_connection_get_bufferevent(client->connection), 0);
+            evhttp_connection_get_bufferevent(client->connection),
+            LOOP_URGENT);
     }
     reset_on_close(client);
     if (!accepted && !pending->failed) {
--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -43,6 +43,9 @@
     /* More than the leader reads in all passes until the cancel binds. */
     CANCEL_FILLER_JOBS = 300,
     CANCEL_STORE_DELAY_MS = 100,
+    /* In each direction. A claim's calls have 900 ms, a renewal 2.8 s. */
+    SLOW_STORE_DELAY_MS = 300,
+    SLOWER_STORE_DELAY_MS = 600,
     /* Passes over the messages go on meanwhile. */
     CANCEL_WATCH_MS = 3000,
 };
@@ -507,7 +510,53 @@
     CU_ASSERT_EQUAL(emulator_stat("violations"), 0);
 }
 
+/* The store answers each call late, the leader's host is fast. Another leader
+ * would be no better off. */
+static void
+check_slow_store(int delay_ms)
+{
+    run_for(1000, false);
+    int leader = find_leader();
+    CU_ASSERT_FATAL(leader >= 0);
+    struct leader_record first = read_leader_record();
+    delay_store(delay_ms);
+    int changes = 0;
+    int vacant = 0;
+    int64_t last_revision = first.revision;
+    for (int passed_ms = 0; passed_ms < SLOW_MS;
+         passed_ms += SLOW_SUBMIT_INTERVAL_MS) {
+        run_for(SLOW_SUBMIT_INTERVAL_MS, false);
+        struct leader_record record = read_leader_record();
+        vacant += record.revision < 0;
+        if (record.revision >= 0 && record.revision != last_revision) {
+            last_revision = record.revision;
+            changes++;
+        }
+        g_free(record.node);
+    }
+    g_free(first.node);
+    delay_store(0);
+    printf("%d changes, vacant in %d of %d looks ", changes, vacant,
+           SLOW_MS / SLOW_SUBMIT_INTERVAL_MS);
+    CU_ASSERT_EQUAL(changes, 0);
+    CU_ASSERT_EQUAL(vacant, 0);
+}
+
+static void
+test_slow_store(void)
+{
+    check_slow_store(SLOW_STORE_DELAY_MS);
+}
+
+static void
+test_slower_store(void)
+{
+    check_slow_store(SLOWER_STORE_DELAY_MS);
+}
+
 static const struct scenario scenarios[] = {
+    {"slow-store-keeps-leader", test_slow_store, .proxied = true},
+    {"slower-store-keeps-leader", test_slower_store, .proxied = true},
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
     {"queue-length-recorded", test_queue_length_recorded, .proxied = true},
