jobs: keep a cancel's message while its job can't be read

The leader deleted the message of a cancel whose job's record it couldn't decode. The cancel had been acknowledged; a leader of a newer version that can read the record would have started the job. Such a message now stays, and isn't read again until it changes.

--- a/egretjobd/acceptor.c
+++ b/egretjobd/acceptor.c
@@ -44,7 +44,7 @@
     GIVE_UP_MS = 12000,
     /* Longer records aren't repeated in the message for the leader, which
      * lists hundreds of them. */
-    INBOX_RECORD_BYTES_MAX = 16384,
+    INBOX_RECORD_BYTES_MAX = 4096,
 };
 
 #define CANCELLED_BODY                                                        \
--- a/egretjobd/leader.c
+++ b/egretjobd/leader.c
@@ -569,7 +569,7 @@
              struct inbox_stats *inbox)
 {
     *stats = (struct sched_stats){0};
-    *inbox = (struct inbox_stats){0};
+    *inbox = (struct inbox_stats){.age_ms = -1};
     if (leader != NULL) {
         scheduler_stats(leader->sched, stats);
         leader_inbox_stats(leader->inbox, inbox);
--- a/egretjobd/leader_inbox.c
+++ b/egretjobd/leader_inbox.c
@@ -59,6 +59,8 @@
  * @waiting: struct inbox_read that aren't sent yet, oldest message first
  * @n_open: reads that are sent
  * @cancels: ids of unknown jobs that messages cancel
+ * @unreadable: id of a job whose record can't be read to the revision of its
+ *              message
  * @obsolete: id of a job that isn't stored to the revision of its message
  * @listing: figures of the last listing
  */
@@ -76,6 +78,7 @@
     GQueue waiting;
     uint32_t n_open;
     GHashTable *cancels;
+    GHashTable *unreadable;
     GHashTable *obsolete;
     struct inbox_stats listing;
 };
@@ -128,10 +131,9 @@
 }
 
 static void
-mark_obsolete(struct leader_inbox *inbox, const struct inbox_read *read)
+note_revision(GHashTable *revisions, const struct inbox_read *read)
 {
-    g_hash_table_remove(inbox->cancels, read->id);
-    g_hash_table_replace(inbox->obsolete, g_strdup(read->id),
+    g_hash_table_replace(revisions, g_strdup(read->id),
                          g_memdup2(&read->revision, sizeof(read->revision)));
 }
 
@@ -149,9 +151,15 @@
         leader_schedule_tick(leader);
     }
     bool known = scheduler_find_job(leader->sched, read->id) != NULL;
-    if (!known && (found || result->outcome == KV_NOT_FOUND)) {
-        /* The message has outlived its job, or nobody can read the job. */
-        mark_obsolete(inbox, read);
+    if (!known && found) {
+        /* The message stays for a version that can read the job. */
+        note_revision(inbox->unreadable, read);
+        known = true;
+    }
+    else if (!known && result->outcome == KV_NOT_FOUND) {
+        /* The message has outlived its job. */
+        g_hash_table_remove(inbox->cancels, read->id);
+        note_revision(inbox->obsolete, read);
         known = true;
     }
     inbox->n_open--;
@@ -234,10 +242,9 @@
 }
 
 static bool
-is_obsolete(const struct leader_inbox *inbox, const char *id,
-            const struct kv_item *item)
+has_revision(GHashTable *revisions, const char *id, const struct kv_item *item)
 {
-    const int64_t *revision = g_hash_table_lookup(inbox->obsolete, id);
+    const int64_t *revision = g_hash_table_lookup(revisions, id);
     return revision != NULL && *revision == item->revision;
 }
 
@@ -249,9 +256,12 @@
     struct scheduler *sched = inbox->leader->sched;
     bool cancel = strcmp(item->value, INBOX_CANCEL) == 0;
     if (scheduler_find_job(sched, id) == NULL) {
-        if (is_obsolete(inbox, id, item)) {
+        if (has_revision(inbox->obsolete, id, item)) {
             return true;
         }
+        if (has_revision(inbox->unreadable, id, item)) {
+            return false;
+        }
         inbox->unknown = true;
         if (cancel) {
             g_hash_table_add(inbox->cancels, g_strdup(id));
@@ -429,6 +439,8 @@
     g_queue_init(&inbox->waiting);
     inbox->cancels =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    inbox->unreadable =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     inbox->obsolete =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return inbox;
@@ -446,6 +458,7 @@
     g_queue_clear(&inbox->waiting);
     g_hash_table_unref(inbox->reads);
     g_hash_table_unref(inbox->cancels);
+    g_hash_table_unref(inbox->unreadable);
     g_hash_table_unref(inbox->obsolete);
     g_free(inbox);
 }
--- a/include/egretjobd/leader.h
+++ b/include/egretjobd/leader.h
@@ -68,7 +68,7 @@
 char *
 leader_open_leases(struct leader *leader);
 
-/** leader_stats() - statistics of its scheduler and of its inbox; all 0 on a
+/** leader_stats() - statistics of its scheduler and of its inbox; empty on a
  * process that doesn't lead. */
 void
 leader_stats(const struct leader *leader, struct sched_stats *stats,
--- a/tests/jobs/slow_leader_process_test.c
+++ b/tests/jobs/slow_leader_process_test.c
@@ -554,9 +554,34 @@
     check_slow_store(SLOWER_STORE_DELAY_MS);
 }
 
+/* A cancel of a job whose record this version can't read stays for a leader
+ * that can. */
+static void
+test_unreadable_cancel_stays(void)
+{
+    static const char id[] = "00000000000000e2";
+    run_for(1000, false);
+    CU_ASSERT_FATAL(find_leader() >= 0);
+    put_key("eg/job/", id, "{\"format\":9}");
+    put_key("eg/inbox/", id, "cancel");
+    run_for(CANCEL_WATCH_MS, false);
+    char *store = g_strdup_printf("127.0.0.1:%d", fixture.first_port);
+    int job_status = http_call_sync(fixture.base, store, "GET",
+                                    "/v1/kv-key?key=eg/job/00000000000000e2",
+                                    NULL, NULL, NULL);
+    int status = http_call_sync(fixture.base, store, "GET",
+                                "/v1/kv-key?key=eg/inbox/00000000000000e2",
+                                NULL, NULL, NULL);
+    printf("job %d, message %d ", job_status, status);
+    CU_ASSERT_EQUAL(job_status, 200);
+    CU_ASSERT_EQUAL(status, 200);
+    g_free(store);
+}
+
 static const struct scenario scenarios[] = {
     {"slow-store-keeps-leader", test_slow_store, .proxied = true},
     {"slower-store-keeps-leader", test_slower_store, .proxied = true},
+    {"unreadable-cancel-stays", test_unreadable_cancel_stays},
     {"queue-length-unread", test_queue_length_unread, .proxied = true},
     {"cancel-left-out", test_cancel_left_out, .proxied = true},
     {"queue-length-recorded", test_queue_length_recorded, .proxied = true},
